--- /dev/null
+++ b/crates/fescuemux-core/src/base.rs
@@ -0,0 +1,22 @@
+//! Shared vocabulary of all decision parts: ids, time, randomness, collections and verdicts.
+//!
+//! Must not know any decision part.
+
+mod clock;
+mod collections;
+mod cx;
+mod favor;
+mod ids;
+mod phase;
+mod verdict;
+
+pub use clock::Clock;
+pub use collections::{HashMap, HashSet};
+pub use cx::{Cx, Rng};
+pub use favor::Favor;
+pub use ids::{
+    CallerId, DomainId, Generation, Incarnation, InstanceId, PlanId, RequestId, RouteId, ServerId,
+    ServiceId,
+};
+pub use phase::Phase;
+pub use verdict::Verdict;
--- /dev/null
+++ b/crates/fescuemux-standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder
