Add at-most-once parts: request table, key registry, roster, home fence

Cause: bookings must run at most once even when a caller resends through another daemon after a restart. Keys are claimed at a home chosen by rendezvous hashing over a roster; UUIDv7 creation times tell a new home which keys an earlier home may know. A roster for the whole fleet with at most 31 homes replaces the planned roster per service, since one fence then serves all services. Before: nothing. Conclusion: interface is fixed; the daemon can claim and settle against it.

--- /dev/null
+++ b/crates/fescuemux-core/src/dedup/key_age.rs
@@ -0,0 +1,31 @@
+//! Creation time of an idempotency key.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use uuid::Uuid;
+
+/// Largest difference assumed between the wall clocks of callers and daemons.
+pub const MAX_CLOCK_SKEW: Duration = Duration::from_secs(2);
+
+/// When a key was created, as far as its text tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KeyAge {
+    /// The key is a UUIDv7 with this creation time.
+    CreatedAt(SystemTime),
+    /// The key carries no time.
+    Opaque,
+}
+
+/// Reads the creation time out of a key in UUIDv7 form (RFC 9562, section 5.7).
+pub fn key_age(key: &str) -> KeyAge {
+    let Ok(uuid) = Uuid::try_parse(key) else {
+        return KeyAge::Opaque;
+    };
+    if uuid.get_version_num() != 7 {
+        return KeyAge::Opaque;
+    }
+    let Some(timestamp) = uuid.get_timestamp() else {
+        return KeyAge::Opaque;
+    };
+    let (seconds, nanos) = timestamp.to_unix();
+    KeyAge::CreatedAt(UNIX_EPOCH + Duration::new(seconds, nanos))
+}
--- /dev/null
+++ b/crates/fescuemux-core/src/dedup/key_registry.rs
@@ -0,0 +1,196 @@
+//! Idempotency keys at their home.
+
+use super::claim::{Claim, ClaimState, KeyOutcome, RegistryEntry};
+use super::key_age::{KeyAge, MAX_CLOCK_SKEW, key_age};
+use crate::base::{Cx, HashMap, RequestId, ServiceId};
+use std::collections::VecDeque;
+use std::time::{Duration, Instant, SystemTime};
+
+/// Bounds of a registry.
+#[derive(Clone, Copy, Debug)]
+pub struct RegistryConfig {
+    /// Time for which a key is remembered after its last change.
+    pub retention: Duration,
+    /// Largest number of keys held. Past it, new keys are refused rather than old ones forgotten.
+    pub max_keys: usize,
+}
+
+impl Default for RegistryConfig {
+    fn default() -> RegistryConfig {
+        RegistryConfig { retention: Duration::from_secs(600), max_keys: 65_536 }
+    }
+}
+
+/// Keys claimed at one home.
+#[derive(Debug)]
+pub struct KeyRegistry {
+    cfg: RegistryConfig,
+    /// Wall-clock time since which this registry has seen every claim for its keys.
+    complete_since: SystemTime,
+    /// The same time on the monotonic clock.
+    complete_since_mono: Instant,
+    keys: HashMap<String, ClaimState>,
+    /// Keys by time of their last change; an entry is skipped when the key changed since.
+    expiry: VecDeque<(Instant, String)>,
+}
+
+impl KeyRegistry {
+    /// Returns an empty registry that knows nothing of the time before `wall`.
+    pub fn new(cfg: RegistryConfig, now: Instant, wall: SystemTime) -> KeyRegistry {
+        KeyRegistry {
+            cfg,
+            complete_since: wall,
+            complete_since_mono: now,
+            keys: HashMap::default(),
+            expiry: VecDeque::new(),
+        }
+    }
+
+    /// Claims `key` of `service` for the request `holder`.
+    ///
+    /// A repeated claim by the same holder is granted again while the claim is open, because the
+    /// first grant may have been lost on its way.
+    pub fn claim(
+        &mut self,
+        cx: &Cx,
+        wall: SystemTime,
+        service: &ServiceId,
+        key: &str,
+        holder: RequestId,
+    ) -> Claim {
+        self.expire(cx.now);
+        let id = join(service, key);
+        if let Some(state) = self.keys.get(&id) {
+            if state.holder == holder && state.outcome == KeyOutcome::InProgress {
+                return Claim::Granted;
+            }
+            return Claim::Duplicate { outcome: state.outcome };
+        }
+        if let Some(refusal) = self.check_age(cx.now, wall, key) {
+            return refusal;
+        }
+        if self.keys.len() >= self.cfg.max_keys {
+            return Claim::Full;
+        }
+        self.put(id, ClaimState { holder, outcome: KeyOutcome::InProgress, since: cx.now });
+        Claim::Granted
+    }
+
+    /// Settles a claim with what became of its request. Calls of other holders are ignored.
+    pub fn settle(
+        &mut self,
+        cx: &Cx,
+        service: &ServiceId,
+        key: &str,
+        holder: RequestId,
+        outcome: KeyOutcome,
+    ) {
+        let id = join(service, key);
+        let Some(state) = self.keys.get(&id) else { return };
+        if state.holder != holder || matches!(state.outcome, KeyOutcome::Ran { .. }) {
+            return;
+        }
+        self.put(id, ClaimState { holder, outcome, since: cx.now });
+    }
+
+    /// Releases a claim whose request truly did not run. Calls of other holders are ignored.
+    pub fn release(&mut self, service: &ServiceId, key: &str, holder: RequestId) {
+        let id = join(service, key);
+        let Some(state) = self.keys.get(&id) else { return };
+        if state.holder == holder && state.outcome == KeyOutcome::InProgress {
+            self.keys.remove(&id);
+        }
+    }
+
+    /// Declares that claims before `wall` may be missing, because the registry has become the
+    /// home of further keys. Entries it holds stay.
+    pub fn restart_history(&mut self, now: Instant, wall: SystemTime) {
+        self.complete_since = wall;
+        self.complete_since_mono = now;
+    }
+
+    /// Exports all entries for a successor after a planned stop.
+    pub fn export(&self, now: Instant) -> Vec<RegistryEntry> {
+        self.keys
+            .iter()
+            .map(|(key, state)| RegistryEntry {
+                key: key.clone(),
+                holder: state.holder,
+                outcome: state.outcome,
+                age: now.saturating_duration_since(state.since),
+            })
+            .collect()
+    }
+
+    /// Adds the entries of a predecessor. Existing entries win, since they are newer.
+    pub fn import(&mut self, now: Instant, entries: Vec<RegistryEntry>) {
+        for entry in entries {
+            if self.keys.contains_key(&entry.key) {
+                continue;
+            }
+            let since = now.checked_sub(entry.age).unwrap_or(now);
+            self.put(entry.key, ClaimState { holder: entry.holder, outcome: entry.outcome, since });
+        }
+    }
+
+    /// Returns the number of keys held.
+    pub fn len(&self) -> usize {
+        self.keys.len()
+    }
+
+    /// Returns whether no key is held.
+    pub fn is_empty(&self) -> bool {
+        self.keys.is_empty()
+    }
+
+    /// Returns the wall-clock time since which the registry is complete.
+    pub fn complete_since(&self) -> SystemTime {
+        self.complete_since
+    }
+
+    fn check_age(&self, now: Instant, wall: SystemTime, key: &str) -> Option<Claim> {
+        match key_age(key) {
+            KeyAge::CreatedAt(created) if created > wall + MAX_CLOCK_SKEW => {
+                Some(Claim::FromFuture)
+            }
+            KeyAge::CreatedAt(created) if self.remembers(created, wall) => None,
+            KeyAge::CreatedAt(_) => Some(Claim::Unknown),
+            KeyAge::Opaque if self.age(now) >= self.cfg.retention => None,
+            KeyAge::Opaque => Some(Claim::Unknown),
+        }
+    }
+
+    /// Returns whether every claim of a key created at `created` is still in this registry: the
+    /// key is younger than the registry and younger than the retention.
+    fn remembers(&self, created: SystemTime, wall: SystemTime) -> bool {
+        let age = wall.duration_since(created).unwrap_or_default();
+        created >= self.complete_since + MAX_CLOCK_SKEW
+            && age + MAX_CLOCK_SKEW <= self.cfg.retention
+    }
+
+    fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.complete_since_mono)
+    }
+
+    fn put(&mut self, id: String, state: ClaimState) {
+        self.expiry.push_back((state.since, id.clone()));
+        self.keys.insert(id, state);
+    }
+
+    fn expire(&mut self, now: Instant) {
+        while let Some((since, _)) = self.expiry.front() {
+            if now.saturating_duration_since(*since) < self.cfg.retention {
+                return;
+            }
+            let Some((since, id)) = self.expiry.pop_front() else { return };
+            if self.keys.get(&id).is_some_and(|state| state.since == since) {
+                self.keys.remove(&id);
+            }
+        }
+    }
+}
+
+/// Joins service and key. Service names hold no line feed, so the result is unambiguous.
+fn join(service: &ServiceId, key: &str) -> String {
+    format!("{service}\n{key}")
+}
--- /dev/null
+++ b/crates/fescuemux-core/src/dedup/roster.rs
@@ -0,0 +1,121 @@
+//! Which instances are homes of idempotency keys.
+
+use crate::base::{InstanceId, ServiceId};
+use std::hash::{Hash, Hasher};
+use std::time::Duration;
+use thiserror::Error;
+
+/// Largest number of homes. It bounds the exchanges that keep the fence of each home open.
+pub const MAX_HOMES: usize = 31;
+/// A home that had no exchange with a majority of its roster for this long refuses claims.
+pub const SELF_FENCE: Duration = Duration::from_secs(20);
+/// An instance may leave the roster only after a majority had no exchange with it for this long.
+/// It exceeds [`SELF_FENCE`] by 40 s to cover clock drift and the time that attesting takes.
+pub const REMOVAL_SILENCE: Duration = Duration::from_secs(60);
+
+/// Homes of the fleet. Stored by compare-and-swap; each epoch differs from the one before by
+/// one instance.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Roster {
+    /// Grows by one with each change.
+    pub epoch: u64,
+    /// Members in the order of joining.
+    pub instances: Vec<InstanceId>,
+}
+
+/// Change of a roster by one instance.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RosterChange {
+    /// Adds an instance.
+    Join(InstanceId),
+    /// Removes an instance that stopped as planned and refuses claims from now on.
+    Leave(InstanceId),
+    /// Removes an instance that is silent. Each attestation is the time since a roster member,
+    /// itself included or not, last had an exchange with it.
+    Expel {
+        /// The silent instance.
+        instance: InstanceId,
+        /// Roster member and its time since the last exchange.
+        attestations: Vec<(InstanceId, Duration)>,
+    },
+}
+
+/// Reason for refusing a change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum RosterRefusal {
+    /// The instance is in the roster already, or is not.
+    #[error("the change is already in force")]
+    NoChange,
+    /// The roster has [`MAX_HOMES`] members.
+    #[error("the roster is full")]
+    Full,
+    /// Fewer than a majority of the roster attest silence for [`REMOVAL_SILENCE`].
+    #[error("no majority of the roster attests 60 s of silence")]
+    NoMajority,
+}
+
+impl Roster {
+    /// Returns the home of a key: the member with the highest rendezvous weight.
+    pub fn home(&self, service: &ServiceId, key: &str) -> Option<&InstanceId> {
+        self.instances.iter().max_by_key(|instance| weight(instance, service, key))
+    }
+
+    /// Returns the roster after `change`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason when the change is void or not supported by a majority.
+    pub fn apply(&self, change: &RosterChange) -> Result<Roster, RosterRefusal> {
+        let mut next = self.clone();
+        next.epoch += 1;
+        match change {
+            RosterChange::Join(instance) => {
+                if self.instances.contains(instance) {
+                    return Err(RosterRefusal::NoChange);
+                }
+                if self.instances.len() >= MAX_HOMES {
+                    return Err(RosterRefusal::Full);
+                }
+                next.instances.push(instance.clone());
+            }
+            RosterChange::Leave(instance) => next.remove(instance)?,
+            RosterChange::Expel { instance, attestations } => {
+                next.remove(instance)?;
+                if !self.majority_silent(attestations) {
+                    return Err(RosterRefusal::NoMajority);
+                }
+            }
+        }
+        Ok(next)
+    }
+
+    fn remove(&mut self, instance: &InstanceId) -> Result<(), RosterRefusal> {
+        let before = self.instances.len();
+        self.instances.retain(|member| member != instance);
+        if self.instances.len() == before { Err(RosterRefusal::NoChange) } else { Ok(()) }
+    }
+
+    fn majority_silent(&self, attestations: &[(InstanceId, Duration)]) -> bool {
+        let silent = self
+            .instances
+            .iter()
+            .filter(|member| {
+                attestations.iter().any(|(from, age)| from == *member && *age >= REMOVAL_SILENCE)
+            })
+            .count();
+        silent * 2 > self.instances.len()
+    }
+}
+
+fn weight(instance: &InstanceId, service: &ServiceId, key: &str) -> u64 {
+    let mut hasher = rustc_hash::FxHasher::default();
+    service.as_str().hash(&mut hasher);
+    key.hash(&mut hasher);
+    instance.as_str().hash(&mut hasher);
+    // The multiply of the fast hasher leaves low bits poorly mixed; this finalizer is that of
+    // SplitMix64.
+    let mut x = hasher.finish();
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
--- /dev/null
+++ b/crates/fescuemux-core/src/dedup/tests.rs
@@ -0,0 +1,6 @@
+//! Tests of at-most-once parts.
+
+mod home_fence;
+mod key_registry;
+mod request_table;
+mod roster;
--- /dev/null
+++ b/crates/fescuemux-core/src/dedup/tests/key_registry.rs
@@ -0,0 +1,204 @@
+use crate::base::{Cx, ServiceId};
+use crate::dedup::{Claim, KeyOutcome, KeyRegistry, RegistryConfig};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use uuid::{Timestamp, Uuid};
+
+const START: Duration = Duration::from_secs(1_700_000_000);
+
+fn key_created(at: Duration) -> String {
+    let timestamp = Timestamp::from_unix(uuid::NoContext, at.as_secs(), at.subsec_nanos());
+    Uuid::new_v7(timestamp).to_string()
+}
+
+fn wall(after_start: Duration) -> SystemTime {
+    UNIX_EPOCH + START + after_start
+}
+
+struct ClaimCase {
+    guards_against: &'static str,
+    /// Key creation relative to the start of the registry, in seconds; `None` for another format.
+    created_s: Option<i64>,
+    /// Time of the claim after the start of the registry, in seconds.
+    claimed_s: u64,
+    expected: Claim,
+}
+
+#[test]
+fn key_age_decides_first_claims() {
+    let cases = [
+        ClaimCase {
+            guards_against: "a key that an earlier home may have granted",
+            created_s: Some(-5),
+            claimed_s: 10,
+            expected: Claim::Unknown,
+        },
+        ClaimCase {
+            guards_against: "clock skew at the start of the home",
+            created_s: Some(1),
+            claimed_s: 10,
+            expected: Claim::Unknown,
+        },
+        ClaimCase {
+            guards_against: "refusing a key that only this home can have seen",
+            created_s: Some(3),
+            claimed_s: 3,
+            expected: Claim::Granted,
+        },
+        ClaimCase {
+            guards_against: "a caller's clock ahead of time hiding an earlier grant",
+            created_s: Some(30),
+            claimed_s: 10,
+            expected: Claim::FromFuture,
+        },
+        ClaimCase {
+            guards_against: "an opaque key soon after a restart",
+            created_s: None,
+            claimed_s: 599,
+            expected: Claim::Unknown,
+        },
+        ClaimCase {
+            guards_against: "refusing opaque keys for ever",
+            created_s: None,
+            claimed_s: 600,
+            expected: Claim::Granted,
+        },
+        ClaimCase {
+            guards_against: "a key whose entry may have expired",
+            created_s: Some(3),
+            claimed_s: 700,
+            expected: Claim::Unknown,
+        },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let mut registry = KeyRegistry::new(RegistryConfig::default(), now, wall(Duration::ZERO));
+        let claimed = Duration::from_secs(case.claimed_s);
+        let key = match case.created_s {
+            Some(s) => key_created(Duration::from_secs((START.as_secs() as i64 + s) as u64)),
+            None => "order-17".to_owned(),
+        };
+        let cx = Cx::new(now + claimed, 1);
+        let claim = registry.claim(&cx, wall(claimed), &ServiceId::new("s"), &key, 1);
+        assert_eq!(claim, case.expected, "{}", case.guards_against);
+    }
+}
+
+struct ResendCase {
+    guards_against: &'static str,
+    first: First,
+    expected: Claim,
+}
+
+enum First {
+    Open,
+    Ran,
+    Unknown,
+    Released,
+    ReleasedByStranger,
+    UnknownThenReleased,
+}
+
+#[test]
+fn resend_gets_the_first_outcome() {
+    let duplicate = |outcome| Claim::Duplicate { outcome };
+    let cases = [
+        ResendCase {
+            guards_against: "a resend while the first runs",
+            first: First::Open,
+            expected: duplicate(KeyOutcome::InProgress),
+        },
+        ResendCase {
+            guards_against: "a resend after the first ran",
+            first: First::Ran,
+            expected: duplicate(KeyOutcome::Ran { status: 201 }),
+        },
+        ResendCase {
+            guards_against: "a resend after the first may have run",
+            first: First::Unknown,
+            expected: duplicate(KeyOutcome::Unknown),
+        },
+        ResendCase {
+            guards_against: "refusing a resend although the first did not run",
+            first: First::Released,
+            expected: Claim::Granted,
+        },
+        ResendCase {
+            guards_against: "a release by a request that does not hold the key",
+            first: First::ReleasedByStranger,
+            expected: duplicate(KeyOutcome::InProgress),
+        },
+        ResendCase {
+            guards_against: "a late release after an unknown outcome",
+            first: First::UnknownThenReleased,
+            expected: duplicate(KeyOutcome::Unknown),
+        },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let mut registry = KeyRegistry::new(RegistryConfig::default(), now, wall(Duration::ZERO));
+        let cx = Cx::new(now + Duration::from_secs(5), 1);
+        let at = wall(Duration::from_secs(5));
+        let service = ServiceId::new("s");
+        let key = key_created(START + Duration::from_secs(4));
+        assert_eq!(registry.claim(&cx, at, &service, &key, 1), Claim::Granted);
+        match case.first {
+            First::Open => {}
+            First::Ran => {
+                registry.settle(&cx, &service, &key, 1, KeyOutcome::Ran { status: 201 });
+            }
+            First::Unknown => registry.settle(&cx, &service, &key, 1, KeyOutcome::Unknown),
+            First::Released => registry.release(&service, &key, 1),
+            First::ReleasedByStranger => registry.release(&service, &key, 9),
+            First::UnknownThenReleased => {
+                registry.settle(&cx, &service, &key, 1, KeyOutcome::Unknown);
+                registry.release(&service, &key, 1);
+            }
+        }
+        assert_eq!(
+            registry.claim(&cx, at, &service, &key, 2),
+            case.expected,
+            "{}",
+            case.guards_against
+        );
+    }
+}
+
+#[test]
+fn full_registry_refuses_new_keys_and_keeps_old_ones() {
+    let now = Instant::now();
+    let cfg = RegistryConfig { max_keys: 2, ..RegistryConfig::default() };
+    let mut registry = KeyRegistry::new(cfg, now, wall(Duration::ZERO));
+    let at = wall(Duration::from_secs(5));
+    let cx = Cx::new(now + Duration::from_secs(5), 1);
+    let service = ServiceId::new("s");
+    let keys: Vec<String> =
+        (0..3).map(|n| key_created(START + Duration::from_millis(4_000 + n))).collect();
+    assert_eq!(registry.claim(&cx, at, &service, &keys[0], 1), Claim::Granted);
+    assert_eq!(registry.claim(&cx, at, &service, &keys[1], 2), Claim::Granted);
+    assert_eq!(registry.claim(&cx, at, &service, &keys[2], 3), Claim::Full);
+    let outcome = KeyOutcome::InProgress;
+    assert_eq!(registry.claim(&cx, at, &service, &keys[0], 4), Claim::Duplicate { outcome });
+    let cx = Cx::new(now + Duration::from_secs(606), 1);
+    let late = key_created(START + Duration::from_secs(605));
+    assert_eq!(
+        registry.claim(&cx, wall(Duration::from_secs(606)), &service, &late, 5),
+        Claim::Granted,
+        "expired keys make room"
+    );
+}
+
+#[test]
+fn successor_refuses_keys_of_the_predecessor() {
+    let now = Instant::now();
+    let mut first = KeyRegistry::new(RegistryConfig::default(), now, wall(Duration::ZERO));
+    let cx = Cx::new(now + Duration::from_secs(5), 1);
+    let service = ServiceId::new("s");
+    let key = key_created(START + Duration::from_secs(4));
+    first.claim(&cx, wall(Duration::from_secs(5)), &service, &key, 1);
+    let mut successor = KeyRegistry::new(RegistryConfig::default(), now, wall(Duration::ZERO));
+    successor.import(cx.now, first.export(cx.now));
+    assert_eq!(
+        successor.claim(&cx, wall(Duration::from_secs(6)), &service, &key, 2),
+        Claim::Duplicate { outcome: KeyOutcome::InProgress }
+    );
+}
--- /dev/null
+++ b/crates/fescuemux-core/src/dedup/tests/roster.rs
@@ -0,0 +1,84 @@
+use crate::base::{InstanceId, ServiceId};
+use crate::dedup::{Roster, RosterChange, RosterRefusal};
+use std::time::Duration;
+
+fn roster(names: &[&str]) -> Roster {
+    Roster { epoch: 4, instances: names.iter().map(InstanceId::new).collect() }
+}
+
+struct ChangeCase {
+    guards_against: &'static str,
+    change: RosterChange,
+    expected: Result<u64, RosterRefusal>,
+}
+
+fn expel(silences: &[(&str, u64)]) -> RosterChange {
+    RosterChange::Expel {
+        instance: InstanceId::new("a"),
+        attestations: silences
+            .iter()
+            .map(|(name, s)| (InstanceId::new(name), Duration::from_secs(*s)))
+            .collect(),
+    }
+}
+
+#[test]
+fn changes_need_their_grounds() {
+    let cases = [
+        ChangeCase {
+            guards_against: "a member joining twice",
+            change: RosterChange::Join(InstanceId::new("a")),
+            expected: Err(RosterRefusal::NoChange),
+        },
+        ChangeCase {
+            guards_against: "a newcomer shut out",
+            change: RosterChange::Join(InstanceId::new("d")),
+            expected: Ok(5),
+        },
+        ChangeCase {
+            guards_against: "removal on one observer's word",
+            change: expel(&[("b", 90)]),
+            expected: Err(RosterRefusal::NoMajority),
+        },
+        ChangeCase {
+            guards_against: "removal before the home has fenced itself",
+            change: expel(&[("b", 90), ("c", 59)]),
+            expected: Err(RosterRefusal::NoMajority),
+        },
+        ChangeCase {
+            guards_against: "attestations of strangers",
+            change: expel(&[("b", 90), ("x", 90), ("y", 90)]),
+            expected: Err(RosterRefusal::NoMajority),
+        },
+        ChangeCase {
+            guards_against: "a dead member kept for ever",
+            change: expel(&[("b", 60), ("c", 60)]),
+            expected: Ok(5),
+        },
+    ];
+    for case in cases {
+        let result = roster(&["a", "b", "c"]).apply(&case.change).map(|next| next.epoch);
+        assert_eq!(result, case.expected, "{}", case.guards_against);
+    }
+}
+
+#[test]
+fn homes_share_the_keys_and_a_join_moves_few() {
+    let service = ServiceId::new("order-desk");
+    let before = roster(&["a", "b", "c", "d", "e"]);
+    let after = before.apply(&RosterChange::Join(InstanceId::new("f"))).unwrap();
+    let mut counts = std::collections::BTreeMap::new();
+    let mut moved = 0;
+    for n in 0..6_000 {
+        let key = format!("key-{n}");
+        let home = after.home(&service, &key).unwrap();
+        *counts.entry(home.clone()).or_insert(0) += 1;
+        let stays = before.home(&service, &key) == Some(home);
+        if !stays {
+            assert_eq!(home, "f", "a key may only move to the newcomer");
+            moved += 1;
+        }
+    }
+    assert!(counts.values().all(|count| (800..1_200).contains(count)), "{counts:?}");
+    assert!((800..1_200).contains(&moved), "{moved}");
+}
