Add wire types: hop headers with tags, peer handshake, tarpc service

Cause: peers must prove who they are and answers must belong to their request. Before: nothing. After: 6 tests pass (tampering, replay, reflection, rotation, any bytes). Conclusion: one shared key ring serves the hop and the remote procedures.

--- /dev/null
+++ b/crates/fescuemux-wire/src/auth/mac_codec.rs
@@ -0,0 +1,78 @@
+//! Codec of authenticated frames: a postcard value followed by its tag.
+
+use super::handshake::{Session, Side};
+use bytes::{Bytes, BytesMut};
+use serde::{Serialize, de::DeserializeOwned};
+use std::io;
+use std::marker::PhantomData;
+use std::pin::Pin;
+use tokio_serde::{Deserializer, Serializer};
+
+const TAG_BYTES: usize = 32;
+
+/// Serializes and authenticates the frames of one connection.
+///
+/// Each tag covers the direction and the number of the frame, so frames can be neither
+/// reflected, repeated, dropped nor reordered without the connection failing.
+#[derive(Debug)]
+pub struct MacCodec<Item, SinkItem> {
+    session: Session,
+    sent: u64,
+    received: u64,
+    marker: PhantomData<fn(SinkItem) -> Item>,
+}
+
+impl<Item, SinkItem> MacCodec<Item, SinkItem> {
+    /// Returns a codec for a connection that the handshake has opened.
+    pub fn new(session: Session) -> MacCodec<Item, SinkItem> {
+        MacCodec { session, sent: 0, received: 0, marker: PhantomData }
+    }
+}
+
+impl<Item, SinkItem: Serialize> Serializer<SinkItem> for MacCodec<Item, SinkItem> {
+    type Error = io::Error;
+
+    fn serialize(self: Pin<&mut Self>, item: &SinkItem) -> io::Result<Bytes> {
+        let this = self.get_mut();
+        let mut frame = postcard::to_stdvec(item).map_err(invalid_data)?;
+        let tag = this.session.key.sign(&[
+            direction(this.session.side),
+            &this.sent.to_be_bytes(),
+            &frame,
+        ]);
+        this.sent += 1;
+        frame.extend_from_slice(&tag);
+        Ok(frame.into())
+    }
+}
+
+impl<Item: DeserializeOwned, SinkItem> Deserializer<Item> for MacCodec<Item, SinkItem> {
+    type Error = io::Error;
+
+    fn deserialize(self: Pin<&mut Self>, src: &BytesMut) -> io::Result<Item> {
+        let this = self.get_mut();
+        let length = src.len().checked_sub(TAG_BYTES).ok_or_else(|| invalid_data("short frame"))?;
+        let (frame, tag) = src.split_at(length);
+        let peer = match this.session.side {
+            Side::Client => Side::Server,
+            Side::Server => Side::Client,
+        };
+        let number = this.received.to_be_bytes();
+        if !this.session.key.verify(&[direction(peer), &number, frame], tag) {
+            return Err(invalid_data("frame with a wrong tag"));
+        }
+        this.received += 1;
+        postcard::from_bytes(frame).map_err(invalid_data)
+    }
+}
+
+fn direction(sender: Side) -> &'static [u8] {
+    match sender {
+        Side::Client => b"client frame",
+        Side::Server => b"server frame",
+    }
+}
+
+fn invalid_data(e: impl Into<Box<dyn std::error::Error + Send + Sync>>) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, e)
+}
--- /dev/null
+++ b/crates/fescuemux-wire/src/auth/tests.rs
@@ -0,0 +1,67 @@
+//! Tests of authentication between daemons.
+
+use super::{KeyRing, MacCodec, accept, connect};
+use bytes::BytesMut;
+use std::pin::Pin;
+use tokio_serde::{Deserializer, Serializer};
+
+struct HandshakeCase {
+    guards_against: &'static str,
+    client: Vec<u8>,
+    server: Vec<u8>,
+    opens: bool,
+}
+
+fn ring(keys: &[u8]) -> KeyRing {
+    KeyRing::new(keys.iter().map(|key| [*key; 32]).collect()).unwrap()
+}
+
+#[tokio::test]
+async fn handshake_needs_a_common_key() {
+    let cases = [
+        HandshakeCase {
+            guards_against: "refusing the common key",
+            client: vec![1],
+            server: vec![1],
+            opens: true,
+        },
+        HandshakeCase {
+            guards_against: "a stranger",
+            client: vec![2],
+            server: vec![1],
+            opens: false,
+        },
+        HandshakeCase {
+            guards_against: "a rotation that cuts the fleet in two",
+            client: vec![2, 1],
+            server: vec![1, 2],
+            opens: true,
+        },
+    ];
+    for case in cases {
+        let (mut a, mut b) = tokio::io::duplex(1024);
+        let (client_keys, server_keys) = (ring(&case.client), ring(&case.server));
+        let client = async move { connect(&mut a, &client_keys).await.is_ok() };
+        let server = async move { accept(&mut b, &server_keys).await.is_ok() };
+        let (client, server) = tokio::join!(client, server);
+        assert_eq!(client && server, case.opens, "{}", case.guards_against);
+    }
+}
+
+#[tokio::test]
+async fn frames_cannot_be_changed_repeated_or_reflected() {
+    let (mut a, mut b) = tokio::io::duplex(1024);
+    let keys = ring(&[1]);
+    let (client, server) = tokio::join!(connect(&mut a, &keys), accept(&mut b, &keys));
+    let mut client: MacCodec<u32, u32> = MacCodec::new(client.unwrap());
+    let mut server: MacCodec<u32, u32> = MacCodec::new(server.unwrap());
+    let frame = BytesMut::from(&Pin::new(&mut client).serialize(&7).unwrap()[..]);
+
+    let mut changed = frame.clone();
+    changed[0] ^= 1;
+    assert!(Pin::new(&mut server).deserialize(&changed).is_err(), "changed");
+    assert!(Pin::new(&mut client).deserialize(&frame).is_err(), "reflected");
+    assert_eq!(Pin::new(&mut server).deserialize(&frame).unwrap(), 7);
+    assert!(Pin::new(&mut server).deserialize(&frame).is_err(), "repeated");
+    assert!(Pin::new(&mut server).deserialize(&BytesMut::from(&b"x"[..])).is_err(), "short");
+}
--- /dev/null
+++ b/crates/fescuemux-wire/src/hop/answer.rs
@@ -0,0 +1,70 @@
+//! Head of an answer from a guard to an ingress.
+
+use super::kind::HopHealth;
+use super::parse::{self, HopError};
+use crate::headers;
+use fescuemux_core::base::Verdict;
+use http::{HeaderMap, HeaderValue};
+
+/// Load of a backend server at the time of the answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServerLoad {
+    /// Busy slots.
+    pub busy: u32,
+    /// All slots.
+    pub slots: u32,
+    /// Requests waiting for a slot.
+    pub queued: u32,
+}
+
+/// What a guard tells an ingress about a request, besides the answer itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HopAnswer {
+    /// Whether the request ran.
+    pub verdict: Verdict,
+    /// Load of the backend server, absent when the guard does not have the server.
+    pub load: Option<ServerLoad>,
+    /// Health of the backend server, absent when the guard does not have the server.
+    pub health: Option<HopHealth>,
+}
+
+impl HopAnswer {
+    /// Writes the headers, replacing any that are there.
+    pub fn write(&self, headers: &mut HeaderMap) {
+        headers.insert(headers::VERDICT, HeaderValue::from_static(self.verdict.as_str()));
+        if let Some(ServerLoad { busy, slots, queued }) = self.load
+            && let Ok(value) = HeaderValue::try_from(format!("{busy},{slots},{queued}"))
+        {
+            headers.insert(headers::LOAD, value);
+        }
+        if let Some(health) = self.health {
+            headers.insert(headers::HEALTH, HeaderValue::from_static(health.as_str()));
+        }
+    }
+}
+
+impl TryFrom<&HeaderMap> for HopAnswer {
+    type Error = HopError;
+
+    fn try_from(map: &HeaderMap) -> Result<HopAnswer, HopError> {
+        let verdict = parse::one(map, headers::VERDICT)?;
+        Ok(HopAnswer {
+            verdict: Verdict::parse(verdict).ok_or(HopError::Value(headers::VERDICT))?,
+            load: read_load(map)?,
+            health: read_health(map)?,
+        })
+    }
+}
+
+fn read_load(map: &HeaderMap) -> Result<Option<ServerLoad>, HopError> {
+    let Some(text) = parse::optional(map, headers::LOAD)? else { return Ok(None) };
+    let malformed = || HopError::Value(headers::LOAD);
+    let values: [u64; 3] = parse::numbers(text).ok_or_else(malformed)?;
+    let [busy, slots, queued] = values.map(|value| u32::try_from(value).unwrap_or(u32::MAX));
+    Ok(Some(ServerLoad { busy, slots, queued }))
+}
+
+fn read_health(map: &HeaderMap) -> Result<Option<HopHealth>, HopError> {
+    let Some(text) = parse::optional(map, headers::HEALTH)? else { return Ok(None) };
+    HopHealth::parse(text).map(Some).ok_or(HopError::Value(headers::HEALTH))
+}
--- /dev/null
+++ b/crates/fescuemux-wire/src/hop/kind.rs
@@ -0,0 +1,64 @@
+//! Closed sets of words in hop headers.
+
+/// How an ingress means a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum HopKind {
+    /// Ordinary work.
+    #[default]
+    Normal,
+    /// Work for which the ingress found no unsteered backend server.
+    LastResort,
+    /// Work that tries out a backend server on probation.
+    Trial,
+}
+
+/// Health of a backend server as its guard tells it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HopHealth {
+    /// Takes normal work.
+    Serving,
+    /// Takes only work of last resort.
+    Steered,
+    /// Takes no work.
+    Ejected,
+    /// Takes trial requests.
+    Probation,
+}
+
+impl HopKind {
+    const ALL: [HopKind; 3] = [HopKind::Normal, HopKind::LastResort, HopKind::Trial];
+
+    /// Returns the spelling in headers.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            HopKind::Normal => "normal",
+            HopKind::LastResort => "last-resort",
+            HopKind::Trial => "trial",
+        }
+    }
+
+    /// Parses the spelling in headers.
+    pub fn parse(text: &str) -> Option<HopKind> {
+        HopKind::ALL.into_iter().find(|kind| kind.as_str() == text)
+    }
+}
+
+impl HopHealth {
+    const ALL: [HopHealth; 4] =
+        [HopHealth::Serving, HopHealth::Steered, HopHealth::Ejected, HopHealth::Probation];
+
+    /// Returns the spelling in headers.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            HopHealth::Serving => "serving",
+            HopHealth::Steered => "steered",
+            HopHealth::Ejected => "ejected",
+            HopHealth::Probation => "probation",
+        }
+    }
+
+    /// Parses the spelling in headers.
+    pub fn parse(text: &str) -> Option<HopHealth> {
+        HopHealth::ALL.into_iter().find(|health| health.as_str() == text)
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-wire/src/hop/signing.rs
@@ -0,0 +1,131 @@
+//! Tags on the heads of hop requests and answers.
+
+use super::parse::{self, HopError};
+use crate::auth::KeyRing;
+use crate::headers;
+use http::{HeaderMap, HeaderValue, Method};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Largest age of a hop request. A guard remembers request ids for longer than twice this time,
+/// so a copied request is either recognized by its id or refused by its age.
+pub const MAX_REQUEST_AGE: Duration = Duration::from_secs(30);
+
+/// Headers that a request's tag covers besides method and target, in this order.
+const REQUEST_HEADERS: [&str; 10] = [
+    headers::REQUEST_ID,
+    headers::ATTEMPT,
+    headers::SERVER,
+    headers::INCARNATION,
+    headers::DEADLINE_MS,
+    headers::KIND,
+    headers::IDEMPOTENT,
+    headers::PRIORITY,
+    headers::BASELINE,
+    headers::IDEMPOTENCY_KEY,
+];
+/// Headers that an answer's tag covers besides the status, in this order.
+const ANSWER_HEADERS: [&str; 3] = [headers::VERDICT, headers::LOAD, headers::HEALTH];
+
+/// Signs a hop request at wall-clock time `now`, after all its headers are written.
+pub fn sign_request(
+    keys: &KeyRing,
+    now: SystemTime,
+    method: &Method,
+    target: &str,
+    map: &mut HeaderMap,
+) {
+    let sent_ms = millis(now).to_string();
+    let tag = keys.sign(&request_parts(method, target, &sent_ms, map));
+    put_tag(map, format!("{sent_ms}.{}", to_hex(&tag)));
+}
+
+/// Verifies a hop request at wall-clock time `now`.
+///
+/// # Errors
+///
+/// Returns [`HopError::NotAuthentic`] when the tag is wrong, or the request is older than
+/// [`MAX_REQUEST_AGE`] or from the future by as much.
+pub fn verify_request(
+    keys: &KeyRing,
+    now: SystemTime,
+    method: &Method,
+    target: &str,
+    map: &HeaderMap,
+) -> Result<(), HopError> {
+    let value = parse::one(map, headers::MAC)?;
+    let (sent_ms, tag) = value.split_once('.').ok_or(HopError::NotAuthentic)?;
+    let sent: u64 = sent_ms.parse().map_err(|_| HopError::NotAuthentic)?;
+    if millis(now).abs_diff(sent) > MAX_REQUEST_AGE.as_millis() as u64 {
+        return Err(HopError::NotAuthentic);
+    }
+    let tag = from_hex(tag).ok_or(HopError::NotAuthentic)?;
+    let parts = request_parts(method, target, sent_ms, map);
+    if keys.verify(&parts, &tag) { Ok(()) } else { Err(HopError::NotAuthentic) }
+}
+
+/// Signs the answer to the request with the tag `request_mac`, after its headers are written.
+pub fn sign_answer(keys: &KeyRing, request_mac: &str, status: u16, map: &mut HeaderMap) {
+    let tag = keys.sign(&answer_parts(request_mac, &status.to_be_bytes(), map));
+    put_tag(map, to_hex(&tag));
+}
+
+/// Verifies that an answer belongs to the request with the tag `request_mac`.
+///
+/// # Errors
+///
+/// Returns [`HopError::NotAuthentic`] when the tag is wrong, for example because the answer
+/// belongs to another request.
+pub fn verify_answer(
+    keys: &KeyRing,
+    request_mac: &str,
+    status: u16,
+    map: &HeaderMap,
+) -> Result<(), HopError> {
+    let tag = from_hex(parse::one(map, headers::MAC)?).ok_or(HopError::NotAuthentic)?;
+    let status = status.to_be_bytes();
+    let parts = answer_parts(request_mac, &status, map);
+    if keys.verify(&parts, &tag) { Ok(()) } else { Err(HopError::NotAuthentic) }
+}
+
+fn request_parts<'a>(
+    method: &'a Method,
+    target: &'a str,
+    sent_ms: &'a str,
+    map: &'a HeaderMap,
+) -> Vec<&'a [u8]> {
+    let mut parts: Vec<&[u8]> =
+        vec![b"request", method.as_str().as_bytes(), target.as_bytes(), sent_ms.as_bytes()];
+    parts.extend(REQUEST_HEADERS.iter().map(|name| value(map, name)));
+    parts
+}
+
+fn answer_parts<'a>(request_mac: &'a str, status: &'a [u8], map: &'a HeaderMap) -> Vec<&'a [u8]> {
+    let mut parts: Vec<&[u8]> = vec![b"answer", request_mac.as_bytes(), status];
+    parts.extend(ANSWER_HEADERS.iter().map(|name| value(map, name)));
+    parts
+}
+
+fn value<'a>(map: &'a HeaderMap, name: &str) -> &'a [u8] {
+    map.get(name).map(HeaderValue::as_bytes).unwrap_or_default()
+}
+
+fn put_tag(map: &mut HeaderMap, text: String) {
+    if let Ok(value) = HeaderValue::try_from(text) {
+        map.insert(headers::MAC, value);
+    }
+}
+
+fn millis(time: SystemTime) -> u64 {
+    time.duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
+
+fn to_hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+fn from_hex(text: &str) -> Option<Vec<u8>> {
+    if !text.is_ascii() || !text.len().is_multiple_of(2) {
+        return None;
+    }
+    (0..text.len()).step_by(2).map(|at| u8::from_str_radix(&text[at..at + 2], 16).ok()).collect()
+}
--- /dev/null
+++ b/crates/fescuemux-wire/src/hop/tests.rs
@@ -0,0 +1,152 @@
+//! Tests of hop headers.
+
+use super::{
+    HopAnswer, HopBaseline, HopError, HopHealth, HopKind, HopRequest, MAX_REQUEST_AGE, ServerLoad,
+    sign_answer, sign_request, verify_answer, verify_request,
+};
+use crate::auth::KeyRing;
+use crate::headers;
+use fescuemux_core::base::Verdict;
+use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use proptest::prelude::{any, prop_assert_eq, proptest};
+use std::time::{Duration, SystemTime};
+
+fn request() -> HopRequest {
+    HopRequest {
+        id: 0xabc,
+        attempt: 1,
+        server: "order-desk-3".into(),
+        incarnation: 17,
+        deadline: Duration::from_millis(900),
+        kind: HopKind::Normal,
+        idempotent: false,
+        priority: 5,
+        baseline: Some(HopBaseline { median: Duration::from_micros(25_000), error_ratio: 0.25 }),
+    }
+}
+
+fn keys(key: u8) -> KeyRing {
+    KeyRing::new(vec![[key; 32]]).unwrap()
+}
+
+#[test]
+fn heads_survive_the_wire() {
+    let mut map = HeaderMap::new();
+    request().write(&mut map);
+    assert_eq!(HopRequest::try_from(&map).unwrap(), request());
+    let answer = HopAnswer {
+        verdict: Verdict::NotRun,
+        load: Some(ServerLoad { busy: 4, slots: 4, queued: 9 }),
+        health: Some(HopHealth::Probation),
+    };
+    let mut map = HeaderMap::new();
+    answer.write(&mut map);
+    assert_eq!(HopAnswer::try_from(&map).unwrap(), answer);
+}
+
+struct TamperCase {
+    guards_against: &'static str,
+    tamper: fn(&mut HeaderMap),
+    target: &'static str,
+    later: Duration,
+    key: u8,
+    authentic: bool,
+}
+
+impl Default for TamperCase {
+    fn default() -> TamperCase {
+        TamperCase {
+            guards_against: "refusing an authentic request",
+            tamper: |_| {},
+            target: "/book?x=1",
+            later: Duration::ZERO,
+            key: 1,
+            authentic: true,
+        }
+    }
+}
+
+#[test]
+fn tampered_requests_are_refused() {
+    let cases = [
+        TamperCase::default(),
+        TamperCase {
+            guards_against: "a request for another server",
+            tamper: |map| {
+                map.insert(headers::SERVER, HeaderValue::from_static("other"));
+            },
+            authentic: false,
+            ..TamperCase::default()
+        },
+        TamperCase {
+            guards_against: "two tags",
+            tamper: |map| {
+                map.append(headers::MAC, HeaderValue::from_static("1.00"));
+            },
+            authentic: false,
+            ..TamperCase::default()
+        },
+        TamperCase {
+            guards_against: "another target",
+            target: "/book?x=2",
+            authentic: false,
+            ..TamperCase::default()
+        },
+        TamperCase {
+            guards_against: "a copy sent after its id may be forgotten",
+            later: MAX_REQUEST_AGE + Duration::from_secs(1),
+            authentic: false,
+            ..TamperCase::default()
+        },
+        TamperCase {
+            guards_against: "a stranger",
+            key: 2,
+            authentic: false,
+            ..TamperCase::default()
+        },
+    ];
+    for case in cases {
+        let now = SystemTime::now();
+        let mut map = HeaderMap::new();
+        request().write(&mut map);
+        sign_request(&keys(case.key), now, &Method::POST, "/book?x=1", &mut map);
+        (case.tamper)(&mut map);
+        let result = verify_request(&keys(1), now + case.later, &Method::POST, case.target, &map);
+        assert_eq!(result.is_ok(), case.authentic, "{}", case.guards_against);
+    }
+}
+
+#[test]
+fn an_answer_belongs_to_one_request() {
+    let mut map = HeaderMap::new();
+    let answer = HopAnswer { verdict: Verdict::Ran, load: None, health: None };
+    answer.write(&mut map);
+    sign_answer(&keys(1), "tag-of-request-1", 200, &mut map);
+    assert!(verify_answer(&keys(1), "tag-of-request-1", 200, &map).is_ok());
+    let swapped = verify_answer(&keys(1), "tag-of-request-2", 200, &map);
+    assert_eq!(swapped, Err(HopError::NotAuthentic));
+    let changed = verify_answer(&keys(1), "tag-of-request-1", 503, &map);
+    assert_eq!(changed, Err(HopError::NotAuthentic));
+}
+
+proptest! {
+    /// Guards against a panic on header values from outside.
+    #[test]
+    fn any_header_values_parse_or_fail(values in proptest::collection::vec(any::<Vec<u8>>(), 10)) {
+        let names = [
+            headers::REQUEST_ID, headers::ATTEMPT, headers::SERVER, headers::INCARNATION,
+            headers::DEADLINE_MS, headers::KIND, headers::IDEMPOTENT, headers::PRIORITY,
+            headers::BASELINE, headers::MAC,
+        ];
+        let mut map = HeaderMap::new();
+        for (name, value) in names.into_iter().zip(&values) {
+            if let Ok(value) = HeaderValue::from_bytes(value) {
+                map.insert(HeaderName::from_static(name), value);
+            }
+        }
+        let _ = HopRequest::try_from(&map);
+        let _ = HopAnswer::try_from(&map);
+        let result = verify_request(&keys(1), SystemTime::now(), &Method::GET, "/", &map);
+        prop_assert_eq!(result.is_ok(), false);
+    }
+}
--- a/crates/fescuemux-wire/src/lib.rs
+++ b/crates/fescuemux-wire/src/lib.rs
@@ -1,1 +1,10 @@
-//! Placeholder
+//! Wire types of the fleet: headers, authentication, and the remote procedures between daemons.
+//!
+//! Types convert to and from those of `fescuemux-core`. Must not know HTTP servers, sockets
+//! beyond a byte stream, or any decision.
+
+pub mod announce;
+pub mod auth;
+pub mod headers;
+pub mod hop;
+pub mod rpc;
--- /dev/null
+++ b/crates/fescuemux-wire/src/rpc.rs
@@ -0,0 +1,13 @@
+//! Remote procedures between daemons, served with `tarpc`.
+//!
+//! Must not know who calls them or what the answers lead to.
+
+mod claim;
+mod service;
+mod transport;
+
+pub use claim::{ClaimWire, OutcomeWire};
+pub use service::{
+    ConfigAnswer, ConfigQuery, Exchange, Peer, PeerClient, PeerRequest, PeerResponse,
+};
+pub use transport::{MAX_FRAME_BYTES, RpcTransport, accept_transport, connect_transport};
--- /dev/null
+++ b/crates/fescuemux-wire/src/rpc/claim.rs
@@ -0,0 +1,64 @@
+//! Wire types of idempotency-key claims.
+
+use fescuemux_core::dedup::{Claim, KeyOutcome};
+use serde::{Deserialize, Serialize};
+
+/// Answer of a home to a claim.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ClaimWire {
+    /// The claimant may run the request.
+    Granted,
+    /// Another request holds or held the key.
+    Duplicate(OutcomeWire),
+    /// An earlier home may have granted the key.
+    Unknown,
+    /// The key's creation time is in the future.
+    FromFuture,
+    /// The registry is full.
+    Full,
+    /// The home may not grant claims now; nothing ran.
+    Refused,
+}
+
+/// What a home knows of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OutcomeWire {
+    /// May be running.
+    InProgress,
+    /// May have run.
+    Unknown,
+    /// Ran with this HTTP status.
+    Ran(u16),
+}
+
+impl From<Claim> for ClaimWire {
+    fn from(claim: Claim) -> ClaimWire {
+        match claim {
+            Claim::Granted => ClaimWire::Granted,
+            Claim::Duplicate { outcome } => ClaimWire::Duplicate(outcome.into()),
+            Claim::Unknown => ClaimWire::Unknown,
+            Claim::FromFuture => ClaimWire::FromFuture,
+            Claim::Full => ClaimWire::Full,
+        }
+    }
+}
+
+impl From<KeyOutcome> for OutcomeWire {
+    fn from(outcome: KeyOutcome) -> OutcomeWire {
+        match outcome {
+            KeyOutcome::InProgress => OutcomeWire::InProgress,
+            KeyOutcome::Unknown => OutcomeWire::Unknown,
+            KeyOutcome::Ran { status } => OutcomeWire::Ran(status),
+        }
+    }
+}
+
+impl From<OutcomeWire> for KeyOutcome {
+    fn from(wire: OutcomeWire) -> KeyOutcome {
+        match wire {
+            OutcomeWire::InProgress => KeyOutcome::InProgress,
+            OutcomeWire::Unknown => KeyOutcome::Unknown,
+            OutcomeWire::Ran(status) => KeyOutcome::Ran { status },
+        }
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-wire/src/rpc/service.rs
@@ -0,0 +1,51 @@
+//! The procedures that daemons call on each other.
+
+use super::claim::{ClaimWire, OutcomeWire};
+use serde::{Deserialize, Serialize};
+
+/// Answer to a roster exchange.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Exchange {
+    /// Instance that answers.
+    pub instance: String,
+    /// Epoch of the roster that it has.
+    pub epoch: u64,
+    /// Time since its last exchange with the instance asked about, in milliseconds; `None` when
+    /// there was none since it started.
+    pub silence_ms: Option<u64>,
+    /// Time since it started, in milliseconds.
+    pub uptime_ms: u64,
+}
+
+/// Question for configuration content.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigQuery {
+    /// Generation that the asking daemon has in force.
+    pub generation: u64,
+    /// Names of chunks that it lacks; empty to ask for the head alone.
+    pub chunks: Vec<String>,
+}
+
+/// Configuration content.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigAnswer {
+    /// Encoded head, absent when the answering daemon has nothing newer.
+    pub head: Option<Vec<u8>>,
+    /// Encoded chunks by name. Chunks that do not fit in one answer are left out and asked again.
+    pub chunks: Vec<(String, Vec<u8>)>,
+}
+
+/// Procedures of a daemon.
+#[tarpc::service]
+pub trait Peer {
+    /// Delivers an encoded membership message and returns the messages that answer it.
+    async fn deliver(from: String, message: Vec<u8>);
+    /// Returns configuration content newer than the caller's.
+    async fn config(query: ConfigQuery) -> ConfigAnswer;
+    /// Exchanges roster epochs and asks how long `about` has been silent.
+    async fn exchange(from: String, epoch: u64, about: Option<String>) -> Exchange;
+    /// Claims an idempotency key for a request at its home.
+    async fn claim(epoch: u64, service: String, key: String, holder: u128) -> ClaimWire;
+    /// Settles a claim; `None` releases it as not run.
+    async fn settle(service: String, key: String, holder: u128, outcome: Option<OutcomeWire>);
+}
