core: add routing, admission and retry parts

Cause: the daemon needs the public interface of Router, Slots, DeadlineQueue, CallerLimits, AdaptiveLimit and RetryBudget.

--- /dev/null
+++ b/crates/fescuemux-core/src/admit.rs
@@ -0,0 +1,18 @@
+//! Decides which requests may start, which wait and which are refused with "not run".
+//!
+//! Must not know how requests are run, where callers connect or how health is judged.
+
+mod caller_limits;
+mod deadline_queue;
+mod limit;
+mod queue_types;
+mod slots;
+
+pub use caller_limits::{CallerDecision, CallerLimit, CallerLimits, CallerLimitsConfig};
+pub use deadline_queue::DeadlineQueue;
+pub use limit::{AdaptiveLimit, AdaptiveLimitConfig, LimitSample};
+pub use queue_types::{Pushed, QueueConfig, Refusal, Refused, Waiting};
+pub use slots::{PermitId, Slots};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/fescuemux-core/src/admit/caller_limits.rs
@@ -0,0 +1,150 @@
+//! Request limits of callers: one token bucket each, in a bounded table.
+
+use crate::base::{CallerId, Cx, HashMap};
+use std::time::{Duration, Instant};
+
+/// Limit of one caller over the whole fleet.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CallerLimit {
+    /// Requests per second.
+    pub rate: f64,
+    /// Requests that may come at once.
+    pub burst: f64,
+}
+
+/// Settings of [`CallerLimits`].
+#[derive(Clone, Debug)]
+pub struct CallerLimitsConfig {
+    /// Most callers with a bucket of their own.
+    pub max_callers: usize,
+    /// Limit that all unknown callers share.
+    pub unknown: CallerLimit,
+    /// Share of a caller's limit that this daemon grants before its share is known.
+    pub initial_share: f64,
+    /// Tokens that a bucket holds at least, so that a small share still admits a request.
+    pub min_burst: f64,
+}
+
+impl Default for CallerLimitsConfig {
+    fn default() -> CallerLimitsConfig {
+        CallerLimitsConfig {
+            max_callers: 16_384,
+            unknown: CallerLimit { rate: 10.0, burst: 20.0 },
+            initial_share: 1.0,
+            min_burst: 1.0,
+        }
+    }
+}
+
+/// Decision about one request of a caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallerDecision {
+    /// The request is within the limit.
+    Admitted,
+    /// The request is over the limit; a token is expected after the time given.
+    Limited {
+        /// Time until the next token.
+        retry_after: Duration,
+    },
+}
+
+#[derive(Debug)]
+struct Bucket {
+    limit: CallerLimit,
+    share: f64,
+    tokens: f64,
+    updated: Instant,
+}
+
+/// Token buckets of all callers at one daemon.
+#[derive(Debug)]
+pub struct CallerLimits {
+    cfg: CallerLimitsConfig,
+    buckets: HashMap<CallerId, Bucket>,
+    unknown: Bucket,
+}
+
+impl CallerLimits {
+    /// Returns a table without callers.
+    pub fn new(cfg: CallerLimitsConfig, now: Instant) -> CallerLimits {
+        let mut unknown = Bucket::new(cfg.unknown, cfg.initial_share, now);
+        unknown.tokens = unknown.capacity(cfg.min_burst);
+        CallerLimits { cfg, buckets: HashMap::default(), unknown }
+    }
+
+    /// Sets the limit of a caller from the configuration. Returns false when the table is full;
+    /// the caller then shares the bucket of unknown callers.
+    pub fn set(&mut self, cx: &mut Cx, caller: &CallerId, limit: CallerLimit) -> bool {
+        if let Some(bucket) = self.buckets.get_mut(caller) {
+            bucket.refill(cx.now, self.cfg.min_burst);
+            bucket.limit = limit;
+            return true;
+        }
+        if self.buckets.len() >= self.cfg.max_callers {
+            return false;
+        }
+        let mut bucket = Bucket::new(limit, self.cfg.initial_share, cx.now);
+        bucket.tokens = bucket.capacity(self.cfg.min_burst);
+        self.buckets.insert(caller.clone(), bucket);
+        true
+    }
+
+    /// Forgets a caller that the configuration no longer names.
+    pub fn remove(&mut self, caller: &CallerId) {
+        self.buckets.remove(caller);
+    }
+
+    /// Sets the share of its limit that this daemon grants to a caller, from zero to one.
+    pub fn set_share(&mut self, cx: &mut Cx, caller: &CallerId, share: f64) {
+        if let Some(bucket) = self.buckets.get_mut(caller) {
+            bucket.refill(cx.now, self.cfg.min_burst);
+            bucket.share = share.clamp(0.0, 1.0);
+        }
+    }
+
+    /// Decides about one request and takes a token when it is admitted.
+    pub fn admit(&mut self, cx: &mut Cx, caller: &CallerId) -> CallerDecision {
+        let min_burst = self.cfg.min_burst;
+        let bucket = self.buckets.get_mut(caller).unwrap_or(&mut self.unknown);
+        bucket.refill(cx.now, min_burst);
+        bucket.take()
+    }
+
+    /// Returns the number of callers with a bucket of their own.
+    pub fn len(&self) -> usize {
+        self.buckets.len()
+    }
+
+    /// Returns true when no caller has a bucket of its own.
+    pub fn is_empty(&self) -> bool {
+        self.buckets.is_empty()
+    }
+}
+
+impl Bucket {
+    fn new(limit: CallerLimit, share: f64, now: Instant) -> Bucket {
+        Bucket { limit, share, tokens: 0.0, updated: now }
+    }
+
+    fn capacity(&self, min_burst: f64) -> f64 {
+        (self.limit.burst * self.share).max(min_burst)
+    }
+
+    fn refill(&mut self, now: Instant, min_burst: f64) {
+        let passed = now.saturating_duration_since(self.updated).as_secs_f64();
+        let earned = passed * self.limit.rate * self.share;
+        self.tokens = (self.tokens + earned).min(self.capacity(min_burst));
+        self.updated = self.updated.max(now);
+    }
+
+    fn take(&mut self) -> CallerDecision {
+        const MAX_RETRY_AFTER_SECS: f64 = 60.0;
+        if self.tokens >= 1.0 {
+            self.tokens -= 1.0;
+            return CallerDecision::Admitted;
+        }
+        let rate = self.limit.rate * self.share;
+        let wait = ((1.0 - self.tokens) / rate.max(f64::MIN_POSITIVE)).min(MAX_RETRY_AFTER_SECS);
+        CallerDecision::Limited { retry_after: Duration::from_secs_f64(wait) }
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-core/src/admit/deadline_queue.rs
@@ -0,0 +1,255 @@
+//! Bounded queue in which no request waits that can no longer finish in time.
+
+use crate::admit::{Pushed, QueueConfig, Refusal, Refused, Waiting};
+use crate::base::{CallerId, Cx, HashMap, RequestId};
+use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
+
+/// Largest cost of a request, in units.
+const MAX_COST: u32 = 64;
+
+/// Requests of one priority, in deficit round robin over the callers that wait.
+#[derive(Debug)]
+struct Class<T> {
+    callers: HashMap<CallerId, Flow<T>>,
+    /// Callers with waiting requests, in order of their turns.
+    turns: VecDeque<CallerId>,
+}
+
+#[derive(Debug)]
+struct Flow<T> {
+    waiting: VecDeque<Waiting<T>>,
+    deficit: u32,
+    /// True once the caller earned its credit in the present turn.
+    credited: bool,
+}
+
+/// Queue of requests that wait for a slot, bounded by count and by deadline.
+#[derive(Debug)]
+pub struct DeadlineQueue<T> {
+    cfg: QueueConfig,
+    classes: BTreeMap<u8, Class<T>>,
+    len: usize,
+    /// Moving mean of service times, in seconds.
+    service_time: f64,
+}
+
+impl<T> DeadlineQueue<T> {
+    /// Returns an empty queue.
+    pub fn new(cfg: QueueConfig) -> DeadlineQueue<T> {
+        let service_time = cfg.initial_service_time.as_secs_f64();
+        DeadlineQueue { cfg, classes: BTreeMap::new(), len: 0, service_time }
+    }
+
+    /// Returns the number of waiting requests.
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Returns true when nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Returns the estimate of the time that a slot is in use for one request.
+    pub fn service_time(&self) -> Duration {
+        Duration::from_secs_f64(self.service_time)
+    }
+
+    /// Learns from a request that ran for `time`.
+    pub fn on_service_time(&mut self, time: Duration) {
+        const GAIN: f64 = 0.1;
+        self.service_time += GAIN * (time.as_secs_f64() - self.service_time);
+    }
+
+    /// Returns true when a request that starts now is expected to finish by `deadline`.
+    pub fn can_finish(&self, now: Instant, deadline: Instant) -> bool {
+        now + self.service_time() <= deadline
+    }
+
+    /// Adds a request. `slots` is the number of requests that the server runs at a time.
+    ///
+    /// # Errors
+    ///
+    /// Refuses the request with verdict "not run" when it cannot finish in time, or when the
+    /// queue is full and no waiting request has a weaker claim.
+    pub fn push(
+        &mut self,
+        cx: &mut Cx,
+        slots: u32,
+        waiting: Waiting<T>,
+    ) -> Result<Pushed<T>, Refused<T>> {
+        let wait = self.expected_wait(slots, &waiting);
+        if !self.can_finish(cx.now + wait, waiting.deadline) {
+            return Err(self.refuse(slots, waiting, Refusal::CannotFinish));
+        }
+        if self.len < self.cfg.max_len {
+            self.insert(waiting);
+            return Ok(Pushed::Queued);
+        }
+        match self.displace_for(&waiting) {
+            Some(displaced) => {
+                self.insert(waiting);
+                Ok(Pushed::Displaced(displaced))
+            }
+            None => Err(self.refuse(slots, waiting, Refusal::Full)),
+        }
+    }
+
+    /// Takes the next request to start. Requests that can no longer finish are moved to
+    /// `expired`; their verdict is "not run".
+    pub fn pop(&mut self, cx: &mut Cx, expired: &mut Vec<Waiting<T>>) -> Option<Waiting<T>> {
+        while let Some(next) = self.pop_next() {
+            if self.can_finish(cx.now, next.deadline) {
+                return Some(next);
+            }
+            expired.push(next);
+        }
+        None
+    }
+
+    /// Removes all requests that can no longer finish; their verdict is "not run".
+    pub fn expire(&mut self, cx: &mut Cx) -> Vec<Waiting<T>> {
+        let service_time = self.service_time();
+        let late = |w: &Waiting<T>| cx.now + service_time > w.deadline;
+        self.extract(late)
+    }
+
+    /// Removes a request whose caller left.
+    pub fn remove(&mut self, id: RequestId) -> Option<Waiting<T>> {
+        self.extract(|w| w.id == id).pop()
+    }
+
+    /// Returns the time at which the first waiting request can no longer finish.
+    pub fn next_expiry(&self) -> Option<Instant> {
+        let flows = self.classes.values().flat_map(|c| c.callers.values());
+        let first = flows.flat_map(|f| f.waiting.iter()).map(|w| w.deadline).min()?;
+        Some(first.checked_sub(self.service_time()).unwrap_or(first))
+    }
+
+    fn insert(&mut self, mut waiting: Waiting<T>) {
+        // A turn of the round robin takes time in proportion to the largest cost.
+        waiting.cost = waiting.cost.min(MAX_COST);
+        let class = self
+            .classes
+            .entry(waiting.priority)
+            .or_insert_with(|| Class { callers: HashMap::default(), turns: VecDeque::new() });
+        let caller = waiting.caller.clone();
+        let flow = class.callers.entry(caller.clone()).or_insert_with(|| {
+            class.turns.push_back(caller);
+            Flow { waiting: VecDeque::new(), deficit: 0, credited: false }
+        });
+        flow.waiting.push_back(waiting);
+        self.len += 1;
+    }
+
+    /// Takes the next request by priority, then by deficit round robin.
+    fn pop_next(&mut self) -> Option<Waiting<T>> {
+        let quantum = self.cfg.quantum.max(1);
+        let mut entry = self.classes.first_entry()?;
+        let next = entry.get_mut().pop(quantum);
+        if entry.get().turns.is_empty() {
+            entry.remove();
+        }
+        self.len -= usize::from(next.is_some());
+        next
+    }
+
+    /// Removes the newest request of the caller that holds most of the queue, when the newcomer
+    /// has a better priority or its caller holds less.
+    fn displace_for(&mut self, newcomer: &Waiting<T>) -> Option<Waiting<T>> {
+        let mut last = self.classes.last_entry()?;
+        let priority = *last.key();
+        if newcomer.priority > priority {
+            return None;
+        }
+        let class = last.get_mut();
+        let (longest, held) = class
+            .turns
+            .iter()
+            .map(|caller| (caller, class.callers.get(caller).map_or(0, |f| f.waiting.len())))
+            .max_by_key(|(_, held)| *held)?;
+        let own = class.callers.get(&newcomer.caller).map_or(0, |f| f.waiting.len());
+        if newcomer.priority == priority && own + 1 >= held {
+            return None;
+        }
+        let longest = longest.clone();
+        let displaced = class.callers.get_mut(&longest)?.waiting.pop_back()?;
+        class.drop_if_empty(&longest);
+        if class.turns.is_empty() {
+            last.remove();
+        }
+        self.len -= 1;
+        Some(displaced)
+    }
+
+    fn extract(&mut self, pick: impl Fn(&Waiting<T>) -> bool) -> Vec<Waiting<T>> {
+        let mut out = vec![];
+        for class in self.classes.values_mut() {
+            class.extract(&pick, &mut out);
+        }
+        self.classes.retain(|_, class| !class.turns.is_empty());
+        self.len -= out.len();
+        out
+    }
+
+    /// Returns the time until a request of this priority gets a slot when all slots are busy.
+    fn expected_wait(&self, slots: u32, waiting: &Waiting<T>) -> Duration {
+        let ahead: usize = self
+            .classes
+            .range(..=waiting.priority)
+            .flat_map(|(_, class)| class.callers.values())
+            .map(|flow| flow.waiting.len())
+            .sum();
+        self.wait_for(ahead, slots)
+    }
+
+    fn wait_for(&self, ahead: usize, slots: u32) -> Duration {
+        Duration::from_secs_f64(self.service_time * ahead as f64 / f64::from(slots.max(1)))
+    }
+
+    fn refuse(&self, slots: u32, waiting: Waiting<T>, reason: Refusal) -> Refused<T> {
+        let retry_after = self.wait_for(self.len.max(1), slots);
+        Refused { waiting, reason, retry_after }
+    }
+}
+
+impl<T> Class<T> {
+    fn pop(&mut self, quantum: u32) -> Option<Waiting<T>> {
+        loop {
+            let caller = self.turns.front()?.clone();
+            let flow = self.callers.get_mut(&caller)?;
+            if !flow.credited {
+                flow.deficit = flow.deficit.saturating_add(quantum);
+                flow.credited = true;
+            }
+            let cost = flow.waiting.front().map_or(0, |w| w.cost);
+            if cost > flow.deficit {
+                flow.credited = false;
+                self.turns.rotate_left(1);
+                continue;
+            }
+            flow.deficit -= cost;
+            let next = flow.waiting.pop_front();
+            self.drop_if_empty(&caller);
+            return next;
+        }
+    }
+
+    fn drop_if_empty(&mut self, caller: &CallerId) {
+        if self.callers.get(caller).is_some_and(|f| f.waiting.is_empty()) {
+            self.callers.remove(caller);
+            self.turns.retain(|other| other != caller);
+        }
+    }
+
+    fn extract(&mut self, pick: &impl Fn(&Waiting<T>) -> bool, out: &mut Vec<Waiting<T>>) {
+        for flow in self.callers.values_mut() {
+            let (gone, kept) = std::mem::take(&mut flow.waiting).into_iter().partition(pick);
+            flow.waiting = kept;
+            out.extend::<VecDeque<_>>(gone);
+        }
+        self.callers.retain(|_, flow| !flow.waiting.is_empty());
+        self.turns.retain(|caller| self.callers.contains_key(caller));
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-core/src/admit/slots.rs
@@ -0,0 +1,74 @@
+//! Exact count of the requests that a backend server runs.
+
+use crate::base::HashMap;
+
+/// Identifies one admission. Never used twice by the same [`Slots`].
+pub type PermitId = u64;
+
+/// Slots of one backend server, each held by at most one permit.
+///
+/// `O` names the owner of a permit, such as the connection that the request came in on, so that
+/// all permits of a crashed ingress can be found.
+#[derive(Debug)]
+pub struct Slots<O> {
+    limit: u32,
+    next: PermitId,
+    held: HashMap<PermitId, O>,
+}
+
+impl<O: PartialEq> Slots<O> {
+    /// Returns `limit` free slots.
+    pub fn new(limit: u32) -> Slots<O> {
+        Slots { limit, next: 1, held: HashMap::default() }
+    }
+
+    /// Takes a slot for `owner`. Returns `None` when no slot is free.
+    pub fn admit(&mut self, owner: O) -> Option<PermitId> {
+        if self.free() == 0 {
+            return None;
+        }
+        let id = self.next;
+        self.next += 1;
+        self.held.insert(id, owner);
+        Some(id)
+    }
+
+    /// Releases the slot of a request that ended. Returns false, and changes nothing, when the
+    /// permit is unknown or was released before.
+    pub fn finish(&mut self, id: PermitId) -> bool {
+        self.held.remove(&id).is_some()
+    }
+
+    /// Releases the slot of a request that was canceled and no longer runs on the backend
+    /// server. Returns false, and changes nothing, when the permit is unknown or was released
+    /// before.
+    pub fn cancel(&mut self, id: PermitId) -> bool {
+        self.held.remove(&id).is_some()
+    }
+
+    /// Returns the permits of `owner`. The slots stay taken until each permit is finished or
+    /// canceled, because the backend server may still run the requests of a crashed ingress.
+    pub fn owned_by(&self, owner: &O) -> Vec<PermitId> {
+        self.held.iter().filter(|(_, o)| *o == owner).map(|(id, _)| *id).collect()
+    }
+
+    /// Changes the number of slots. Permits above a lower limit stay valid until released.
+    pub fn set_limit(&mut self, limit: u32) {
+        self.limit = limit;
+    }
+
+    /// Returns the number of slots.
+    pub fn limit(&self) -> u32 {
+        self.limit
+    }
+
+    /// Returns the number of slots in use.
+    pub fn busy(&self) -> u32 {
+        self.held.len() as u32
+    }
+
+    /// Returns the number of free slots.
+    pub fn free(&self) -> u32 {
+        self.limit.saturating_sub(self.busy())
+    }
+}
--- a/crates/fescuemux-core/src/lib.rs
+++ b/crates/fescuemux-core/src/lib.rs
@@ -5,4 +5,7 @@
 //! must not know threads, sockets, global state, a clock of its own or any wire format, so a
 //! daemon, a test or a measuring tool can drive the same code.
 
+pub mod admit;
 pub mod base;
+pub mod retry;
+pub mod route;
--- /dev/null
+++ b/crates/fescuemux-core/src/retry/budget.rs
@@ -0,0 +1,138 @@
+//! Retry budget of one service at one ingress.
+
+use crate::base::{Cx, Verdict};
+use crate::retry::{Attempt, GiveUpReason, RetryDecision};
+use rand::Rng;
+use std::time::{Duration, Instant};
+
+/// Settings of a [`RetryBudget`].
+#[derive(Clone, Debug)]
+pub struct RetryConfig {
+    /// Retries and hedges earned by each request.
+    pub ratio: f64,
+    /// Retries a second that a quiet service earns at least.
+    pub floor_rate: f64,
+    /// Most retries that can be saved up.
+    pub reserve: f64,
+    /// Most attempts of one request.
+    pub max_attempts: u32,
+    /// Mean wait before the second attempt; doubles with each further attempt.
+    pub backoff: Duration,
+}
+
+impl Default for RetryConfig {
+    fn default() -> RetryConfig {
+        RetryConfig {
+            ratio: 0.1,
+            floor_rate: 0.02,
+            reserve: 1.0,
+            max_attempts: 3,
+            backoff: Duration::from_millis(5),
+        }
+    }
+}
+
+/// Window over which the floor rate is compared with the retries earned by requests.
+const FLOOR_WINDOW: Duration = Duration::from_secs(10);
+
+/// Budget that limits retries and hedges of a service to a share of its requests.
+#[derive(Debug)]
+pub struct RetryBudget {
+    cfg: RetryConfig,
+    balance: f64,
+    window_start: Instant,
+    earned_in_window: f64,
+}
+
+impl RetryBudget {
+    /// Returns a budget with its reserve full.
+    pub fn new(cfg: RetryConfig, now: Instant) -> RetryBudget {
+        RetryBudget { balance: cfg.reserve, cfg, window_start: now, earned_in_window: 0.0 }
+    }
+
+    /// Counts a request of a caller, not its retries.
+    pub fn on_request(&mut self, cx: &mut Cx) {
+        self.top_up(cx.now);
+        self.earned_in_window += self.cfg.ratio;
+        self.earn(self.cfg.ratio);
+    }
+
+    /// Decides about a failed attempt and takes from the budget when it is repeated.
+    pub fn decide(&mut self, cx: &mut Cx, attempt: &Attempt) -> RetryDecision {
+        let after = self.wait(cx, attempt);
+        let verdict = attempt.verdict.max(attempt.earlier);
+        if let Some(reason) = self.refusal(attempt, after) {
+            return RetryDecision::GiveUp { verdict, reason };
+        }
+        if !self.spend(cx) {
+            return RetryDecision::GiveUp { verdict, reason: GiveUpReason::Budget };
+        }
+        RetryDecision::Retry { after }
+    }
+
+    /// Decides whether a slow attempt of an idempotent request gets a second one beside it,
+    /// and takes from the budget when it does.
+    pub fn try_hedge(&mut self, cx: &mut Cx, attempt: &Attempt) -> bool {
+        if !attempt.idempotent {
+            return false;
+        }
+        if self.refusal(attempt, Duration::ZERO).is_some() {
+            return false;
+        }
+        self.spend(cx)
+    }
+
+    /// Returns the retries left, in requests.
+    pub fn balance(&self) -> f64 {
+        self.balance
+    }
+
+    fn refusal(&self, attempt: &Attempt, after: Duration) -> Option<GiveUpReason> {
+        let verdict = attempt.verdict.max(attempt.earlier);
+        if !attempt.idempotent && verdict != Verdict::NotRun {
+            return Some(GiveUpReason::MayHaveRun);
+        }
+        if !attempt.body_replayable {
+            return Some(GiveUpReason::BodySpent);
+        }
+        if after + attempt.expected_latency > attempt.remaining_deadline {
+            return Some(GiveUpReason::Deadline);
+        }
+        (attempt.attempts >= self.cfg.max_attempts).then_some(GiveUpReason::Attempts)
+    }
+
+    fn wait(&self, cx: &mut Cx, attempt: &Attempt) -> Duration {
+        const MAX_DOUBLINGS: u32 = 10;
+        let doublings = attempt.attempts.saturating_sub(1).min(MAX_DOUBLINGS);
+        let jitter = cx.rng.random_range(0.5..1.5);
+        let backoff = (self.cfg.backoff * (1 << doublings)).mul_f64(jitter);
+        backoff.max(attempt.retry_after.unwrap_or_default())
+    }
+
+    /// Spends one retry. A balance below one is spent by chance, so that the many ingresses
+    /// with a small reserve each still retry at the rate that they earn.
+    fn spend(&mut self, cx: &mut Cx) -> bool {
+        self.top_up(cx.now);
+        if self.balance <= 0.0 || cx.rng.random::<f64>() >= self.balance {
+            return false;
+        }
+        self.balance -= 1.0;
+        true
+    }
+
+    fn top_up(&mut self, now: Instant) {
+        let passed = now.saturating_duration_since(self.window_start);
+        if passed < FLOOR_WINDOW {
+            return;
+        }
+        let floor = self.cfg.floor_rate * passed.as_secs_f64();
+        let missing = (floor - self.earned_in_window).max(0.0);
+        self.window_start = now;
+        self.earned_in_window = 0.0;
+        self.earn(missing);
+    }
+
+    fn earn(&mut self, amount: f64) {
+        self.balance = (self.balance + amount).min(self.cfg.reserve);
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-core/src/route.rs
@@ -0,0 +1,22 @@
+//! Chooses the backend server of each request at an ingress.
+//!
+//! Must not know how requests are sent, how membership spreads or how health is judged.
+
+mod breaker;
+mod choose;
+mod config;
+mod endpoint;
+mod entry;
+mod load;
+mod query;
+mod router;
+mod service;
+
+pub use breaker::{BreakerConfig, BreakerState};
+pub use config::RouterConfig;
+pub use endpoint::{Endpoint, EndpointHealth};
+pub use query::{Answered, Choice, RequestKind, RouteQuery, ServerLoad};
+pub use router::Router;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/fescuemux-core/src/route/choose.rs
@@ -0,0 +1,199 @@
+//! The choice of a backend server. Looks at a few sampled candidates and never at whole lists.
+
+use crate::base::Cx;
+use crate::route::entry::{Entry, Index, Tier};
+use crate::route::service::ServiceTable;
+use crate::route::{BreakerState, Choice, RequestKind, RouteQuery, Router};
+use rand::Rng;
+
+/// Candidates compared in each tier.
+const CHOICES: usize = 2;
+
+/// Draws for one candidate before a server in slow start is taken in spite of its low share.
+const SLOW_START_DRAWS: usize = 3;
+
+/// Largest share of requests that trials of one service may take.
+const MAX_TRIAL_SHARE: f64 = 0.5;
+
+#[derive(Clone, Copy)]
+struct Candidate {
+    index: Index,
+    load: f64,
+}
+
+impl Router {
+    /// Chooses a backend server for an attempt. Returns `None` when no known server may take
+    /// it; a query with exclusions may then be repeated without them.
+    pub fn choose(&mut self, cx: &mut Cx, query: &RouteQuery) -> Option<Choice> {
+        self.tick(cx.now);
+        let service = *self.service_index.get(query.service)?;
+        if let Some(index) = self.server_trial(cx, service, query) {
+            let until = cx.now + self.cfg.trial_timeout;
+            if let Some(entry) = self.entries[index as usize].as_mut() {
+                entry.trial_until = Some(until);
+            }
+            return self.choice(index, RequestKind::Trial, false);
+        }
+        if let Some(index) = self.path_trial(cx, service, query) {
+            return self.choice(index, RequestKind::Normal, true);
+        }
+        self.normal(cx, service, query)
+    }
+
+    fn normal(&self, cx: &mut Cx, service: usize, query: &RouteQuery) -> Option<Choice> {
+        let table = &self.services[service];
+        let mut best: Option<Candidate> = None;
+        for tier in Tier::ALL {
+            let count = table.count(tier, self.cfg.subset);
+            let at = |position| table.at(tier, self.cfg.subset, position);
+            let Some(found) = self.best_of(cx, table, query, count, at) else {
+                continue;
+            };
+            if found.load <= self.cfg.room {
+                return self.choice(found.index, RequestKind::Normal, false);
+            }
+            if best.is_none_or(|b| found.load < b.load) {
+                best = Some(found);
+            }
+        }
+        let at = |position: usize| table.steered.get(position).copied();
+        if let Some(found) = self.best_of(cx, table, query, table.steered.len(), at)
+            && best.is_none_or(|_| found.load <= self.cfg.room)
+        {
+            return self.choice(found.index, RequestKind::LastResort, false);
+        }
+        if let Some(found) = best {
+            return self.choice(found.index, RequestKind::Normal, false);
+        }
+        // Every path looks broken, which is more likely a fault on this side: spread the load.
+        let blocked = if table.blocked.is_empty() { &table.half_open } else { &table.blocked };
+        let at = |position: usize| blocked.get(position).copied();
+        let found = self.best_of(cx, table, query, blocked.len(), at)?;
+        self.choice(found.index, RequestKind::Normal, false)
+    }
+
+    /// Samples [`CHOICES`] of `count` servers and returns the one with the lowest load.
+    fn best_of(
+        &self,
+        cx: &mut Cx,
+        table: &ServiceTable,
+        query: &RouteQuery,
+        count: usize,
+        at: impl Fn(usize) -> Option<Index>,
+    ) -> Option<Candidate> {
+        let mut best: Option<Candidate> = None;
+        for _ in 0..CHOICES.min(count) {
+            let Some(found) = self.sample(cx, table, query, count, &at) else {
+                continue;
+            };
+            if best.is_none_or(|b| found.load < b.load) {
+                best = Some(found);
+            }
+        }
+        best
+    }
+
+    fn sample(
+        &self,
+        cx: &mut Cx,
+        table: &ServiceTable,
+        query: &RouteQuery,
+        count: usize,
+        at: &impl Fn(usize) -> Option<Index>,
+    ) -> Option<Candidate> {
+        let mut last = None;
+        for _ in 0..SLOW_START_DRAWS {
+            let (index, entry) = self.draw(cx, query, count, at)?;
+            last = Some(Candidate { index, load: self.load(cx, table, entry) });
+            let weight = entry.weight(cx.now, self.cfg.slow_start);
+            if weight >= 1.0 || cx.rng.random::<f64>() < weight {
+                break;
+            }
+        }
+        last
+    }
+
+    /// Draws a random server that is not excluded.
+    fn draw(
+        &self,
+        cx: &mut Cx,
+        query: &RouteQuery,
+        count: usize,
+        at: &impl Fn(usize) -> Option<Index>,
+    ) -> Option<(Index, &Entry)> {
+        if count == 0 {
+            return None;
+        }
+        let start = cx.rng.random_range(0..count);
+        for step in 0..count.min(MAX_STEPS) {
+            let index = at((start + step) % count)?;
+            let entry = self.entries[index as usize].as_ref()?;
+            if !excluded(query, entry) {
+                return Some((index, entry));
+            }
+        }
+        None
+    }
+
+    /// Returns the load per slot that the server would have with this request.
+    fn load(&self, cx: &Cx, table: &ServiceTable, entry: &Entry) -> f64 {
+        let slots = f64::from(entry.endpoint.slots.max(1));
+        let others = entry.load.at(cx.now, self.cfg.load_half_life, table.mean_load);
+        others + (f64::from(entry.in_flight) + 1.0) / slots
+    }
+
+    /// Picks a server in probation with the probability of its fair share of requests, so the
+    /// rate of trials does not grow with the number of ingresses.
+    fn server_trial(&self, cx: &mut Cx, service: usize, query: &RouteQuery) -> Option<Index> {
+        let table = &self.services[service];
+        let waiting = table.probation.len();
+        if waiting == 0 {
+            return None;
+        }
+        let ready: usize = Tier::ALL.iter().map(|t| table.count(*t, self.cfg.subset)).sum();
+        let others = ready + table.steered.len() + table.blocked.len();
+        let share = waiting as f64 / (waiting + ready) as f64;
+        if others > 0 && cx.rng.random::<f64>() >= share.min(MAX_TRIAL_SHARE) {
+            return None;
+        }
+        let index = table.probation[cx.rng.random_range(0..waiting)];
+        let entry = self.entries[index as usize].as_ref()?;
+        if entry.trial_until.is_some_and(|until| cx.now < until) || excluded(query, entry) {
+            return None;
+        }
+        let waited = cx.now.saturating_duration_since(entry.last_trial);
+        (query.idempotent || waited >= self.cfg.idempotent_wait).then_some(index)
+    }
+
+    fn path_trial(&mut self, cx: &mut Cx, service: usize, query: &RouteQuery) -> Option<Index> {
+        let index = *self.services[service].half_open.first()?;
+        let entry = self.entries[index as usize].as_ref()?;
+        let path = entry.path;
+        let BreakerState::HalfOpen(since) = self.paths[path].breaker.state() else {
+            return None;
+        };
+        let waited = cx.now.saturating_duration_since(since);
+        if !query.idempotent && waited < self.cfg.idempotent_wait {
+            return None;
+        }
+        if excluded(query, entry) {
+            return None;
+        }
+        self.start_path_trial(cx.now, path);
+        Some(index)
+    }
+
+    fn choice(&self, index: Index, kind: RequestKind, path_trial: bool) -> Option<Choice> {
+        let endpoint = &self.entries[index as usize].as_ref()?.endpoint;
+        let server = endpoint.server.clone();
+        Some(Choice { server, instance: endpoint.instance.clone(), kind, path_trial })
+    }
+}
+
+/// Steps past excluded servers before a draw gives up.
+const MAX_STEPS: usize = 8;
+
+fn excluded(query: &RouteQuery, entry: &Entry) -> bool {
+    query.exclude.contains(&entry.endpoint.server)
+        || query.exclude_instances.contains(&entry.endpoint.instance)
+}
--- /dev/null
+++ b/crates/fescuemux-core/src/route/query.rs
@@ -0,0 +1,73 @@
+//! Inputs and outputs of routing decisions.
+
+use crate::base::{InstanceId, ServerId, ServiceId, Verdict};
+use crate::route::EndpointHealth;
+use std::time::Duration;
+
+/// Tells a guard why a request was sent to its backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum RequestKind {
+    /// Sent to a serving backend server.
+    Normal,
+    /// Sent to a steered backend server, because no other server has room.
+    LastResort,
+    /// Sent to a backend server in probation, to learn whether it recovered.
+    Trial,
+}
+
+/// One routing question.
+#[derive(Clone, Copy, Debug)]
+pub struct RouteQuery<'a> {
+    /// Service of the request's route.
+    pub service: &'a ServiceId,
+    /// States whether the route is marked idempotent.
+    pub idempotent: bool,
+    /// Backend servers already tried for this request.
+    pub exclude: &'a [ServerId],
+    /// Instances whose path already failed for this request.
+    pub exclude_instances: &'a [InstanceId],
+}
+
+impl<'a> RouteQuery<'a> {
+    /// Returns the query for the first attempt of a request.
+    pub fn first(service: &'a ServiceId, idempotent: bool) -> RouteQuery<'a> {
+        RouteQuery { service, idempotent, exclude: &[], exclude_instances: &[] }
+    }
+}
+
+/// The backend server chosen for an attempt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Choice {
+    /// Chosen backend server.
+    pub server: ServerId,
+    /// Instance of its guard.
+    pub instance: InstanceId,
+    /// Kind to send with the request.
+    pub kind: RequestKind,
+    /// True when the attempt also tests a path whose breaker is half-open.
+    pub path_trial: bool,
+}
+
+/// Load of a backend server as its guard reports it on an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServerLoad {
+    /// Slots in use.
+    pub busy: u32,
+    /// Slots in total.
+    pub slots: u32,
+    /// Requests that wait at the guard.
+    pub queued: u32,
+}
+
+/// An answer of a guard, of any status.
+#[derive(Clone, Copy, Debug)]
+pub struct Answered {
+    /// Verdict of the attempt.
+    pub verdict: Verdict,
+    /// Time from sending the request until the head of the answer.
+    pub latency: Duration,
+    /// Load reported on the answer.
+    pub load: Option<ServerLoad>,
+    /// Health reported on the answer.
+    pub health: Option<EndpointHealth>,
+}
--- /dev/null
+++ b/crates/fescuemux-core/src/route/router.rs
@@ -0,0 +1,366 @@
+//! Table of backend servers and its updates. The choice itself stands in `choose`.
+
+use crate::base::{Cx, HashMap, InstanceId, Phase, ServerId, ServiceId, Verdict};
+use crate::route::breaker::Breaker;
+use crate::route::entry::{Class, Entry, Index, Path, Tier, rank};
+use crate::route::load::LoadEstimate;
+use crate::route::service::{Place, ServiceTable};
+use crate::route::{
+    Answered, BreakerState, Choice, Endpoint, EndpointHealth, RequestKind, RouterConfig, ServerLoad,
+};
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::Instant;
+
+/// Routes the requests of one ingress.
+///
+/// After each [`Router::on_sent`] exactly one of [`Router::on_answer`],
+/// [`Router::on_path_failure`] and [`Router::on_canceled`] is called.
+#[derive(Debug)]
+pub struct Router {
+    pub(super) cfg: RouterConfig,
+    pub(super) entries: Vec<Option<Entry>>,
+    pub(super) services: Vec<ServiceTable>,
+    pub(super) service_index: HashMap<ServiceId, usize>,
+    pub(super) paths: Vec<Path>,
+    free: Vec<Index>,
+    by_server: HashMap<ServerId, Index>,
+    by_instance: HashMap<InstanceId, usize>,
+    timers: BinaryHeap<Reverse<(Instant, usize)>>,
+}
+
+impl Router {
+    /// Returns a router that knows no backend server.
+    pub fn new(cfg: RouterConfig) -> Router {
+        Router {
+            cfg,
+            entries: vec![],
+            services: vec![],
+            service_index: HashMap::default(),
+            paths: vec![],
+            free: vec![],
+            by_server: HashMap::default(),
+            by_instance: HashMap::default(),
+            timers: BinaryHeap::new(),
+        }
+    }
+
+    /// Adds a backend server or updates what is known of it. A record of an earlier
+    /// incarnation than the known one is ignored.
+    pub fn upsert(&mut self, cx: &mut Cx, endpoint: Endpoint) {
+        let Some(index) = self.by_server.get(&endpoint.server).copied() else {
+            self.add(cx, endpoint);
+            return;
+        };
+        let Some(known) = self.entries[index as usize].as_ref().map(|e| &e.endpoint) else {
+            return;
+        };
+        if endpoint.incarnation < known.incarnation {
+            return;
+        }
+        let moved = endpoint.service != known.service
+            || endpoint.instance != known.instance
+            || endpoint.domain != known.domain
+            || endpoint.region != known.region;
+        if moved {
+            self.remove(&endpoint.server);
+            self.add(cx, endpoint);
+            return;
+        }
+        self.update(cx, index, endpoint);
+    }
+
+    /// Forgets a backend server.
+    pub fn remove(&mut self, server: &ServerId) {
+        let Some(index) = self.by_server.remove(server) else {
+            return;
+        };
+        self.set_class(index, Class::Off);
+        let Some(entry) = self.entries[index as usize].take() else {
+            return;
+        };
+        self.paths[entry.path].entries.retain(|other| *other != index);
+        self.free.push(index);
+    }
+
+    /// Counts a request as under way.
+    pub fn on_sent(&mut self, cx: &mut Cx, choice: &Choice) {
+        let Some(index) = self.by_server.get(&choice.server).copied() else {
+            return;
+        };
+        let Some(entry) = self.entries[index as usize].as_mut() else {
+            return;
+        };
+        entry.in_flight += 1;
+        if choice.kind == RequestKind::Trial {
+            entry.last_trial = cx.now;
+        }
+    }
+
+    /// Learns from an answer of a guard, of any status.
+    pub fn on_answer(&mut self, cx: &mut Cx, server: &ServerId, answered: Answered) {
+        let Some(index) = self.by_server.get(server).copied() else {
+            return;
+        };
+        self.end_request(index);
+        let Some(entry) = self.entries[index as usize].as_ref() else {
+            return;
+        };
+        let path = entry.path;
+        self.observe_load(cx, index, &answered);
+        if let Some(health) = answered.health {
+            self.set_health(cx, index, health);
+        }
+        self.close_path(path);
+        self.reclassify(index);
+    }
+
+    /// Learns that a request got no answer because the path to the instance failed. The
+    /// backend server is not charged.
+    pub fn on_path_failure(&mut self, cx: &mut Cx, instance: &InstanceId, server: &ServerId) {
+        if let Some(index) = self.by_server.get(server).copied() {
+            self.end_request(index);
+        }
+        let Some(path) = self.by_instance.get(instance).copied() else {
+            return;
+        };
+        self.paths[path].breaker.on_failure(cx, &self.cfg.breaker);
+        self.schedule(cx.now, path);
+        self.reclassify_path(path);
+    }
+
+    /// Learns from outside of requests, such as from a membership probe or a connection, that
+    /// the path to the instance works in both directions.
+    pub fn on_path_success(&mut self, instance: &InstanceId) {
+        if let Some(path) = self.by_instance.get(instance).copied() {
+            self.close_path(path);
+        }
+    }
+
+    /// Ends a request whose caller left before the result was known.
+    pub fn on_canceled(&mut self, cx: &mut Cx, server: &ServerId) {
+        let Some(index) = self.by_server.get(server).copied() else {
+            return;
+        };
+        self.end_request(index);
+        let Some(entry) = self.entries[index as usize].as_ref() else {
+            return;
+        };
+        let path = entry.path;
+        self.paths[path].breaker.on_trial_void(cx.now);
+        self.reclassify_path(path);
+    }
+
+    /// Returns the state of the breaker for the path to `instance`.
+    pub fn path_state(&self, instance: &InstanceId) -> Option<BreakerState> {
+        self.by_instance.get(instance).map(|path| self.paths[*path].breaker.state())
+    }
+
+    /// Returns the health of a backend server as this ingress knows it.
+    pub fn health(&self, server: &ServerId) -> Option<EndpointHealth> {
+        let index = self.by_server.get(server)?;
+        self.entries[*index as usize].as_ref().map(|e| e.health)
+    }
+
+    /// Returns the number of known backend servers.
+    pub fn len(&self) -> usize {
+        self.by_server.len()
+    }
+
+    /// Returns true when no backend server is known.
+    pub fn is_empty(&self) -> bool {
+        self.by_server.is_empty()
+    }
+
+    /// Applies breaker timers that are due.
+    pub(super) fn tick(&mut self, now: Instant) {
+        while let Some(Reverse((due, path))) = self.timers.peek().copied() {
+            if due > now {
+                return;
+            }
+            self.timers.pop();
+            if self.paths[path].scheduled == Some(due) {
+                self.paths[path].scheduled = None;
+            }
+            self.schedule(now, path);
+            self.reclassify_path(path);
+        }
+    }
+
+    pub(super) fn start_path_trial(&mut self, now: Instant, path: usize) {
+        self.paths[path].breaker.start_trial(now, self.cfg.trial_timeout);
+        self.schedule(now, path);
+        self.reclassify_path(path);
+    }
+
+    fn add(&mut self, cx: &mut Cx, endpoint: Endpoint) {
+        let service = self.service_of(&endpoint.service);
+        let path = self.path_of(&endpoint.instance);
+        let server = endpoint.server.clone();
+        let entry = Entry {
+            service,
+            path,
+            tier: self.tier_of(&endpoint),
+            rank: rank(&self.cfg.instance, &server),
+            health: endpoint.health,
+            class: Class::Off,
+            load: LoadEstimate::default(),
+            in_flight: 0,
+            ramp_start: (endpoint.phase == Phase::Cold).then_some(cx.now),
+            trial_until: None,
+            last_trial: cx.now,
+            endpoint,
+        };
+        let index = self.free.pop().unwrap_or_else(|| {
+            self.entries.push(None);
+            (self.entries.len() - 1) as Index
+        });
+        self.entries[index as usize] = Some(entry);
+        self.by_server.insert(server, index);
+        self.paths[path].entries.push(index);
+        self.reclassify(index);
+    }
+
+    fn update(&mut self, cx: &mut Cx, index: Index, endpoint: Endpoint) {
+        let Some(entry) = self.entries[index as usize].as_mut() else {
+            return;
+        };
+        let restarted = endpoint.incarnation > entry.endpoint.incarnation;
+        // Answers are fresher than membership, so a repeated record must not undo them.
+        let health_changed = restarted || endpoint.health != entry.endpoint.health;
+        let turned_cold = endpoint.phase == Phase::Cold && entry.endpoint.phase != Phase::Cold;
+        if restarted {
+            entry.load = LoadEstimate::default();
+            entry.trial_until = None;
+        }
+        if turned_cold {
+            entry.ramp_start = Some(cx.now);
+        }
+        let health = endpoint.health;
+        entry.endpoint = endpoint;
+        if health_changed {
+            self.set_health(cx, index, health);
+        }
+        self.reclassify(index);
+    }
+
+    fn set_health(&mut self, cx: &mut Cx, index: Index, health: EndpointHealth) {
+        let Some(entry) = self.entries[index as usize].as_mut() else {
+            return;
+        };
+        let was_out = matches!(entry.health, EndpointHealth::Ejected | EndpointHealth::Probation);
+        if was_out && health == EndpointHealth::Serving {
+            entry.ramp_start = Some(cx.now);
+        }
+        if entry.health != health && health == EndpointHealth::Probation {
+            entry.last_trial = cx.now;
+        }
+        entry.health = health;
+    }
+
+    fn observe_load(&mut self, cx: &mut Cx, index: Index, answered: &Answered) {
+        const MEAN_GAIN: f64 = 0.05;
+        let Some(entry) = self.entries[index as usize].as_mut() else {
+            return;
+        };
+        let slots = entry.endpoint.slots.max(1);
+        // A refusal without a load report counts as a full server.
+        let refused = answered.verdict == Verdict::NotRun;
+        let full = refused.then_some(ServerLoad { busy: slots, slots, queued: 0 });
+        let Some(load) = answered.load.or(full) else {
+            return;
+        };
+        let slots = f64::from(load.slots.max(1));
+        let total = f64::from(load.busy) + f64::from(load.queued);
+        let others = (total - f64::from(entry.in_flight)).max(0.0) / slots;
+        entry.load.observe(cx.now, others);
+        let service = &mut self.services[entry.service];
+        service.mean_load += MEAN_GAIN * (total / slots - service.mean_load);
+    }
+
+    fn end_request(&mut self, index: Index) {
+        if let Some(entry) = self.entries[index as usize].as_mut() {
+            entry.in_flight = entry.in_flight.saturating_sub(1);
+            entry.trial_until = None;
+        }
+    }
+
+    fn close_path(&mut self, path: usize) {
+        let was = self.paths[path].breaker.state();
+        self.paths[path].breaker.on_success(&self.cfg.breaker);
+        if was != BreakerState::Closed {
+            self.reclassify_path(path);
+        }
+    }
+
+    fn schedule(&mut self, now: Instant, path: usize) {
+        let due = self.paths[path].breaker.tick(now);
+        if due == self.paths[path].scheduled {
+            return;
+        }
+        self.paths[path].scheduled = due;
+        if let Some(due) = due {
+            self.timers.push(Reverse((due, path)));
+        }
+    }
+
+    fn reclassify_path(&mut self, path: usize) {
+        let entries = std::mem::take(&mut self.paths[path].entries);
+        for index in &entries {
+            self.reclassify(*index);
+        }
+        self.paths[path].entries = entries;
+    }
+
+    fn reclassify(&mut self, index: Index) {
+        let Some(entry) = self.entries[index as usize].as_ref() else {
+            return;
+        };
+        let class = entry.classify(self.paths[entry.path].breaker.state());
+        self.set_class(index, class);
+    }
+
+    fn set_class(&mut self, index: Index, class: Class) {
+        let Some(entry) = self.entries[index as usize].as_mut() else {
+            return;
+        };
+        if entry.class == class {
+            return;
+        }
+        let old = std::mem::replace(&mut entry.class, class);
+        let place =
+            Place { index, rank: entry.rank, domain: &entry.endpoint.domain, tier: entry.tier };
+        let service = &mut self.services[entry.service];
+        service.remove(&place, old);
+        service.insert(&place, class);
+    }
+
+    fn service_of(&mut self, service: &ServiceId) -> usize {
+        if let Some(known) = self.service_index.get(service) {
+            return *known;
+        }
+        self.services.push(ServiceTable::default());
+        self.service_index.insert(service.clone(), self.services.len() - 1);
+        self.services.len() - 1
+    }
+
+    fn path_of(&mut self, instance: &InstanceId) -> usize {
+        if let Some(known) = self.by_instance.get(instance) {
+            return *known;
+        }
+        let breaker = Breaker::new(&self.cfg.breaker);
+        self.paths.push(Path { breaker, entries: vec![], scheduled: None });
+        self.by_instance.insert(instance.clone(), self.paths.len() - 1);
+        self.paths.len() - 1
+    }
+
+    fn tier_of(&self, endpoint: &Endpoint) -> Tier {
+        if endpoint.domain == self.cfg.domain {
+            return Tier::OwnDomain;
+        }
+        if endpoint.region == self.cfg.region {
+            return Tier::OwnRegion;
+        }
+        Tier::OtherRegion
+    }
+}
