--- a/crates/fescuemux-core/src/lib.rs
+++ b/crates/fescuemux-core/src/lib.rs
@@ -5,5 +5,8 @@
 //! must not know threads, sockets, global state, a clock of its own or any wire format, so a
 //! daemon, a test or a measuring tool can drive the same code.
 
+pub mod admit;
 pub mod base;
 pub mod dedup;
+pub mod retry;
+pub mod route;
