Add HTTP edges of the daemon: pool, relay, strict heads, server

Cause: the HTTP library accepts bare line feeds and contradicting length headers, and a connection whose request timed out may deliver the old answer later.

--- /dev/null
+++ b/crates/fescuemux-daemon/src/http.rs
@@ -0,0 +1,20 @@
+//! HTTP/1.1 edges: connection pool, strict heads, bounded body relays and servers.
+//!
+//! Must not know routes, backend servers or any decision.
+
+mod body;
+mod limits;
+mod pool;
+mod pump;
+mod serve;
+mod strict_head;
+mod strict_io;
+
+#[cfg(test)]
+mod tests;
+
+pub(crate) use body::{BodyError, OutBody, empty, full, gated, is_replayable};
+pub(crate) use limits::HttpLimits;
+pub(crate) use pool::{Answer, AnswerBody, Freshness, Pool, SendError};
+pub(crate) use pump::{PumpLimits, relay};
+pub(crate) use serve::{Listener, ServeOptions};
--- /dev/null
+++ b/crates/fescuemux-daemon/src/http/serve.rs
@@ -0,0 +1,135 @@
+//! HTTP/1.1 server with limits and a graceful stop in phases.
+
+use super::body::OutBody;
+use super::limits::HttpLimits;
+use super::strict_io::StrictIo;
+use crate::stop::{StopPhase, StopSignal};
+use http::{HeaderValue, Request, Response, header};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::GracefulShutdown;
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+
+/// Smallest read buffer that the HTTP library permits.
+const MIN_BUFFER_BYTES: usize = 8_192;
+
+/// How one listener serves.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ServeOptions {
+    /// Limits on peers.
+    pub(crate) limits: HttpLimits,
+    /// Name for logs.
+    pub(crate) name: &'static str,
+}
+
+/// A bound socket that is ready to serve.
+#[derive(Debug)]
+pub(crate) struct Listener {
+    listener: TcpListener,
+}
+
+impl Listener {
+    /// Binds to `addr`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the address cannot be bound.
+    pub(crate) async fn bind(addr: SocketAddr) -> io::Result<Listener> {
+        Ok(Listener { listener: TcpListener::bind(addr).await? })
+    }
+
+    /// Returns the address that is bound.
+    pub(crate) fn local_addr(&self) -> io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// Serves until the stop signal closes connections, and returns when every request that was
+    /// under way has been answered.
+    pub(crate) async fn serve<H, F>(self, options: ServeOptions, stop: StopSignal, handler: H)
+    where
+        H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Response<OutBody>> + Send + 'static,
+    {
+        let graceful = GracefulShutdown::new();
+        let slots = Arc::new(Semaphore::new(options.limits.connections));
+        let mut closing = stop.clone();
+        loop {
+            let accepted = tokio::select! {
+                accepted = self.listener.accept() => accepted,
+                () = closing.reached(StopPhase::Closing) => break,
+            };
+            let stream = match accepted {
+                Ok((stream, _)) => stream,
+                Err(e) => {
+                    // Accepting fails when the process is out of descriptors; waiting lets other
+                    // connections end.
+                    tracing::warn!(listener = options.name, error = %e, "accepting failed");
+                    tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+                    continue;
+                }
+            };
+            let Ok(permit) = Arc::clone(&slots).try_acquire_owned() else {
+                tracing::warn!(listener = options.name, "connection limit reached");
+                continue;
+            };
+            spawn_connection(stream, permit, options, &graceful, stop.clone(), handler.clone());
+        }
+        drop(self.listener);
+        graceful.shutdown().await;
+    }
+}
+
+fn spawn_connection<H, F>(
+    stream: TcpStream,
+    permit: OwnedSemaphorePermit,
+    options: ServeOptions,
+    graceful: &GracefulShutdown,
+    stop: StopSignal,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<OutBody>> + Send + 'static,
+{
+    let limits = options.limits;
+    let _ = stream.set_nodelay(true);
+    let io = TokioIo::new(StrictIo::new(stream, limits.head_bytes, limits.headers));
+    let service = service_fn(move |req: Request<Incoming>| {
+        let close = closes_after(&req);
+        let stop = stop.clone();
+        let answer = handler(req);
+        async move {
+            let mut answer = answer.await;
+            if close || stop.phase() >= StopPhase::Leaving {
+                answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+            }
+            Ok::<_, Infallible>(answer)
+        }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.head_timeout)
+        .max_headers(limits.headers)
+        .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
+        .serve_connection(io, service);
+    let connection = graceful.watch(connection);
+    tokio::spawn(async move {
+        if let Err(e) = connection.await {
+            tracing::debug!(listener = options.name, error = %e, "connection failed");
+        }
+        drop(permit);
+    });
+}
+
+/// Returns whether the connection must close after this request: the strict reader does not know
+/// where a chunked body ends, so it cannot check a head behind it.
+fn closes_after(req: &Request<Incoming>) -> bool {
+    req.headers().contains_key(header::TRANSFER_ENCODING)
+}
--- /dev/null
+++ b/crates/fescuemux-daemon/src/http/tests.rs
@@ -0,0 +1,3 @@
+//! Tests of the HTTP edges.
+
+mod smuggling;
--- /dev/null
+++ b/crates/fescuemux-daemon/src/http/tests/smuggling.rs
@@ -0,0 +1,170 @@
+use crate::http::strict_head::{Framing, HeadError, check_head};
+use crate::http::strict_io::StrictIo;
+use proptest::prelude::{any, proptest};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+struct HeadCase {
+    guards_against: &'static str,
+    head: &'static str,
+    expected: Result<Framing, HeadError>,
+}
+
+#[test]
+fn ambiguous_heads_are_refused() {
+    let cases = [
+        HeadCase {
+            guards_against: "refusing an ordinary head",
+            head: "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 5\r\n\r\n",
+            expected: Ok(Framing::Length(5)),
+        },
+        HeadCase {
+            guards_against: "refusing a chunked head",
+            head: "POST / HTTP/1.1\r\nTransfer-Encoding: Chunked\r\n\r\n",
+            expected: Ok(Framing::Chunked),
+        },
+        HeadCase {
+            guards_against: "both length headers, length first",
+            head: "POST / HTTP/1.1\r\ncontent-length: 5\r\ntransfer-encoding: chunked\r\n\r\n",
+            expected: Err(HeadError::Length),
+        },
+        HeadCase {
+            guards_against: "both length headers, chunked first",
+            head: "POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\ncontent-length: 5\r\n\r\n",
+            expected: Err(HeadError::Length),
+        },
+        HeadCase {
+            guards_against: "two lengths that differ",
+            head: "POST / HTTP/1.1\r\ncontent-length: 5\r\ncontent-length: 6\r\n\r\n",
+            expected: Err(HeadError::Length),
+        },
+        HeadCase {
+            guards_against: "two lengths that agree",
+            head: "POST / HTTP/1.1\r\ncontent-length: 5\r\ncontent-length: 5\r\n\r\n",
+            expected: Err(HeadError::Length),
+        },
+        HeadCase {
+            guards_against: "a list of lengths",
+            head: "POST / HTTP/1.1\r\ncontent-length: 5, 5\r\n\r\n",
+            expected: Err(HeadError::Length),
+        },
+        HeadCase {
+            guards_against: "a signed length",
+            head: "POST / HTTP/1.1\r\ncontent-length: +5\r\n\r\n",
+            expected: Err(HeadError::Length),
+        },
+        HeadCase {
+            guards_against: "an unknown transfer coding",
+            head: "POST / HTTP/1.1\r\ntransfer-encoding: gzip, chunked\r\n\r\n",
+            expected: Err(HeadError::Length),
+        },
+        HeadCase {
+            guards_against: "a bare line feed after the request line",
+            head: "GET / HTTP/1.1\nhost: a\r\n\r\n",
+            expected: Err(HeadError::LineEnd),
+        },
+        HeadCase {
+            guards_against: "a bare carriage return in a value",
+            head: "GET / HTTP/1.1\r\nhost: a\rb\r\n\r\n",
+            expected: Err(HeadError::LineEnd),
+        },
+        HeadCase {
+            guards_against: "a folded header",
+            head: "GET / HTTP/1.1\r\nhost: a\r\n b\r\n\r\n",
+            expected: Err(HeadError::Folded),
+        },
+        HeadCase {
+            guards_against: "a space before the colon",
+            head: "GET / HTTP/1.1\r\nhost : a\r\n\r\n",
+            expected: Err(HeadError::Malformed),
+        },
+        HeadCase {
+            guards_against: "garbage",
+            head: "\u{1}\u{2}\u{3}\r\n\r\n",
+            expected: Err(HeadError::Malformed),
+        },
+    ];
+    for case in cases {
+        assert_eq!(check_head(case.head.as_bytes(), 10), case.expected, "{}", case.guards_against);
+    }
+}
+
+struct StreamCase {
+    guards_against: &'static str,
+    /// Pieces as the peer sends them.
+    sent: Vec<&'static str>,
+    /// Bytes that the HTTP library may see.
+    passed: &'static str,
+    fails: bool,
+}
+
+async fn check_stream(case: StreamCase) {
+    let (mut peer, ours) = tokio::io::duplex(64 * 1024);
+    let mut strict = StrictIo::new(ours, 256, 10);
+    for piece in &case.sent {
+        peer.write_all(piece.as_bytes()).await.unwrap();
+    }
+    peer.shutdown().await.unwrap();
+    let mut passed = Vec::new();
+    let result = strict.read_to_end(&mut passed).await;
+    assert_eq!(String::from_utf8_lossy(&passed), case.passed, "{}", case.guards_against);
+    assert_eq!(result.is_err(), case.fails, "{}", case.guards_against);
+}
+
+#[tokio::test]
+async fn only_checked_heads_pass() {
+    const GET: &str = "GET /a HTTP/1.1\r\n\r\n";
+    const POST: &str = "POST /b HTTP/1.1\r\ncontent-length: 3\r\n\r\nab\n";
+    let cases = [
+        StreamCase {
+            guards_against: "holding back a checked request",
+            sent: vec![GET],
+            passed: GET,
+            fails: false,
+        },
+        StreamCase {
+            guards_against: "a head in pieces",
+            sent: vec!["GET /a HT", "TP/1.1\r", "\n\r", "\n"],
+            passed: GET,
+            fails: false,
+        },
+        StreamCase {
+            guards_against: "checking body bytes as a head",
+            sent: vec![POST, GET],
+            passed: "POST /b HTTP/1.1\r\ncontent-length: 3\r\n\r\nab\nGET /a HTTP/1.1\r\n\r\n",
+            fails: false,
+        },
+        StreamCase {
+            guards_against: "a smuggled second head in the same packet",
+            sent: vec!["GET /a HTTP/1.1\r\n\r\nGET /x HTTP/1.1\nhost: y\r\n\r\n"],
+            passed: GET,
+            fails: true,
+        },
+        StreamCase {
+            guards_against: "waiting for ever on a head of bare line feeds",
+            sent: vec!["GET /a HTTP/1.1\n\n"],
+            passed: "",
+            fails: true,
+        },
+        StreamCase {
+            guards_against: "an endless head",
+            sent: vec![
+                "GET /a HTTP/1.1\r\n",
+                "x: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n",
+                "y: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n\r\n",
+            ],
+            passed: "",
+            fails: true,
+        },
+    ];
+    for case in cases {
+        check_stream(case).await;
+    }
+}
+
+proptest! {
+    /// Guards against a panic on a head from outside.
+    #[test]
+    fn any_bytes_are_checked_without_panic(head in any::<Vec<u8>>()) {
+        let _ = check_head(&head, 10);
+    }
+}
