Add the stand-in backend server

Cause: the daemon, the demo and the load tool need a backend server with slots, announcements and switchable gray failures that runs without outside software. Before: no stand-in.

--- /dev/null
+++ b/crates/fescuemux-standins/src/server/execution.rs
@@ -0,0 +1,20 @@
+//! Record of one request that a stand-in backend server ran.
+
+use std::time::Instant;
+
+/// One request that the server began to run. Refused requests have no record.
+#[derive(Clone, Debug)]
+pub struct Execution {
+    /// Value of the header `fescuemux-request-id`.
+    pub request_id: Option<String>,
+    /// Value of the header `Idempotency-Key`.
+    pub idempotency_key: Option<String>,
+    /// Value of the header `x-tag`.
+    pub tag: Option<String>,
+    /// Time at which the request took its slot.
+    pub started: Instant,
+    /// Time at which the work was complete; absent while it runs and when it was canceled.
+    pub finished: Option<Instant>,
+    /// Whether the work was given up because the connection closed or the deadline passed.
+    pub canceled: bool,
+}
