--- /dev/null
+++ b/crates/fescuemux-daemon/src/clock.rs
@@ -0,0 +1,18 @@
+//! The system's clocks.
+
+use fescuemux_core::base::Clock;
+use std::time::{Instant, SystemTime};
+
+/// Clock of the operating system.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SystemClock;
+
+impl Clock for SystemClock {
+    fn now(&self) -> Instant {
+        Instant::now()
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::now()
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-daemon/src/guard/server.rs
@@ -0,0 +1,384 @@
+//! One backend server behind the guard.
+
+use super::GuardContext;
+use super::event::GuardEvent;
+use super::lease::{Grant, Lease, Ticket};
+use super::refused::Refused;
+use super::snapshot::ServerSnapshot;
+use crate::decisions::Decisions;
+use fescuemux_core::admit::{DeadlineQueue, PermitId, Pushed, QueueConfig, Refusal, Slots, Waiting};
+use fescuemux_core::base::{Cx, Favor, Phase, RequestId, ServerId, ServiceId};
+use fescuemux_core::detect::{Baseline, Detector, DetectorConfig, Observation, TrialOutcome};
+use fescuemux_core::eject::{
+    Action, Admission, Health, HealthConfig, PermitAnswer, RequestKind, State,
+};
+use fescuemux_wire::announce::Announcement;
+use fescuemux_wire::hop::{HopHealth, HopKind, HopRequest, ServerLoad};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// A backend server and everything that is decided about it.
+#[derive(Debug)]
+pub(super) struct GuardedServer {
+    pub(super) id: ServerId,
+    cx: GuardContext,
+    state: Decisions<ServerState>,
+}
+
+/// Decision parts of one server.
+#[derive(Debug)]
+pub(super) struct ServerState {
+    announcement: Announcement,
+    announced: Instant,
+    detector: Detector,
+    health: Health,
+    pub(super) slots: Slots<RequestId>,
+    pub(super) queue: DeadlineQueue<flume::Sender<Grant>>,
+    peak_busy: u32,
+}
+
+impl GuardedServer {
+    pub(super) fn new(
+        cx: &GuardContext,
+        announcement: Announcement,
+        favor: Favor,
+    ) -> Arc<GuardedServer> {
+        let now = cx.clock.now();
+        let mut detector = Detector::new(DetectorConfig::new(favor), now);
+        detector.on_phase(&mut Cx::new(now, 0), announcement.phase);
+        let state = ServerState {
+            detector,
+            health: Health::new(HealthConfig::new(favor), now),
+            slots: Slots::new(announcement.slots),
+            queue: DeadlineQueue::new(QueueConfig::default()),
+            peak_busy: 0,
+            announced: now,
+            announcement: announcement.clone(),
+        };
+        Arc::new(GuardedServer {
+            id: announcement.server,
+            state: Decisions::new(Arc::clone(&cx.clock), announcement.incarnation, state),
+            cx: cx.clone(),
+        })
+    }
+
+    /// Takes a further announcement. Returns false when the server has restarted or moved, so
+    /// that everything known of it is void.
+    pub(super) fn announce(&self, announcement: &Announcement) -> bool {
+        let changed = self.state.with(|cx, state| {
+            let known = &state.announcement;
+            if announcement.incarnation < known.incarnation {
+                return Some(false);
+            }
+            let same = announcement.incarnation == known.incarnation
+                && announcement.address == known.address
+                && announcement.service == known.service;
+            if !same {
+                return None;
+            }
+            let changed = announcement != known;
+            state.announced = cx.now;
+            state.announcement = announcement.clone();
+            state.slots.set_limit(announcement.slots);
+            state.detector.on_phase(cx, announcement.phase);
+            Some(changed)
+        });
+        if changed == Some(true) {
+            let _ = self.cx.events.send(GuardEvent::ServersChanged);
+        }
+        changed.is_some()
+    }
+
+    /// Decides whether a request may wait for a slot, and waits for it.
+    pub(super) async fn admit(
+        self: &Arc<GuardedServer>,
+        hop: &HopRequest,
+        deadline: Instant,
+        caller: &str,
+    ) -> Result<Lease, Refused> {
+        self.check_health(hop)?;
+        let trial = hop.kind == HopKind::Trial;
+        let ticket = match self.take_slot(hop, deadline, caller) {
+            Ok(Taken::Slot(permit)) => return Ok(Lease::new(self, permit, trial)),
+            Ok(Taken::Queued(rx)) => Ticket::new(self, hop.id, rx),
+            Err(refused) => {
+                self.end_trial(trial, TrialOutcome::Unknown);
+                return Err(refused);
+            }
+        };
+        match ticket.wait(deadline).await {
+            Some(permit) => Ok(Lease::new(self, permit, trial)),
+            None => {
+                self.end_trial(trial, TrialOutcome::Unknown);
+                Err(self.describe(Refused::too_late()))
+            }
+        }
+    }
+
+    fn check_health(&self, hop: &HopRequest) -> Result<(), Refused> {
+        let refusal = self.state.with(|cx, state| {
+            if state.announcement.phase == Phase::Draining {
+                return Some("the server is draining");
+            }
+            if let Some(baseline) = hop.baseline {
+                let HopBaseline { median, error_ratio } = baseline;
+                state.detector.on_baseline(cx, Baseline { median, error_ratio });
+            }
+            match state.health.admission(cx, kind(hop.kind), hop.idempotent) {
+                Admission::Admit => None,
+                Admission::Refuse(reason) => Some(reason.as_str()),
+            }
+        });
+        match refusal {
+            None => Ok(()),
+            Some(reason) => Err(self.describe(Refused::not_run(reason))),
+        }
+    }
+
+    fn take_slot(
+        &self,
+        hop: &HopRequest,
+        deadline: Instant,
+        caller: &str,
+    ) -> Result<Taken, Refused> {
+        let taken = self.state.with(|cx, state| {
+            if state.queue.is_empty() {
+                if !state.queue.can_finish(cx.now, deadline) {
+                    return Err("the request cannot finish in time");
+                }
+                if let Some(permit) = state.slots.admit(hop.id) {
+                    state.peak_busy = state.peak_busy.max(state.slots.busy());
+                    return Ok(Taken::Slot(permit));
+                }
+            }
+            let (tx, rx) = flume::bounded(1);
+            let waiting = Waiting {
+                id: hop.id,
+                caller: caller.into(),
+                // The queue serves small numbers first, operators give large ones to what
+                // matters most.
+                priority: u8::MAX - hop.priority,
+                cost: 1,
+                deadline,
+                item: tx,
+            };
+            let slots = state.slots.limit();
+            match state.queue.push(cx, slots, waiting) {
+                Ok(Pushed::Queued) => Ok(Taken::Queued(rx)),
+                Ok(Pushed::Displaced(other)) => {
+                    let _ = other.item.send(Grant::Displaced);
+                    Ok(Taken::Queued(rx))
+                }
+                Err(refused) => Err(match refused.reason {
+                    Refusal::Full => "the queue is full",
+                    Refusal::CannotFinish => "the request cannot finish in time",
+                }),
+            }
+        });
+        taken.map_err(|reason| self.describe(Refused::not_run(reason)))
+    }
+
+    /// Frees a slot and passes it to the next request that can still finish.
+    pub(super) fn release(&self, permit: PermitId) {
+        self.state.with(|cx, state| {
+            state.slots.finish(permit);
+            state.grant_free_slots(cx);
+        });
+    }
+
+    /// Removes a request that no longer waits. A slot granted meanwhile goes to the next one.
+    pub(super) fn leave_queue(&self, id: RequestId, rx: &flume::Receiver<Grant>) {
+        self.state.with(|cx, state| {
+            state.queue.remove(id);
+            if let Ok(Grant::Slot(permit)) = rx.try_recv() {
+                state.slots.finish(permit);
+                state.grant_free_slots(cx);
+            }
+        });
+    }
+
+    pub(super) fn on_start(&self, id: RequestId) {
+        self.state.with(|cx, state| state.detector.on_start(cx, id));
+    }
+
+    /// Takes the end of a request that was sent to the server.
+    pub(super) fn on_finish(&self, observation: Observation, trial: bool) {
+        self.act(|cx, state| {
+            state.detector.on_finish(cx, observation);
+            state.queue.on_service_time(observation.latency);
+            let mut actions = Vec::new();
+            if trial {
+                let end = state.detector.judge(&observation);
+                actions = state.health.on_trial_end(cx, end);
+            }
+            actions.extend(state.assess(cx));
+            actions
+        });
+    }
+
+    /// Ends a trial whose request was never sent.
+    pub(super) fn end_trial(&self, trial: bool, end: TrialOutcome) {
+        if trial {
+            self.act(|cx, state| state.health.on_trial_end(cx, end));
+        }
+    }
+
+    pub(super) fn tick(&self) {
+        self.act(|cx, state| {
+            let mut actions = state.assess(cx);
+            actions.extend(state.health.tick(cx));
+            actions
+        });
+    }
+
+    pub(super) fn on_pause(&self, length: Duration) {
+        self.state.with(|cx, state| state.detector.on_pause(cx, length));
+    }
+
+    pub(super) fn on_permit(&self, answer: PermitAnswer) {
+        self.act(|cx, state| state.health.on_permit(cx, answer));
+    }
+
+    pub(super) fn on_ledger(&self, held: bool) {
+        self.act(|cx, state| state.health.on_ledger(cx, held));
+    }
+
+    pub(super) fn on_must_return(&self) {
+        self.act(|cx, state| state.health.on_must_return(cx));
+    }
+
+    pub(super) fn set_favor(&self, favor: Favor) {
+        self.state.with(|_, state| state.detector.set_config(DetectorConfig::new(favor)));
+    }
+
+    pub(super) fn address(&self) -> SocketAddr {
+        self.state.with(|_, state| state.announcement.address)
+    }
+
+    pub(super) fn service(&self) -> ServiceId {
+        self.state.with(|_, state| state.announcement.service.clone())
+    }
+
+    /// Returns the time since the last announcement.
+    pub(super) fn silence(&self) -> Duration {
+        self.state.with(|cx, state| cx.now.saturating_duration_since(state.announced))
+    }
+
+    pub(super) fn in_flight(&self) -> u32 {
+        self.state.with(|_, state| state.slots.busy() + state.queue.len() as u32)
+    }
+
+    /// Returns load and health for answers.
+    pub(super) fn report(&self) -> (ServerLoad, HopHealth) {
+        self.state.with(|_, state| {
+            let load = ServerLoad {
+                busy: state.slots.busy(),
+                slots: state.announcement.slots,
+                queued: state.queue.len() as u32,
+            };
+            (load, hop_health(state.health.state()))
+        })
+    }
+
+    pub(super) fn snapshot(&self) -> ServerSnapshot {
+        self.state.with(|cx, state| ServerSnapshot {
+            server: state.announcement.server.clone(),
+            service: state.announcement.service.clone(),
+            address: state.announcement.address,
+            incarnation: state.announcement.incarnation,
+            phase: state.announcement.phase,
+            state: state.health.state(),
+            state_age: state.health.age(cx.now),
+            relapses: state.health.relapses(),
+            may_hold_permit: state.health.may_hold_permit(),
+            assessment: state.detector.assess(cx),
+            slots: state.announcement.slots,
+            busy: state.slots.busy(),
+            queued: state.queue.len() as u32,
+            peak_busy: state.peak_busy,
+        })
+    }
+
+    fn describe(&self, refused: Refused) -> Refused {
+        let (load, health) = self.report();
+        refused.with_server(load, health)
+    }
+
+    /// Runs a decision and carries out the actions it asks for.
+    fn act(&self, decide: impl FnOnce(&mut Cx, &mut ServerState) -> Vec<Action>) {
+        let (actions, service) = self.state.with(|cx, state| {
+            let actions = decide(cx, state);
+            if actions.contains(&Action::ResetEvidence) {
+                state.detector.reset_evidence(cx);
+            }
+            (actions, state.announcement.service.clone())
+        });
+        for action in actions {
+            self.carry_out(action, &service);
+        }
+    }
+
+    fn carry_out(&self, action: Action, service: &ServiceId) {
+        let (service, server) = (service.clone(), self.id.clone());
+        let event = match action {
+            Action::RequestPermit => GuardEvent::RequestPermit { service, server },
+            Action::ReleasePermit => GuardEvent::ReleasePermit { service, server },
+            Action::ResetEvidence => return,
+            Action::Publish { from, to } => {
+                tracing::info!(%server, from = from.as_str(), to = to.as_str(), "health changed");
+                self.cx.metrics.health_change(&service, &server, to.as_str());
+                GuardEvent::ServersChanged
+            }
+        };
+        let _ = self.cx.events.send(event);
+    }
+}
+
+impl ServerState {
+    fn assess(&mut self, cx: &mut Cx) -> Vec<Action> {
+        let assessment = self.detector.assess(cx);
+        self.health.on_assessment(cx, &assessment)
+    }
+
+    fn grant_free_slots(&mut self, cx: &mut Cx) {
+        while self.slots.free() > 0 {
+            let mut expired = Vec::new();
+            let next = self.queue.pop(cx, &mut expired);
+            for late in expired {
+                let _ = late.item.send(Grant::Expired);
+            }
+            let Some(next) = next else { return };
+            let Some(permit) = self.slots.admit(next.id) else { return };
+            self.peak_busy = self.peak_busy.max(self.slots.busy());
+            if next.item.send(Grant::Slot(permit)).is_err() {
+                self.slots.finish(permit);
+            }
+        }
+    }
+}
+
+/// Result of asking for a slot.
+enum Taken {
+    Slot(PermitId),
+    Queued(flume::Receiver<Grant>),
+}
+
+use fescuemux_wire::hop::HopBaseline;
+
+fn kind(kind: HopKind) -> RequestKind {
+    match kind {
+        HopKind::Normal => RequestKind::Normal,
+        HopKind::LastResort => RequestKind::LastResort,
+        HopKind::Trial => RequestKind::Trial,
+    }
+}
+
+fn hop_health(state: State) -> HopHealth {
+    match state {
+        State::Serving => HopHealth::Serving,
+        State::Steered => HopHealth::Steered,
+        State::Ejected => HopHealth::Ejected,
+        State::Probation => HopHealth::Probation,
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-daemon/src/guard/snapshot.rs
@@ -0,0 +1,26 @@
+//! State of a guarded server for records, dumps and metrics.
+
+use fescuemux_core::base::{Incarnation, Phase, ServerId, ServiceId};
+use fescuemux_core::detect::Assessment;
+use fescuemux_core::eject::State;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// State of a backend server as its guard sees it.
+#[derive(Clone, Debug)]
+pub(crate) struct ServerSnapshot {
+    pub(crate) server: ServerId,
+    pub(crate) service: ServiceId,
+    pub(crate) address: SocketAddr,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) phase: Phase,
+    pub(crate) state: State,
+    pub(crate) state_age: Duration,
+    pub(crate) relapses: u32,
+    pub(crate) may_hold_permit: bool,
+    pub(crate) assessment: Assessment,
+    pub(crate) slots: u32,
+    pub(crate) busy: u32,
+    pub(crate) queued: u32,
+    pub(crate) peak_busy: u32,
+}
--- a/crates/fescuemux-daemon/src/http.rs
+++ b/crates/fescuemux-daemon/src/http.rs
@@ -9,6 +9,7 @@
 mod serve;
 mod strict_head;
 mod strict_io;
+mod strip;
 
 #[cfg(test)]
 mod tests;
@@ -16,5 +17,6 @@
 pub(crate) use body::{BodyError, OutBody, empty, full, gated, is_replayable};
 pub(crate) use limits::HttpLimits;
 pub(crate) use pool::{Answer, AnswerBody, Freshness, Pool, SendError};
-pub(crate) use pump::{PumpLimits, relay};
+pub(crate) use pump::{PumpLimits, RelayedBody, collect, relay};
 pub(crate) use serve::{Listener, ServeOptions};
+pub(crate) use strip::{strip_connection_headers, strip_fleet_headers};
--- a/crates/fescuemux-daemon/src/http/pump.rs
+++ b/crates/fescuemux-daemon/src/http/pump.rs
@@ -1,7 +1,7 @@
 //! Relay of bodies through a bounded channel with idle limits on both ends.
 
 use super::body::BodyError;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use flume::r#async::RecvStream;
 use futures::Stream;
 use http_body_util::BodyExt;
@@ -29,21 +29,50 @@
 
 /// Receiving end of a relay.
 pub(crate) struct RelayedBody {
-    frames: RecvStream<'static, FrameResult>,
+    state: RelayState,
     size: SizeHint,
 }
 
+enum RelayState {
+    /// Nobody has asked for the body yet, so nothing of the source has been taken.
+    Waiting(Option<Box<dyn FnOnce() -> RecvStream<'static, FrameResult> + Send + Sync>>),
+    Running(RecvStream<'static, FrameResult>),
+}
+
 /// Relays `source` in a task of its own, so that a stalled receiver is noticed and the source is
-/// let go. Dropping the returned body ends the task.
+/// let go. The task starts when the body is first asked for; dropping the body ends it.
 pub(crate) fn relay<B>(source: B, limits: PumpLimits) -> RelayedBody
 where
-    B: Body<Data = Bytes> + Send + Unpin + 'static,
+    B: Body<Data = Bytes> + Send + Sync + Unpin + 'static,
     B::Error: Display + Send,
 {
-    let (tx, rx) = flume::bounded(FRAMES_IN_FLIGHT);
     let size = source.size_hint();
-    tokio::spawn(pump(source, tx, limits));
-    RelayedBody { frames: rx.into_stream(), size }
+    let start = move || {
+        let (tx, rx) = flume::bounded(FRAMES_IN_FLIGHT);
+        tokio::spawn(pump(source, tx, limits));
+        rx.into_stream()
+    };
+    RelayedBody { state: RelayState::Waiting(Some(Box::new(start))), size }
+}
+
+/// Reads a whole body into memory. The size hint of the body must have been checked.
+///
+/// # Errors
+///
+/// Returns an error when the source fails or makes no progress within the idle time.
+pub(crate) async fn collect<B>(mut source: B, limits: PumpLimits) -> Result<Bytes, BodyError>
+where
+    B: Body<Data = Bytes> + Unpin,
+    B::Error: Display,
+{
+    let mut left = limits.bytes;
+    let mut content = BytesMut::new();
+    while let Some(frame) = next_frame(&mut source, limits.idle).await {
+        if let Ok(data) = charge(frame?, &mut left)?.into_data() {
+            content.extend_from_slice(&data);
+        }
+    }
+    Ok(content.freeze())
 }
 
 async fn pump<B>(mut source: B, tx: flume::Sender<FrameResult>, limits: PumpLimits)
@@ -99,7 +128,15 @@
     type Error = BodyError;
 
     fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<FrameResult>> {
-        Pin::new(&mut self.frames).poll_next(cx)
+        if let RelayState::Waiting(start) = &mut self.state
+            && let Some(start) = start.take()
+        {
+            self.state = RelayState::Running(start());
+        }
+        match &mut self.state {
+            RelayState::Running(frames) => Pin::new(frames).poll_next(cx),
+            RelayState::Waiting(_) => Poll::Ready(None),
+        }
     }
 
     fn size_hint(&self) -> SizeHint {
--- a/crates/fescuemux-wire/src/headers.rs
+++ b/crates/fescuemux-wire/src/headers.rs
@@ -27,7 +27,7 @@
 pub const IDEMPOTENT: &str = "fescuemux-idempotent";
 /// Service-wide baseline: median in microseconds and error ratio in parts per million.
 pub const BASELINE: &str = "fescuemux-baseline";
-/// Priority of the service, 0 to 255; smaller is more urgent.
+/// Priority of the service, 0 to 255; larger is more urgent.
 pub const PRIORITY: &str = "fescuemux-priority";
 /// Load of a backend server: busy slots, slots and queued requests.
 pub const LOAD: &str = "fescuemux-load";
--- a/crates/fescuemux-wire/src/hop/request.rs
+++ b/crates/fescuemux-wire/src/hop/request.rs
@@ -33,7 +33,7 @@
     pub kind: HopKind,
     /// Whether the request may run more than once.
     pub idempotent: bool,
-    /// Priority of the service, smaller is more urgent.
+    /// Priority of the service, larger is more urgent.
     pub priority: u8,
     /// Service-wide values, absent while the ingress has too few answers.
     pub baseline: Option<HopBaseline>,
