--- /dev/null
+++ b/crates/fescuemux-core/src/detect/assessment.rs
@@ -0,0 +1,91 @@
+//! What the evidence about a backend server amounts to.
+
+use std::fmt;
+use std::time::Duration;
+
+/// Strength of the evidence against a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Level {
+    /// The evidence is below every threshold.
+    Healthy,
+    /// The evidence suffices to steer requests elsewhere, which removes no capacity.
+    Suspect,
+    /// The evidence suffices to eject and outlived the time the baseline needs to follow a
+    /// slowdown of the whole service.
+    Bad,
+}
+
+/// One part of the evidence, with its score in nats.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reason {
+    /// Finished requests took longer than the reference.
+    Latency {
+        /// Log-likelihood ratio of the recent latencies.
+        score: f64,
+        /// Median of the latencies in the window.
+        median: Duration,
+        /// Latency that the server is compared with.
+        reference: Duration,
+    },
+    /// Requests in flight are older than requests of a healthy server get.
+    InFlightAge {
+        /// Sum of the scores of the requests in flight.
+        score: f64,
+        /// Number of requests in flight that count.
+        requests: usize,
+        /// Age of the oldest of them.
+        oldest: Duration,
+    },
+    /// Requests failed more often than elsewhere.
+    Failures {
+        /// Log-likelihood ratio of the recent outcomes.
+        score: f64,
+        /// Failures since the evidence began to grow.
+        failures: usize,
+        /// Finished requests since the evidence began to grow.
+        requests: usize,
+        /// Error ratio that a healthy server is expected to have.
+        expected: f64,
+    },
+    /// Probes of the health endpoint failed.
+    Probes {
+        /// Score of the probes, bounded far below any threshold.
+        score: f64,
+        /// Failed probes in a row.
+        failures: u32,
+    },
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Reason::Latency { score, median, reference } => {
+                write!(f, "latency {median:.1?} against {reference:.1?} (score {score:.1})")
+            }
+            Reason::InFlightAge { score, requests, oldest } => {
+                write!(f, "{requests} in flight, oldest {oldest:.1?} (score {score:.1})")
+            }
+            Reason::Failures { score, failures, requests, expected } => {
+                let percent = expected * 100.0;
+                write!(
+                    f,
+                    "{failures} of {requests} failed, {percent:.1}% expected (score {score:.1})"
+                )
+            }
+            Reason::Probes { score, failures } => {
+                write!(f, "{failures} probes failed in a row (score {score:.1})")
+            }
+        }
+    }
+}
+
+/// The current view of one backend server.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Assessment {
+    /// Strength of the evidence.
+    pub level: Level,
+    /// Log-likelihood ratio of "sick" to "healthy", in nats; never negative.
+    pub score: f64,
+    /// Parts of the evidence with a positive score, for a state dump.
+    pub reasons: Vec<Reason>,
+}
--- /dev/null
+++ b/crates/fescuemux-core/src/detect/config.rs
@@ -0,0 +1,45 @@
+//! Thresholds of the detector, derived from the operator's one statement of intent.
+
+use crate::base::Favor;
+use std::time::Duration;
+
+/// Thresholds of one [`Detector`](super::Detector). Scores are in nats.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DetectorConfig {
+    /// Score at which requests are steered elsewhere.
+    pub suspect_score: f64,
+    /// Score at which an ejection is asked for, after `confirm`.
+    pub bad_score: f64,
+    /// Least time between reaching `suspect_score` and [`Level::Bad`](super::Level::Bad). The
+    /// baseline needs about a second to follow a slowdown of the whole service; evidence that
+    /// is measured against a baseline that did not yet follow must not eject.
+    pub confirm: Duration,
+    /// Age from which a request in flight counts when nothing is known about latency.
+    pub absolute_age: Duration,
+}
+
+impl DetectorConfig {
+    /// Returns the thresholds for a service whose operator states `favor`.
+    pub fn new(favor: Favor) -> DetectorConfig {
+        match favor {
+            Favor::FastDetection => DetectorConfig {
+                suspect_score: 11.0,
+                bad_score: 14.0,
+                confirm: Duration::from_millis(1_000),
+                absolute_age: Duration::from_secs(5),
+            },
+            Favor::FewFalseEjections => DetectorConfig {
+                suspect_score: 14.0,
+                bad_score: 17.0,
+                confirm: Duration::from_millis(2_000),
+                absolute_age: Duration::from_secs(10),
+            },
+        }
+    }
+}
+
+impl From<Favor> for DetectorConfig {
+    fn from(favor: Favor) -> DetectorConfig {
+        DetectorConfig::new(favor)
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-core/src/detect/detector.rs
@@ -0,0 +1,305 @@
+//! Sequential likelihood test over the requests of one backend server.
+
+use super::assessment::{Assessment, Level, Reason};
+use super::baseline::Baseline;
+use super::config::DetectorConfig;
+use super::in_flight::InFlight;
+use super::observation::{Observation, Outcome, ProbeResult, TrialOutcome};
+use super::reference::Reference;
+use super::tail::Tail;
+use super::window::{Sample, Window};
+use crate::base::{Cx, Phase, RequestId};
+use std::time::{Duration, Instant};
+
+/// Error ratio added by the sickness that the outcome test looks for.
+const SICK_ERRORS: f64 = 0.3;
+/// Score of a refused loopback connection. No network lies between, so two in a row suffice.
+const CONNECT_FAILED: f64 = 9.0;
+/// Score of an answer that is cut or wrong; an overloaded healthy server does neither.
+const BROKEN_ANSWER: f64 = 4.5;
+/// Largest score of one error or missed deadline.
+const ERROR_CAP: f64 = 3.5;
+/// A missed deadline counts as a failure when the request got this many times the reference.
+/// Callers may set deadlines that no healthy server can meet.
+const FAIR_DEADLINE: f64 = 8.0;
+/// Slowness allowed in the phase [`Phase::Cold`], as a factor on the reference.
+const COLD_FACTOR: f64 = 4.0;
+/// Score of one failed probe and the bound of their sum. Health endpoints lag and mislead.
+const PROBE_FAILED: f64 = 0.5;
+const PROBE_CAP: f64 = 2.0;
+/// Score of a request that is older than the absolute age while no reference is known.
+const ABSOLUTE_AGE: f64 = 4.0;
+/// Finished requests before the own past becomes a reference.
+const OWN_PAST_SAMPLES: usize = 32;
+/// A trial answer slower than this factor is bad.
+const TRIAL_FACTOR: f64 = 4.0;
+
+/// Evidence about one backend server. Memory is bounded, and each call does constant work.
+#[derive(Clone, Debug)]
+pub struct Detector {
+    config: DetectorConfig,
+    phase: Phase,
+    reference: Reference,
+    tail: Tail,
+    window: Window,
+    in_flight: InFlight,
+    probe_failures: u32,
+    suspect_since: Option<Instant>,
+    evidence_since: Instant,
+    score: f64,
+}
+
+impl Detector {
+    /// Returns a detector without evidence and without a past.
+    pub fn new(config: DetectorConfig, now: Instant) -> Detector {
+        Detector {
+            config,
+            phase: Phase::Ready,
+            reference: Reference::default(),
+            tail: Tail::new(),
+            window: Window::default(),
+            in_flight: InFlight::default(),
+            probe_failures: 0,
+            suspect_since: None,
+            evidence_since: now,
+            score: 0.0,
+        }
+    }
+
+    /// Replaces the thresholds and keeps the evidence.
+    pub fn set_config(&mut self, config: DetectorConfig) {
+        self.config = config;
+    }
+
+    /// Notes the announced phase. A cold server may be slow, and nothing is learned from it.
+    pub fn on_phase(&mut self, _cx: &mut Cx, phase: Phase) {
+        self.phase = phase;
+    }
+
+    /// Notes that a request was sent to the backend server.
+    pub fn on_start(&mut self, cx: &mut Cx, id: RequestId) {
+        self.in_flight.start(id, cx.now);
+    }
+
+    /// Notes that a request ended.
+    pub fn on_finish(&mut self, _cx: &mut Cx, observation: Observation) {
+        if !self.in_flight.finish(observation.id) {
+            return;
+        }
+        let sample = Sample {
+            outcome: observation.outcome,
+            latency: observation.latency.as_secs_f64().max(1e-6),
+        };
+        if let Some(oldest) = self.window.push(sample) {
+            self.learn(oldest);
+        }
+        if !self.reference.knows_own() && self.window.len() >= OWN_PAST_SAMPLES {
+            self.begin_own_past();
+        }
+    }
+
+    /// Takes a service-wide baseline that came with a request.
+    pub fn on_baseline(&mut self, _cx: &mut Cx, baseline: Baseline) {
+        self.reference.add(baseline);
+    }
+
+    /// Takes the result of a probe of the health endpoint.
+    pub fn on_probe(&mut self, _cx: &mut Cx, result: ProbeResult) {
+        match result {
+            ProbeResult::Healthy => self.probe_failures = 0,
+            ProbeResult::Unhealthy | ProbeResult::TimedOut => {
+                self.probe_failures = self.probe_failures.saturating_add(1);
+            }
+        }
+    }
+
+    /// Discards the evidence of a time in which this process itself did not run. The ages and
+    /// latencies of requests that were in flight say nothing about the backend server.
+    pub fn on_pause(&mut self, cx: &mut Cx, _length: Duration) {
+        self.in_flight.restart(cx.now);
+        self.probe_failures = 0;
+    }
+
+    /// Discards all evidence and keeps the learned past. Called when probation begins, so that
+    /// the trial requests alone decide.
+    pub fn reset_evidence(&mut self, cx: &mut Cx) {
+        self.window.clear();
+        self.in_flight.restart(cx.now);
+        self.probe_failures = 0;
+        self.suspect_since = None;
+        self.evidence_since = cx.now;
+        self.score = 0.0;
+    }
+
+    /// Returns how a trial request went.
+    pub fn judge(&self, observation: &Observation) -> TrialOutcome {
+        match observation.outcome {
+            Outcome::Ok => match self.reference_latency() {
+                Some(reference) if observation.latency.as_secs_f64() > reference * TRIAL_FACTOR => {
+                    TrialOutcome::Bad
+                }
+                _ => TrialOutcome::Good,
+            },
+            Outcome::Canceled => TrialOutcome::Unknown,
+            Outcome::DeadlineMissed => match self.reference_latency() {
+                Some(reference) if observation.latency.as_secs_f64() < reference * TRIAL_FACTOR => {
+                    TrialOutcome::Unknown
+                }
+                _ => TrialOutcome::Bad,
+            },
+            Outcome::ServerError | Outcome::Cut | Outcome::WrongAnswer | Outcome::ConnectFailed => {
+                TrialOutcome::Bad
+            }
+        }
+    }
+
+    /// Weighs all evidence at the current time.
+    pub fn assess(&mut self, cx: &mut Cx) -> Assessment {
+        let mut reasons = Vec::new();
+        let slowness = self.slowness(cx.now, &mut reasons);
+        let failures = self.failures(&mut reasons);
+        let probes = self.probes(&mut reasons);
+        let score = slowness.max(failures) + probes;
+        self.score = score;
+        let level = self.level(cx.now, score);
+        Assessment { level, score, reasons }
+    }
+
+    /// Returns the time since which evidence counts.
+    pub fn evidence_since(&self) -> Instant {
+        self.evidence_since
+    }
+
+    fn level(&mut self, now: Instant, score: f64) -> Level {
+        if score < self.config.suspect_score {
+            self.suspect_since = None;
+            return Level::Healthy;
+        }
+        let since = *self.suspect_since.get_or_insert(now);
+        let confirmed = now.saturating_duration_since(since) >= self.config.confirm;
+        if score >= self.config.bad_score && confirmed { Level::Bad } else { Level::Suspect }
+    }
+
+    fn slowness(&self, now: Instant, reasons: &mut Vec<Reason>) -> f64 {
+        let Some(reference) = self.reference_latency() else {
+            return self.absolute_ages(now, reasons);
+        };
+        let latency = self.window.cusum(|sample| self.latency_score(sample, reference)).score;
+        if latency > 0.0 {
+            reasons.push(Reason::Latency {
+                score: latency,
+                median: Duration::from_secs_f64(self.window.median().unwrap_or(0.0)),
+                reference: Duration::from_secs_f64(reference),
+            });
+        }
+        let mut age = 0.0;
+        let mut requests = 0;
+        let mut oldest = Duration::ZERO;
+        for each in self.in_flight.ages(now) {
+            let score = self.tail.age_score(each.as_secs_f64() / reference);
+            age += score;
+            requests += usize::from(score > 0.0);
+            oldest = oldest.max(each);
+        }
+        if age > 0.0 {
+            reasons.push(Reason::InFlightAge { score: age, requests, oldest });
+        }
+        latency + age
+    }
+
+    /// Scores ages without a reference: only a request that outlived any plausible one counts.
+    fn absolute_ages(&self, now: Instant, reasons: &mut Vec<Reason>) -> f64 {
+        let aged = self.in_flight.ages(now).filter(|age| *age >= self.config.absolute_age);
+        let (requests, oldest) =
+            aged.fold((0, Duration::ZERO), |(n, oldest), age| (n + 1, oldest.max(age)));
+        let score = requests as f64 * ABSOLUTE_AGE;
+        if requests > 0 {
+            reasons.push(Reason::InFlightAge { score, requests, oldest });
+        }
+        score
+    }
+
+    fn failures(&self, reasons: &mut Vec<Reason>) -> f64 {
+        let expected = self.reference.error_ratio();
+        let reference = self.reference_latency();
+        let sum = self.window.cusum(|sample| outcome_score(sample, expected, reference));
+        if sum.score > 0.0 {
+            reasons.push(Reason::Failures {
+                score: sum.score,
+                failures: sum.against,
+                requests: sum.samples,
+                expected,
+            });
+        }
+        sum.score
+    }
+
+    fn probes(&self, reasons: &mut Vec<Reason>) -> f64 {
+        let score = (f64::from(self.probe_failures) * PROBE_FAILED).min(PROBE_CAP);
+        if score > 0.0 {
+            reasons.push(Reason::Probes { score, failures: self.probe_failures });
+        }
+        score
+    }
+
+    fn latency_score(&self, sample: &Sample, reference: f64) -> f64 {
+        let ratio = sample.latency / reference;
+        match sample.outcome {
+            Outcome::Ok => self.tail.finished_score(ratio),
+            // Censored: the request would have lasted at least this long.
+            Outcome::DeadlineMissed | Outcome::Canceled => self.tail.age_score(ratio),
+            Outcome::ServerError | Outcome::Cut | Outcome::WrongAnswer | Outcome::ConnectFailed => {
+                0.0
+            }
+        }
+    }
+
+    fn reference_latency(&self) -> Option<f64> {
+        let factor = if self.phase == Phase::Cold { COLD_FACTOR } else { 1.0 };
+        self.reference.latency().map(|latency| latency * factor)
+    }
+
+    /// Learns from a sample that leaves the window while nothing speaks against the server. The
+    /// delay keeps the first answers of a fault from being learned as normal.
+    fn learn(&mut self, sample: Sample) {
+        if self.phase != Phase::Ready || self.score > self.config.suspect_score / 4.0 {
+            return;
+        }
+        match sample.outcome {
+            Outcome::Ok => {
+                if let Some(reference) = self.reference.latency() {
+                    self.tail.learn(sample.latency / reference);
+                }
+                self.reference.learn_latency(sample.latency);
+                self.reference.learn_error(false);
+            }
+            Outcome::ServerError => self.reference.learn_error(true),
+            _ => {}
+        }
+    }
+
+    fn begin_own_past(&mut self) {
+        if self.phase != Phase::Ready {
+            return;
+        }
+        if let Some(median) = self.window.median() {
+            self.reference.set_own(median);
+        }
+    }
+}
+
+fn outcome_score(sample: &Sample, expected: f64, reference: Option<f64>) -> f64 {
+    let sick = expected + (1.0 - expected) * SICK_ERRORS;
+    let error = (sick / expected).ln().min(ERROR_CAP);
+    match sample.outcome {
+        Outcome::Ok => ((1.0 - sick) / (1.0 - expected)).ln(),
+        Outcome::ServerError => error,
+        Outcome::DeadlineMissed => match reference {
+            Some(reference) if sample.latency < reference * FAIR_DEADLINE => 0.0,
+            _ => error,
+        },
+        Outcome::Cut | Outcome::WrongAnswer => BROKEN_ANSWER,
+        Outcome::Canceled => 0.0,
+        Outcome::ConnectFailed => CONNECT_FAILED,
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-core/src/detect/tail.rs
@@ -0,0 +1,116 @@
+//! Distribution of a healthy server's latency relative to its reference, and the likelihood
+//! ratios that follow from it.
+
+/// Number of bins. Bin `k` holds ratios from `2^((k - 4) / 2)` up to the next bin's edge.
+const BINS: usize = 18;
+/// Bin whose lower edge is the reference itself.
+const UNIT_BIN: usize = 4;
+/// A sick server is assumed to be this many bins slower: half octaves, so four times slower.
+const SICK_SHIFT: usize = 4;
+/// Assumed distribution before anything is learned: 97% log-normal with sigma 0.6 and 3%
+/// Pareto with exponent 0.8. Learned shares can only raise a bin's probability above it, so a
+/// server with an exceptionally even latency is not held to a stricter standard.
+const PRIOR: [f64; BINS] = [
+    0.04031, 0.07996, 0.15303, 0.21169, 0.21897, 0.15854, 0.08413, 0.03336, 0.01063, 0.00344,
+    0.00161, 0.00107, 0.00079, 0.00060, 0.00045, 0.00034, 0.00026, 0.00082,
+];
+/// Requests that the learned shares cover; older ones fade out.
+const MEMORY: f64 = 4096.0;
+/// Learned requests before the learned shares are used, so a few slow ones do not hide a fault.
+const LEAST_LEARNED: f64 = 256.0;
+/// Bounds of the score of one latency. The cap keeps any one request from deciding; the floor
+/// keeps a few fast answers from hiding that most are slow.
+const CAP: f64 = 3.5;
+const FLOOR: f64 = -3.0;
+/// Subtracted from each age score. Under health the unsubtracted score of a request is
+/// exponentially distributed with mean one, so a sum over slots would grow with their number.
+const AGE_OFFSET: f64 = 2.0;
+
+/// Learned latency ratios of one backend server with the score tables derived from them.
+#[derive(Clone, Debug)]
+pub(super) struct Tail {
+    counts: [f64; BINS],
+    total: f64,
+    finished: [f64; BINS],
+    survival: [f64; BINS + 1],
+}
+
+impl Tail {
+    pub(super) fn new() -> Tail {
+        let mut tail = Tail {
+            counts: [0.0; BINS],
+            total: 0.0,
+            finished: [0.0; BINS],
+            survival: [0.0; BINS + 1],
+        };
+        tail.rebuild();
+        tail
+    }
+
+    /// Adds a ratio that was seen while the server was healthy.
+    pub(super) fn learn(&mut self, ratio: f64) {
+        let keep = 1.0 - 1.0 / MEMORY;
+        for count in &mut self.counts {
+            *count *= keep;
+        }
+        self.counts[bin(ratio)] += 1.0;
+        self.total = self.total * keep + 1.0;
+        self.rebuild();
+    }
+
+    /// Returns the score of a request that finished after `ratio` times the reference.
+    pub(super) fn finished_score(&self, ratio: f64) -> f64 {
+        self.finished[bin(ratio)]
+    }
+
+    /// Returns the score of a request that has lasted `ratio` times the reference and whose end
+    /// is not known. Never negative: a young request says nothing.
+    pub(super) fn age_score(&self, ratio: f64) -> f64 {
+        (-self.survival_at(ratio).ln() - AGE_OFFSET).max(0.0)
+    }
+
+    /// Returns the probability that a healthy request lasts at least `ratio` times the reference.
+    pub(super) fn survival_at(&self, ratio: f64) -> f64 {
+        let position = position(ratio);
+        if position >= (BINS - 1) as f64 {
+            return self.survival[BINS - 1];
+        }
+        let low = position.floor();
+        let part = position - low;
+        let k = low as usize;
+        self.survival[k].powf(1.0 - part) * self.survival[k + 1].powf(part)
+    }
+
+    fn rebuild(&mut self) {
+        let mut shares = PRIOR;
+        if self.total >= LEAST_LEARNED {
+            for (share, count) in shares.iter_mut().zip(&self.counts) {
+                *share = share.max(count / self.total);
+            }
+        }
+        let sum: f64 = shares.iter().sum();
+        self.survival[BINS] = 0.0;
+        for k in (0..BINS).rev() {
+            self.survival[k] = self.survival[k + 1] + shares[k] / sum;
+        }
+        let mut highest = FLOOR;
+        for k in 0..BINS {
+            let sick = if k < SICK_SHIFT { 0.0 } else { shares[k - SICK_SHIFT] };
+            let score = (sick / shares[k]).ln().clamp(FLOOR, CAP);
+            // A slower answer is never better evidence of health than a faster one.
+            highest = score.max(highest);
+            self.finished[k] = highest;
+        }
+    }
+}
+
+fn position(ratio: f64) -> f64 {
+    if ratio <= 0.0 {
+        return 0.0;
+    }
+    (2.0 * ratio.log2() + UNIT_BIN as f64).max(0.0)
+}
+
+fn bin(ratio: f64) -> usize {
+    (position(ratio) as usize).min(BINS - 1)
+}
--- /dev/null
+++ b/crates/fescuemux-core/src/detect/window.rs
@@ -0,0 +1,79 @@
+//! The most recent finished requests of one backend server.
+
+use super::observation::Outcome;
+use std::collections::VecDeque;
+
+/// Finished requests kept. All are scored again at each assessment, so the newest baseline
+/// applies to all of them; the number bounds that work.
+pub(super) const WINDOW: usize = 64;
+
+/// One finished request.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Sample {
+    pub(super) outcome: Outcome,
+    /// Latency in seconds.
+    pub(super) latency: f64,
+}
+
+/// Bounded queue of samples, oldest first.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Window {
+    samples: VecDeque<Sample>,
+}
+
+/// Largest cumulative sum that ends at the newest sample.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Cusum {
+    pub(super) score: f64,
+    /// Samples since the sum was last zero.
+    pub(super) samples: usize,
+    /// Those of them with a positive score.
+    pub(super) against: usize,
+}
+
+impl Window {
+    /// Adds a sample and returns the one that it displaces.
+    pub(super) fn push(&mut self, sample: Sample) -> Option<Sample> {
+        let oldest = if self.samples.len() == WINDOW { self.samples.pop_front() } else { None };
+        self.samples.push_back(sample);
+        oldest
+    }
+
+    pub(super) fn clear(&mut self) {
+        self.samples.clear();
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.samples.len()
+    }
+
+    /// Runs a cumulative sum test over the window.
+    pub(super) fn cusum(&self, score: impl Fn(&Sample) -> f64) -> Cusum {
+        let mut sum = Cusum::default();
+        for sample in &self.samples {
+            let step = score(sample);
+            sum.score += step;
+            sum.samples += 1;
+            sum.against += usize::from(step > 0.0);
+            if sum.score <= 0.0 {
+                sum = Cusum::default();
+            }
+        }
+        sum
+    }
+
+    /// Returns the median latency in seconds of the successful samples.
+    pub(super) fn median(&self) -> Option<f64> {
+        let mut values = [0.0; WINDOW];
+        let mut len = 0;
+        for sample in self.samples.iter().filter(|sample| sample.outcome == Outcome::Ok) {
+            values[len] = sample.latency;
+            len += 1;
+        }
+        if len == 0 {
+            return None;
+        }
+        let (_, median, _) = values[..len].select_nth_unstable_by((len - 1) / 2, f64::total_cmp);
+        Some(*median)
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-core/src/eject.rs
@@ -0,0 +1,23 @@
+//! Ejection of sick backend servers and their return.
+//!
+//! [`Health`] is the state machine of one backend server; [`Ledger`] is the fleet-wide record
+//! that keeps a service's healthy capacity at or above its floor. Must not know how evidence is
+//! gathered, how a ledger is stored or which ingress sends a request.
+
+mod action;
+mod admission;
+mod capacity;
+mod config;
+mod health;
+mod hold;
+mod ledger;
+mod probation;
+mod refusal;
+
+pub use action::{Action, PermitAnswer};
+pub use admission::{Admission, RefuseReason, RequestKind};
+pub use capacity::{Capacity, ServerCapacity};
+pub use config::HealthConfig;
+pub use health::{Health, State};
+pub use ledger::{Entry, Fence, Ledger};
+pub use refusal::Refusal;
--- /dev/null
+++ b/crates/fescuemux-core/src/eject/action.rs
@@ -0,0 +1,37 @@
+//! What a state machine asks of its daemon, and the daemon's answers.
+
+use super::health::State;
+
+/// Request of a [`Health`](super::Health) to its daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Write the server into the ledger; answer with
+    /// [`Health::on_permit`](super::Health::on_permit).
+    RequestPermit,
+    /// Remove the server from the ledger; answer with [`PermitAnswer::Released`] once it is
+    /// known to be absent. Repeated until that answer.
+    ReleasePermit,
+    /// Discard the detector's evidence, because trial requests alone decide from now on.
+    ResetEvidence,
+    /// Publish the new state in the server's record.
+    Publish {
+        /// State before.
+        from: State,
+        /// State now.
+        to: State,
+    },
+}
+
+/// Answer to [`Action::RequestPermit`] or [`Action::ReleasePermit`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PermitAnswer {
+    /// The ledger holds the server under the guard's incarnation.
+    Granted,
+    /// The ledger refused, usually because the floor would be violated. The ledger is known not
+    /// to hold the server.
+    Refused,
+    /// The store did not answer, so the ledger may or may not hold the server.
+    StoreUnavailable,
+    /// The ledger is known not to hold the server.
+    Released,
+}
--- /dev/null
+++ b/crates/fescuemux-core/src/eject/admission.rs
@@ -0,0 +1,60 @@
+//! Admission of requests by the state of a backend server.
+
+use std::fmt;
+
+/// Why an ingress chose a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum RequestKind {
+    /// The server is one of the preferred ones.
+    Normal,
+    /// The ingress has no preferred server with room.
+    LastResort,
+    /// The request tries a server that is returning.
+    Trial,
+}
+
+/// Answer to "may this request go to the backend server?". A refusal is "not run".
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// The request may go.
+    Admit,
+    /// The request must not go, for this reason.
+    Refuse(RefuseReason),
+}
+
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum RefuseReason {
+    /// The server is steered; only last-resort requests may go.
+    Steered,
+    /// The server is ejected.
+    Ejected,
+    /// The server is in probation and this request is beyond its share.
+    ProbationShare,
+    /// A trial request is already in flight.
+    TrialInFlight,
+    /// The first trial requests must be idempotent.
+    TrialNotIdempotent,
+    /// The server does not take trial requests now.
+    NoTrialWanted,
+}
+
+impl RefuseReason {
+    /// Returns the spelling used in headers, logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            RefuseReason::Steered => "steered",
+            RefuseReason::Ejected => "ejected",
+            RefuseReason::ProbationShare => "probation-share",
+            RefuseReason::TrialInFlight => "trial-in-flight",
+            RefuseReason::TrialNotIdempotent => "trial-not-idempotent",
+            RefuseReason::NoTrialWanted => "no-trial-wanted",
+        }
+    }
+}
+
+impl fmt::Display for RefuseReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-core/src/eject/capacity.rs
@@ -0,0 +1,60 @@
+//! Capacity of a service as a guard sees it.
+
+use crate::base::{HashMap, Phase, ServerId};
+
+/// One announced backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServerCapacity {
+    /// Concurrent requests the server takes.
+    pub slots: u32,
+    /// Announced phase.
+    pub phase: Phase,
+    /// Whether the membership holds the server's instance to be alive.
+    pub alive: bool,
+}
+
+/// Announced backend servers of one service with the floor in force.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Capacity {
+    /// Slots of healthy capacity below which no ejection may push the service.
+    pub floor: u32,
+    servers: HashMap<ServerId, ServerCapacity>,
+}
+
+impl Capacity {
+    /// Returns a capacity without servers.
+    pub fn new(floor: u32) -> Capacity {
+        Capacity { floor, servers: HashMap::default() }
+    }
+
+    /// Adds or replaces a server.
+    pub fn set(&mut self, server: ServerId, capacity: ServerCapacity) {
+        self.servers.insert(server, capacity);
+    }
+
+    /// Removes a server that is no longer announced.
+    pub fn remove(&mut self, server: &ServerId) {
+        self.servers.remove(server);
+    }
+
+    /// Returns whether the server is announced.
+    pub fn announces(&self, server: &ServerId) -> bool {
+        self.servers.contains_key(server)
+    }
+
+    /// Returns the slots the server contributes: those of an alive, ready server.
+    pub fn ready_slots(&self, server: &ServerId) -> u32 {
+        self.servers.get(server).map_or(0, ServerCapacity::ready_slots)
+    }
+
+    /// Returns the slots of all alive, ready servers.
+    pub fn total_ready_slots(&self) -> u32 {
+        self.servers.values().map(ServerCapacity::ready_slots).sum()
+    }
+}
+
+impl ServerCapacity {
+    fn ready_slots(&self) -> u32 {
+        if self.alive && self.phase == Phase::Ready { self.slots } else { 0 }
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-core/src/eject/health.rs
@@ -0,0 +1,317 @@
+//! State machine of one backend server.
+
+use super::action::{Action, PermitAnswer};
+use super::admission::{Admission, RefuseReason, RequestKind};
+use super::config::HealthConfig;
+use super::hold::Hold;
+use super::probation::Probation;
+use crate::base::Cx;
+use crate::detect::{Assessment, Level, TrialOutcome};
+use std::time::{Duration, Instant};
+
+/// Evidence that steered a server counts as withdrawn below this part of the probation score.
+const WITHDRAWN: f64 = 0.5;
+
+/// State of a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum State {
+    /// Takes all requests.
+    Serving,
+    /// Takes last-resort requests only. Counts as healthy capacity.
+    Steered,
+    /// Takes no requests; the ledger holds a permit.
+    Ejected,
+    /// Returns by trial requests and growing shares.
+    Probation,
+}
+
+impl State {
+    /// Returns the spelling used in headers, logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            State::Serving => "serving",
+            State::Steered => "steered",
+            State::Ejected => "ejected",
+            State::Probation => "probation",
+        }
+    }
+}
+
+/// What is known about the server's entry in the ledger.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Permit {
+    Absent,
+    Requested {
+        at: Instant,
+    },
+    Held,
+    /// To be released; the release was last asked for at this time.
+    Releasing {
+        at: Instant,
+    },
+}
+
+/// Health of one backend server in its guard.
+#[derive(Clone, Debug)]
+pub struct Health {
+    config: HealthConfig,
+    state: State,
+    since: Instant,
+    permit: Permit,
+    hold: Hold,
+    return_at: Instant,
+    next_request: Instant,
+    probation: Probation,
+}
+
+impl Health {
+    /// Returns a serving server. An entry that an earlier guard left in the ledger is released
+    /// after the first [`Health::on_ledger`].
+    pub fn new(config: HealthConfig, now: Instant) -> Health {
+        let hold = Hold::new(config.base_hold, config.longest_hold, config.good_time, now);
+        Health {
+            config,
+            state: State::Serving,
+            since: now,
+            permit: Permit::Absent,
+            hold,
+            return_at: now,
+            next_request: now,
+            probation: Probation::new(),
+        }
+    }
+
+    /// Returns the current state.
+    pub fn state(&self) -> State {
+        self.state
+    }
+
+    /// Returns the time at which the current state began.
+    pub fn since(&self) -> Instant {
+        self.since
+    }
+
+    /// Returns how often the server turned sick recently.
+    pub fn relapses(&self) -> u32 {
+        self.hold.relapses()
+    }
+
+    /// Returns the earliest time of the next probation while steered or ejected.
+    pub fn return_at(&self) -> Option<Instant> {
+        matches!(self.state, State::Steered | State::Ejected).then_some(self.return_at)
+    }
+
+    /// Returns whether a trial request would be welcome now.
+    pub fn wants_trial(&self, now: Instant) -> bool {
+        self.state == State::Probation && self.probation.wants_trial(now)
+    }
+
+    /// Returns the share of normal requests that is admitted, from 0 to 1.
+    pub fn share(&self, now: Instant) -> f64 {
+        match self.state {
+            State::Serving => 1.0,
+            State::Steered | State::Ejected => 0.0,
+            State::Probation => self.probation.share(now, &self.config),
+        }
+    }
+
+    /// Decides on a request. An admitted trial must end with [`Health::on_trial_end`], also
+    /// when it was not sent.
+    pub fn admission(&mut self, cx: &mut Cx, kind: RequestKind, idempotent: bool) -> Admission {
+        match (self.state, kind) {
+            (State::Serving, _) | (State::Steered, RequestKind::LastResort) => Admission::Admit,
+            (State::Steered, _) => Admission::Refuse(RefuseReason::Steered),
+            (State::Ejected, _) => Admission::Refuse(RefuseReason::Ejected),
+            (State::Probation, RequestKind::Trial) => {
+                self.probation.admit_trial(cx, &self.config, idempotent)
+            }
+            (State::Probation, RequestKind::Normal) => {
+                self.probation.admit_normal(cx, &self.config)
+            }
+            // A held permit means that the fleet does not count on this server.
+            (State::Probation, RequestKind::LastResort) if self.permit == Permit::Held => {
+                self.probation.admit_normal(cx, &self.config)
+            }
+            (State::Probation, RequestKind::LastResort) => Admission::Admit,
+        }
+    }
+
+    /// Takes the detector's newest assessment.
+    pub fn on_assessment(&mut self, cx: &mut Cx, assessment: &Assessment) -> Vec<Action> {
+        let mut actions = Vec::new();
+        match self.state {
+            State::Serving if assessment.level >= Level::Suspect => {
+                self.steer(cx.now, &mut actions);
+            }
+            State::Probation if assessment.score >= self.config.probation_score => {
+                self.relapse(cx.now, &mut actions);
+            }
+            State::Steered => self.weigh_steered(cx.now, assessment, &mut actions),
+            _ => {}
+        }
+        actions
+    }
+
+    /// Takes the end of an admitted trial request.
+    pub fn on_trial_end(&mut self, cx: &mut Cx, end: TrialOutcome) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if self.state != State::Probation {
+            return actions;
+        }
+        self.probation.on_trial_end(cx.now, &self.config, end);
+        if end == TrialOutcome::Bad {
+            self.relapse(cx.now, &mut actions);
+        }
+        actions
+    }
+
+    /// Takes an answer of the ledger.
+    pub fn on_permit(&mut self, cx: &mut Cx, answer: PermitAnswer) -> Vec<Action> {
+        let mut actions = Vec::new();
+        match (answer, self.permit) {
+            (PermitAnswer::Granted, Permit::Requested { .. }) if self.state == State::Steered => {
+                self.permit = Permit::Held;
+                self.enter(State::Ejected, cx.now, &mut actions);
+            }
+            (PermitAnswer::Granted, Permit::Requested { .. } | Permit::Absent) => {
+                // The server returned while the request was on its way.
+                self.release(cx.now, &mut actions);
+            }
+            (PermitAnswer::Refused, Permit::Requested { .. }) => self.permit = Permit::Absent,
+            (PermitAnswer::Released, Permit::Releasing { .. }) => self.permit = Permit::Absent,
+            _ => {}
+        }
+        actions
+    }
+
+    /// Takes what a read of the ledger shows about this server: whether an entry exists under
+    /// this or an earlier incarnation of its guard. Finds entries that an earlier guard left and
+    /// entries that were pruned while this guard was cut off.
+    pub fn on_ledger(&mut self, cx: &mut Cx, held: bool) -> Vec<Action> {
+        let mut actions = Vec::new();
+        match (held, self.permit) {
+            (true, Permit::Absent) => self.release(cx.now, &mut actions),
+            (false, Permit::Held) => {
+                self.permit = Permit::Absent;
+                if self.state == State::Ejected {
+                    self.enter(State::Steered, cx.now, &mut actions);
+                }
+            }
+            _ => {}
+        }
+        actions
+    }
+
+    /// Returns the server early, because healthy capacity is below the floor without it.
+    pub fn on_must_return(&mut self, cx: &mut Cx) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if self.permit != Permit::Held {
+            return actions;
+        }
+        if self.state == State::Ejected {
+            self.enter(State::Steered, cx.now, &mut actions);
+        }
+        self.release(cx.now, &mut actions);
+        actions
+    }
+
+    /// Advances by time alone. Called several times a second.
+    pub fn tick(&mut self, cx: &mut Cx) -> Vec<Action> {
+        let mut actions = Vec::new();
+        match self.state {
+            State::Steered | State::Ejected if cx.now >= self.return_at => {
+                self.begin_probation(cx.now, &mut actions);
+            }
+            State::Probation if self.probation.complete(cx.now, &self.config) => {
+                self.serve(cx.now, &mut actions);
+            }
+            _ => {}
+        }
+        self.repeat_release(cx.now, &mut actions);
+        actions
+    }
+
+    fn steer(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let hold = self.hold.begin(now);
+        self.return_at = now + hold;
+        self.enter(State::Steered, now, actions);
+    }
+
+    fn weigh_steered(&mut self, now: Instant, assessment: &Assessment, actions: &mut Vec<Action>) {
+        if assessment.score < self.config.probation_score * WITHDRAWN {
+            // The baseline rose to meet the evidence: the whole service is slow.
+            self.hold.withdraw(now);
+            self.serve(now, actions);
+            return;
+        }
+        if assessment.level == Level::Bad {
+            self.request_permit(now, actions);
+        }
+    }
+
+    fn request_permit(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let due = match self.permit {
+            Permit::Absent => now >= self.next_request,
+            Permit::Requested { at } => now >= at + self.config.permit_retry,
+            Permit::Held | Permit::Releasing { .. } => false,
+        };
+        if due {
+            self.permit = Permit::Requested { at: now };
+            self.next_request = now + self.config.permit_retry;
+            actions.push(Action::RequestPermit);
+        }
+    }
+
+    /// Returns a server that failed its probation to where it came from.
+    fn relapse(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let hold = self.hold.begin(now);
+        self.return_at = now + hold;
+        let back = if self.permit == Permit::Held { State::Ejected } else { State::Steered };
+        self.enter(back, now, actions);
+    }
+
+    fn begin_probation(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        self.probation = Probation::new();
+        self.enter(State::Probation, now, actions);
+        actions.push(Action::ResetEvidence);
+    }
+
+    /// The permit is released only now: during probation the server carries less than its share,
+    /// so the fleet must not count on it.
+    fn serve(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        self.hold.serve(now);
+        self.enter(State::Serving, now, actions);
+        if self.permit != Permit::Absent {
+            self.release(now, actions);
+        }
+    }
+
+    fn release(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        self.permit = Permit::Releasing { at: now };
+        actions.push(Action::ReleasePermit);
+    }
+
+    fn repeat_release(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if let Permit::Releasing { at } = self.permit
+            && now.saturating_duration_since(at) >= self.config.permit_retry
+        {
+            self.release(now, actions);
+        }
+    }
+
+    fn enter(&mut self, to: State, now: Instant, actions: &mut Vec<Action>) {
+        let from = self.state;
+        self.state = to;
+        self.since = now;
+        actions.push(Action::Publish { from, to });
+    }
+    /// Returns how long the server has been in its state.
+    pub fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.since)
+    }
+
+    /// Returns whether the ledger may hold the server.
+    pub fn may_hold_permit(&self) -> bool {
+        self.permit != Permit::Absent
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-core/src/eject/ledger.rs
@@ -0,0 +1,178 @@
+//! Fleet-wide record of the ejected backend servers of one service.
+
+use super::capacity::Capacity;
+use super::refusal::Refusal;
+use crate::base::{Incarnation, ServerId};
+
+/// Fences kept for servers without an entry. They only stop late writes of replaced guards, so
+/// the oldest may be dropped; a service has about 60 servers at the target.
+const MOST_FENCES: usize = 256;
+
+/// An ejected backend server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// Ejected server.
+    pub server: ServerId,
+    /// Slots it had when it was ejected.
+    pub slots: u32,
+    /// Incarnation of the guard that ejected it.
+    pub incarnation: Incarnation,
+    /// Position in the order of ejections; a later ejection has a higher number.
+    pub sequence: u64,
+}
+
+/// Newest guard incarnation that changed the ledger for a server without an entry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fence {
+    /// Server that was released.
+    pub server: ServerId,
+    /// Guards older than this may not change the ledger for the server.
+    pub incarnation: Incarnation,
+    /// Sequence number of the release.
+    pub sequence: u64,
+}
+
+/// Immutable record; each change returns a new one. The daemon makes a change durable by
+/// compare-and-swap of the whole record, so that two guards never both take the last margin
+/// above the floor.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Ledger {
+    sequence: u64,
+    entries: Vec<Entry>,
+    fences: Vec<Fence>,
+}
+
+impl Ledger {
+    /// Returns a ledger from its parts, as read from the store.
+    pub fn from_parts(sequence: u64, entries: Vec<Entry>, fences: Vec<Fence>) -> Ledger {
+        Ledger { sequence, entries, fences }
+    }
+
+    /// Returns the number of the last change.
+    pub fn sequence(&self) -> u64 {
+        self.sequence
+    }
+
+    /// Returns the ejected servers in the order of their ejection.
+    pub fn entries(&self) -> &[Entry] {
+        &self.entries
+    }
+
+    /// Returns the fences of released servers.
+    pub fn fences(&self) -> &[Fence] {
+        &self.fences
+    }
+
+    /// Returns the entry of a server.
+    pub fn entry(&self, server: &ServerId) -> Option<&Entry> {
+        self.entries.iter().find(|entry| entry.server == *server)
+    }
+
+    /// Returns the slots of alive, ready servers that are not ejected.
+    pub fn healthy_slots(&self, capacity: &Capacity) -> u32 {
+        let ejected: u32 =
+            self.entries.iter().map(|entry| capacity.ready_slots(&entry.server)).sum();
+        capacity.total_ready_slots().saturating_sub(ejected)
+    }
+
+    /// Ejects a server. A repeated grant also changes the sequence number: a delayed write of an
+    /// earlier release then fails its compare-and-swap instead of removing the entry.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when an older guard asks, and when the capacity left would be below the floor.
+    /// A server that is already held keeps its place in the order and is not checked again.
+    pub fn grant(
+        &self,
+        capacity: &Capacity,
+        server: &ServerId,
+        slots: u32,
+        incarnation: Incarnation,
+    ) -> Result<Ledger, Refusal> {
+        self.check_fence(server, incarnation)?;
+        let mut next = self.clone();
+        next.sequence += 1;
+        if let Some(held) = next.entries.iter_mut().find(|entry| entry.server == *server) {
+            held.incarnation = incarnation;
+            return Ok(next);
+        }
+        let left = self.healthy_slots(capacity).saturating_sub(capacity.ready_slots(server));
+        if left < capacity.floor {
+            return Err(Refusal::Floor { left, floor: capacity.floor });
+        }
+        next.fences.retain(|fence| fence.server != *server);
+        next.entries.push(Entry {
+            server: server.clone(),
+            slots,
+            incarnation,
+            sequence: next.sequence,
+        });
+        Ok(next)
+    }
+
+    /// Returns a server to the healthy capacity.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when an older guard asks, and when the server is not held.
+    pub fn release(&self, server: &ServerId, incarnation: Incarnation) -> Result<Ledger, Refusal> {
+        self.check_fence(server, incarnation)?;
+        if self.entry(server).is_none() {
+            return Err(Refusal::NotHeld);
+        }
+        let mut next = self.clone();
+        next.sequence += 1;
+        next.entries.retain(|entry| entry.server != *server);
+        next.fences.push(Fence { server: server.clone(), incarnation, sequence: next.sequence });
+        if next.fences.len() > MOST_FENCES {
+            next.fences.remove(0);
+        }
+        Ok(next)
+    }
+
+    /// Removes the entries of servers whose guards are gone for good; `None` if none is held.
+    ///
+    /// The caller names only servers that have not been announced for an hour. A guard that is
+    /// merely cut off must not lose its entry: it would be counted as healthy capacity again
+    /// while it still refuses work.
+    pub fn prune(&self, gone: &[ServerId]) -> Option<Ledger> {
+        if !self.entries.iter().any(|entry| gone.contains(&entry.server)) {
+            return None;
+        }
+        let mut next = self.clone();
+        next.sequence += 1;
+        next.entries.retain(|entry| !gone.contains(&entry.server));
+        Some(next)
+    }
+
+    /// Returns the servers that must return so that healthy capacity reaches `floor` again, last
+    /// ejected first. Servers that contribute no capacity are passed over.
+    pub fn must_return(&self, capacity: &Capacity, floor: u32) -> Vec<ServerId> {
+        let mut healthy = self.healthy_slots(capacity);
+        let mut order: Vec<&Entry> = self.entries.iter().collect();
+        order.sort_by_key(|entry| std::cmp::Reverse(entry.sequence));
+        let mut returning = Vec::new();
+        for entry in order {
+            if healthy >= floor {
+                break;
+            }
+            let slots = capacity.ready_slots(&entry.server);
+            if slots > 0 {
+                healthy += slots;
+                returning.push(entry.server.clone());
+            }
+        }
+        returning
+    }
+
+    fn check_fence(&self, server: &ServerId, given: Incarnation) -> Result<(), Refusal> {
+        let held = self.entry(server).map(|entry| entry.incarnation);
+        let fenced =
+            self.fences.iter().filter(|fence| fence.server == *server).map(|f| f.incarnation);
+        let newest = held.into_iter().chain(fenced).max().unwrap_or(0);
+        if given < newest {
+            return Err(Refusal::OlderIncarnation { given, newest });
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-core/src/eject/probation.rs
@@ -0,0 +1,88 @@
+//! Return of a backend server by trial requests and growing shares.
+
+use super::admission::{Admission, RefuseReason};
+use super::config::HealthConfig;
+use crate::base::Cx;
+use crate::detect::TrialOutcome;
+use rand::Rng as _;
+use std::time::{Duration, Instant};
+
+/// A trial whose end was never reported no longer blocks the next one after this time.
+const LOST_TRIAL: Duration = Duration::from_secs(30);
+
+/// Progress of one probation.
+#[derive(Clone, Debug)]
+pub(super) struct Probation {
+    good_trials: u32,
+    in_flight_since: Option<Instant>,
+    shares_since: Option<Instant>,
+}
+
+impl Probation {
+    pub(super) fn new() -> Probation {
+        Probation { good_trials: 0, in_flight_since: None, shares_since: None }
+    }
+
+    pub(super) fn wants_trial(&self, now: Instant) -> bool {
+        self.shares_since.is_none() && !self.occupied(now)
+    }
+
+    pub(super) fn admit_trial(
+        &mut self,
+        cx: &Cx,
+        config: &HealthConfig,
+        idempotent: bool,
+    ) -> Admission {
+        if self.shares_since.is_some() {
+            return Admission::Refuse(RefuseReason::NoTrialWanted);
+        }
+        if self.occupied(cx.now) {
+            return Admission::Refuse(RefuseReason::TrialInFlight);
+        }
+        if !idempotent && self.good_trials < config.idempotent_trials {
+            return Admission::Refuse(RefuseReason::TrialNotIdempotent);
+        }
+        self.in_flight_since = Some(cx.now);
+        Admission::Admit
+    }
+
+    pub(super) fn admit_normal(&self, cx: &mut Cx, config: &HealthConfig) -> Admission {
+        let share = self.share(cx.now, config);
+        if share > 0.0 && cx.rng.random::<f64>() < share {
+            return Admission::Admit;
+        }
+        Admission::Refuse(RefuseReason::ProbationShare)
+    }
+
+    pub(super) fn on_trial_end(&mut self, now: Instant, config: &HealthConfig, end: TrialOutcome) {
+        self.in_flight_since = None;
+        if end != TrialOutcome::Good {
+            return;
+        }
+        self.good_trials += 1;
+        if self.good_trials >= config.trials && self.shares_since.is_none() {
+            self.shares_since = Some(now);
+        }
+    }
+
+    pub(super) fn complete(&self, now: Instant, config: &HealthConfig) -> bool {
+        self.stage(now, config).is_some_and(|stage| stage >= config.shares.len())
+    }
+
+    pub(super) fn share(&self, now: Instant, config: &HealthConfig) -> f64 {
+        match self.stage(now, config) {
+            None => 0.0,
+            Some(stage) => config.shares.get(stage).copied().unwrap_or(1.0),
+        }
+    }
+
+    fn stage(&self, now: Instant, config: &HealthConfig) -> Option<usize> {
+        let since = self.shares_since?;
+        let passed = now.saturating_duration_since(since).as_secs_f64();
+        Some((passed / config.stage.as_secs_f64()) as usize)
+    }
+
+    fn occupied(&self, now: Instant) -> bool {
+        self.in_flight_since.is_some_and(|since| now.saturating_duration_since(since) < LOST_TRIAL)
+    }
+}
--- a/crates/fescuemux-core/src/lib.rs
+++ b/crates/fescuemux-core/src/lib.rs
@@ -6,3 +6,5 @@
 //! daemon, a test or a measuring tool can drive the same code.
 
 pub mod base;
+pub mod detect;
+pub mod eject;
--- /dev/null
+++ b/crates/fescuemux-wire/src/ledger.rs
@@ -0,0 +1,195 @@
+//! JSON form of the ejection ledger of one service, stored under `eject/<service>`.
+
+use fescuemux_core::base::{Incarnation, ServerId};
+use fescuemux_core::eject;
+use serde::{Deserialize, Serialize};
+
+#[cfg(test)]
+mod tests;
+
+/// Version of the format that this crate writes.
+pub const VERSION: u32 = 1;
+
+/// Largest number of entries or fences accepted from the store.
+const MOST_ITEMS: usize = 4096;
+
+/// Stored ledger.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LedgerRecord {
+    /// Version of the format. Readers refuse versions they do not know: to guess at a newer
+    /// ledger could break the floor.
+    pub version: u32,
+    /// Number of the last change.
+    pub sequence: u64,
+    /// Ejected servers.
+    pub entries: Vec<EntryRecord>,
+    /// Newest guard incarnations of released servers.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub fences: Vec<FenceRecord>,
+}
+
+/// Stored entry of an ejected server.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EntryRecord {
+    /// Ejected server.
+    pub server: ServerId,
+    /// Slots it had when it was ejected.
+    pub slots: u32,
+    /// Incarnation of the guard that ejected it.
+    pub incarnation: Incarnation,
+    /// Position in the order of ejections.
+    pub sequence: u64,
+}
+
+/// Stored fence of a released server.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FenceRecord {
+    /// Released server.
+    pub server: ServerId,
+    /// Oldest guard incarnation that may change the ledger for the server.
+    pub incarnation: Incarnation,
+    /// Number of the release.
+    pub sequence: u64,
+}
+
+/// Why a stored ledger is not accepted.
+#[derive(Debug, thiserror::Error)]
+pub enum LedgerError {
+    /// The bytes are not the JSON of a ledger.
+    #[error("ledger is malformed: {0}")]
+    Malformed(#[from] serde_json::Error),
+    /// A newer or unknown version wrote it.
+    #[error("ledger version {0} is not supported, expected {VERSION}")]
+    Version(u32),
+    /// Two entries name the same server.
+    #[error("ledger names server {0} twice")]
+    Duplicate(ServerId),
+    /// An entry or fence has a number above the ledger's own.
+    #[error("ledger has change {item} above its last change {last}")]
+    Sequence {
+        /// Number of the entry or fence.
+        item: u64,
+        /// Number of the ledger's last change.
+        last: u64,
+    },
+    /// The record is larger than any service needs.
+    #[error("ledger has {0} items, more than {MOST_ITEMS}")]
+    TooLarge(usize),
+}
+
+impl LedgerRecord {
+    /// Returns the JSON of the record.
+    ///
+    /// # Errors
+    ///
+    /// Fails only when the serializer does.
+    pub fn to_json(&self) -> Result<Vec<u8>, LedgerError> {
+        Ok(serde_json::to_vec(self)?)
+    }
+
+    /// Parses the JSON of a record. [`eject::Ledger::try_from`] checks its content.
+    ///
+    /// # Errors
+    ///
+    /// Refuses malformed JSON and unknown versions. The version is read first, because a newer
+    /// format may not parse as this one.
+    pub fn from_json(json: &[u8]) -> Result<LedgerRecord, LedgerError> {
+        #[derive(Deserialize)]
+        struct Versioned {
+            version: u32,
+        }
+        let Versioned { version } = serde_json::from_slice(json)?;
+        if version != VERSION {
+            return Err(LedgerError::Version(version));
+        }
+        Ok(serde_json::from_slice(json)?)
+    }
+}
+
+impl From<&eject::Ledger> for LedgerRecord {
+    fn from(ledger: &eject::Ledger) -> LedgerRecord {
+        LedgerRecord {
+            version: VERSION,
+            sequence: ledger.sequence(),
+            entries: ledger.entries().iter().map(EntryRecord::from).collect(),
+            fences: ledger.fences().iter().map(FenceRecord::from).collect(),
+        }
+    }
+}
+
+impl TryFrom<LedgerRecord> for eject::Ledger {
+    type Error = LedgerError;
+
+    fn try_from(record: LedgerRecord) -> Result<eject::Ledger, LedgerError> {
+        record.check()?;
+        let entries = record.entries.into_iter().map(eject::Entry::from).collect();
+        let fences = record.fences.into_iter().map(eject::Fence::from).collect();
+        Ok(eject::Ledger::from_parts(record.sequence, entries, fences))
+    }
+}
+
+impl LedgerRecord {
+    fn check(&self) -> Result<(), LedgerError> {
+        if self.version != VERSION {
+            return Err(LedgerError::Version(self.version));
+        }
+        let items = self.entries.len().max(self.fences.len());
+        if items > MOST_ITEMS {
+            return Err(LedgerError::TooLarge(items));
+        }
+        let last = self.sequence;
+        let numbers = self.entries.iter().map(|entry| entry.sequence);
+        let mut numbers = numbers.chain(self.fences.iter().map(|fence| fence.sequence));
+        if let Some(item) = numbers.find(|item| *item > last) {
+            return Err(LedgerError::Sequence { item, last });
+        }
+        let mut servers: Vec<&ServerId> = self.entries.iter().map(|entry| &entry.server).collect();
+        servers.sort_unstable();
+        match servers.windows(2).find(|pair| pair[0] == pair[1]) {
+            Some(pair) => Err(LedgerError::Duplicate(pair[0].clone())),
+            None => Ok(()),
+        }
+    }
+}
+
+impl From<&eject::Entry> for EntryRecord {
+    fn from(entry: &eject::Entry) -> EntryRecord {
+        EntryRecord {
+            server: entry.server.clone(),
+            slots: entry.slots,
+            incarnation: entry.incarnation,
+            sequence: entry.sequence,
+        }
+    }
+}
+
+impl From<EntryRecord> for eject::Entry {
+    fn from(record: EntryRecord) -> eject::Entry {
+        eject::Entry {
+            server: record.server,
+            slots: record.slots,
+            incarnation: record.incarnation,
+            sequence: record.sequence,
+        }
+    }
+}
+
+impl From<&eject::Fence> for FenceRecord {
+    fn from(fence: &eject::Fence) -> FenceRecord {
+        FenceRecord {
+            server: fence.server.clone(),
+            incarnation: fence.incarnation,
+            sequence: fence.sequence,
+        }
+    }
+}
+
+impl From<FenceRecord> for eject::Fence {
+    fn from(record: FenceRecord) -> eject::Fence {
+        eject::Fence {
+            server: record.server,
+            incarnation: record.incarnation,
+            sequence: record.sequence,
+        }
+    }
+}
