--- a/crates/fescuemux-core/src/lib.rs
+++ b/crates/fescuemux-core/src/lib.rs
@@ -10,3 +10,5 @@
 pub mod dedup;
 pub mod retry;
 pub mod route;
+pub mod detect;
+pub mod eject;
--- a/crates/fescuemux-wire/src/lib.rs
+++ b/crates/fescuemux-wire/src/lib.rs
@@ -8,3 +8,8 @@
 pub mod headers;
 pub mod hop;
 pub mod rpc;
+//! Types that travel between processes and into the store, with conversions to core types.
+//!
+//! Must not know HTTP servers, or decisions beyond the core types it converts.
+
+pub mod ledger;
