Add the settings file of a daemon

Cause: the daemon needs checked settings before it opens a socket; a wrong file must be refused with every wrong field named at once, and secrets must stay out of logs. Before: no settings. Conclusion: the daemon can rely on ranges.

--- /dev/null
+++ b/crates/fescuemux-settings/src/advertise.rs
@@ -0,0 +1,13 @@
+//! Addresses that other daemons use to reach this one.
+
+use std::net::SocketAddr;
+
+/// Addresses that other daemons use to reach this one. They equal the listening addresses
+/// unless the settings give others.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Advertise {
+    /// HTTP requests forwarded by other daemons.
+    pub hop: SocketAddr,
+    /// Control messages of other daemons.
+    pub rpc: SocketAddr,
+}
--- /dev/null
+++ b/crates/fescuemux-settings/src/error.rs
@@ -0,0 +1,33 @@
+//! Everything that is wrong with a settings file.
+
+use crate::Problem;
+use std::fmt;
+
+/// Everything that is wrong with a settings file, one line for each problem.
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+pub struct SettingsError {
+    /// Name of the file.
+    pub file: String,
+    /// The problems, at least one.
+    pub problems: Vec<Problem>,
+}
+
+impl SettingsError {
+    pub(crate) fn new(file: &str, problems: Vec<Problem>) -> SettingsError {
+        SettingsError { file: file.to_owned(), problems }
+    }
+
+    pub(crate) fn file(file: &str, reason: String) -> SettingsError {
+        SettingsError::new(file, vec![Problem::file(reason)])
+    }
+}
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, problem) in self.problems.iter().enumerate() {
+            let newline = if index == 0 { "" } else { "\n" };
+            write!(f, "{newline}{}: {problem}", self.file)?;
+        }
+        Ok(())
+    }
+}
--- a/crates/fescuemux-settings/src/lib.rs
+++ b/crates/fescuemux-settings/src/lib.rs
@@ -1,1 +1,37 @@
-//! Placeholder
+//! Settings file of a daemon: JSON with comments, in which every field is checked.
+//!
+//! The crate must not know the daemon or what the settings are used for.
+
+mod advertise;
+mod check;
+mod convert;
+mod error;
+mod field;
+mod fields;
+mod limits;
+mod listen;
+mod log;
+mod operator;
+mod parse;
+mod permitted;
+mod problem;
+mod secret;
+mod settings;
+mod stop;
+mod store;
+mod wire;
+
+pub use advertise::Advertise;
+pub use error::SettingsError;
+pub use field::{Field, Preset};
+pub use fields::FIELDS;
+pub use limits::Limits;
+pub use listen::Listen;
+pub use log::{Log, LogFormat, LogLevel};
+pub use operator::Operator;
+pub use permitted::Permitted;
+pub use problem::Problem;
+pub use secret::{ClusterKey, Token};
+pub use settings::Settings;
+pub use stop::Stop;
+pub use store::Store;
--- /dev/null
+++ b/crates/fescuemux-settings/src/limits.rs
@@ -0,0 +1,26 @@
+//! Limits of the data path.
+
+use std::time::Duration;
+
+/// Limits of the data path.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Limits {
+    /// Largest request or answer head, in bytes.
+    pub head_bytes: usize,
+    /// Largest number of headers in a head.
+    pub headers: usize,
+    /// Largest body, in bytes.
+    pub body_bytes: u64,
+    /// Longest time to the end of a request head.
+    pub head_timeout: Duration,
+    /// Longest time without a byte of a body.
+    pub idle_timeout: Duration,
+    /// Largest body that is buffered so that it can be sent again, in bytes.
+    pub replay_bytes: usize,
+    /// Largest number of open connections of callers.
+    pub caller_connections: usize,
+    /// Largest number of requests that wait for a slot, for each backend server.
+    pub queue: usize,
+    /// Largest number of caller requests in progress.
+    pub in_flight: usize,
+}
--- /dev/null
+++ b/crates/fescuemux-settings/src/settings.rs
@@ -0,0 +1,92 @@
+//! The checked settings of a daemon.
+
+use crate::wire::WireSettings;
+use crate::{
+    Advertise, ClusterKey, Limits, Listen, Log, Operator, Problem, SettingsError, Stop, Store,
+};
+use json_comments::StripComments;
+use smol_str::SmolStr;
+use std::fs::File;
+use std::io::Read;
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// Largest settings file, in bytes. The largest valid one is about 30 KB without comments.
+const MAX_FILE_BYTES: u64 = 1 << 20;
+
+/// Settings of a daemon in which every field is within its permitted range.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Name of the instance, unique in the fleet.
+    pub instance: SmolStr,
+    /// Failure domain of the instance.
+    pub domain: SmolStr,
+    /// Region of the instance.
+    pub region: SmolStr,
+    /// Addresses on which the daemon listens.
+    pub listen: Listen,
+    /// Addresses that other daemons use to reach this one.
+    pub advertise: Advertise,
+    /// The store.
+    pub store: Store,
+    /// Keys shared by all daemons. The first signs and all verify.
+    pub cluster_keys: Vec<ClusterKey>,
+    /// Operators who may use the operator API.
+    pub operators: Vec<Operator>,
+    /// `rpc` addresses of daemons to join.
+    pub seeds: Vec<SocketAddr>,
+    /// What is logged, and how.
+    pub log: Log,
+    /// Limits of the data path.
+    pub limits: Limits,
+    /// How the daemon stops.
+    pub stop: Stop,
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file cannot be read, and as [`Settings::parse`] does.
+    pub fn load(path: &Path) -> Result<Settings, SettingsError> {
+        let name = path.display().to_string();
+        let unreadable = |reason: String| SettingsError::file(&name, reason);
+        let file = File::open(path).map_err(|error| unreadable(error.to_string()))?;
+        let mut text = String::new();
+        file.take(MAX_FILE_BYTES + 1)
+            .read_to_string(&mut text)
+            .map_err(|error| unreadable(error.to_string()))?;
+        if text.len() as u64 > MAX_FILE_BYTES {
+            return Err(unreadable(format!("is larger than {MAX_FILE_BYTES} bytes")));
+        }
+        Settings::parse(&name, &text)
+    }
+
+    /// Parses and checks the text of a settings file. `name` is the file name in errors.
+    ///
+    /// # Errors
+    ///
+    /// Fails on text that is not JSON with comments, and otherwise with all fields that are
+    /// unknown, missing or out of their permitted range.
+    pub fn parse(name: &str, text: &str) -> Result<Settings, SettingsError> {
+        let json = strip_comments(text).map_err(|reason| SettingsError::file(name, reason))?;
+        let wire: WireSettings = {
+            let mut deserializer = serde_json::Deserializer::from_str(&json);
+            let wire = serde_path_to_error::deserialize(&mut deserializer)
+                .map_err(|error| SettingsError::new(name, vec![Problem::shape(&error)]))?;
+            deserializer.end().map_err(|error| SettingsError::file(name, error.to_string()))?;
+            wire
+        };
+        Settings::try_from(wire).map_err(|problems| SettingsError::new(name, problems))
+    }
+}
+
+/// Replaces comments by spaces, so that positions in errors are those of the file.
+fn strip_comments(text: &str) -> Result<String, String> {
+    let mut json = String::with_capacity(text.len());
+    StripComments::new(text.as_bytes())
+        .read_to_string(&mut json)
+        .map_err(|error| format!("cannot strip the comments: {error}"))?;
+    Ok(json)
+}
