Add membership and its wire types

Cause: the daemon needs the public interface of membership before it can spread server records and generations.

Behavior under faults is not tested yet.

--- /dev/null
+++ b/crates/fescuemux-core/src/member/apply.rs
@@ -0,0 +1,183 @@
+//! Rules by which a received statement changes the view.
+
+use super::membership::Membership;
+use super::message::Update;
+use super::output::Output;
+use super::record::{InstanceRecord, MemberState, Standing};
+use crate::base::{Cx, InstanceId};
+use std::cmp::Ordering;
+use std::time::{Duration, Instant};
+
+/// What a statement led to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Applied {
+    /// The view did not change.
+    Ignored,
+    /// The view changed.
+    Accepted,
+    /// The statement is about content that this member lacks.
+    Missing,
+}
+
+impl Membership {
+    /// Applies one statement and queues what changed for the other members.
+    pub(super) fn apply(&mut self, cx: &mut Cx, update: Update, out: &mut Vec<Output>) -> Applied {
+        match update {
+            Update::Full { record, dead_for_secs } => {
+                self.apply_full(cx, record, dead_for_secs, out)
+            }
+            Update::Standing(standing) => self.apply_standing(cx, &standing, out),
+        }
+    }
+
+    fn apply_full(
+        &mut self,
+        cx: &mut Cx,
+        mut record: InstanceRecord,
+        dead_for_secs: u32,
+        out: &mut Vec<Output>,
+    ) -> Applied {
+        if record.instance == self.own {
+            self.refute(cx, record.key());
+            return Applied::Ignored;
+        }
+        let Some(held) = self.table.get(&record.instance) else {
+            return self.admit(cx, record, dead_for_secs, out);
+        };
+        if record.key() <= held.record.key() {
+            return Applied::Ignored;
+        }
+        if record.key().content() == held.record.key().content() {
+            let standing =
+                Standing { instance: record.instance.clone(), key: record.key(), dead_for_secs };
+            return self.apply_standing(cx, &standing, out);
+        }
+        record.state = accepted_state(held.record.state, record.state);
+        let since = state_since(cx.now, record.state, dead_for_secs);
+        let instance = record.instance.clone();
+        let state = record.state;
+        self.table.put(cx, record, since);
+        self.after_change(&instance, state, true, out);
+        Applied::Accepted
+    }
+
+    fn apply_standing(
+        &mut self,
+        cx: &mut Cx,
+        standing: &Standing,
+        out: &mut Vec<Output>,
+    ) -> Applied {
+        if standing.instance == self.own {
+            self.refute(cx, standing.key);
+            return Applied::Ignored;
+        }
+        let Some(held) = self.table.get(&standing.instance) else { return Applied::Missing };
+        match standing.key.content().cmp(&held.record.key().content()) {
+            Ordering::Less => return Applied::Ignored,
+            Ordering::Greater => return Applied::Missing,
+            Ordering::Equal => {}
+        }
+        let held = held.record.key();
+        let state = accepted_state(held.state, standing.key.state);
+        if (standing.key.refutation, state) <= (held.refutation, held.state) {
+            return Applied::Ignored;
+        }
+        let since = state_since(cx.now, state, standing.dead_for_secs);
+        self.table.restate(cx, &standing.instance, standing.key.refutation, state, since);
+        self.after_change(&standing.instance, state, false, out);
+        Applied::Accepted
+    }
+
+    /// Admits the record of an instance that has none here.
+    fn admit(
+        &mut self,
+        cx: &mut Cx,
+        record: InstanceRecord,
+        dead_for_secs: u32,
+        out: &mut Vec<Output>,
+    ) -> Applied {
+        let dead_for = Duration::from_secs(u64::from(dead_for_secs));
+        let dead = record.state == MemberState::Dead;
+        if dead && dead_for >= self.config.dead_retention / 2 {
+            return Applied::Ignored;
+        }
+        if self.table.len() >= self.config.max_members && !self.make_room(cx, dead) {
+            self.counters.refused_records += 1;
+            return Applied::Ignored;
+        }
+        let since = state_since(cx.now, record.state, dead_for_secs);
+        let instance = record.instance.clone();
+        let state = record.state;
+        self.table.put(cx, record, since);
+        self.after_change(&instance, state, true, out);
+        Applied::Accepted
+    }
+
+    /// Removes the record that has been dead for longest, unless the newcomer is dead too.
+    fn make_room(&mut self, cx: &mut Cx, newcomer_dead: bool) -> bool {
+        if newcomer_dead {
+            return false;
+        }
+        let age = |i: &&InstanceId| self.table.get(i).map(|p| p.dead_for_secs(cx.now));
+        let Some(oldest) = self.table.dead().iter().max_by_key(age).cloned() else { return false };
+        self.forget(&oldest);
+        true
+    }
+
+    /// Removes a dead record.
+    pub(super) fn forget(&mut self, instance: &InstanceId) {
+        self.table.forget(instance);
+        self.queue.remove(instance);
+    }
+
+    /// Declares a state of another instance that this member found out itself.
+    pub(super) fn declare(
+        &mut self,
+        cx: &mut Cx,
+        instance: &InstanceId,
+        state: MemberState,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(held) = self.table.get(instance) else { return };
+        if held.record.state >= state {
+            return;
+        }
+        let refutation = held.record.refutation;
+        let now = cx.now;
+        self.table.restate(cx, instance, refutation, state, now);
+        self.after_change(instance, state, false, out);
+    }
+
+    fn after_change(
+        &mut self,
+        instance: &InstanceId,
+        state: MemberState,
+        full: bool,
+        out: &mut Vec<Output>,
+    ) {
+        if state == MemberState::Dead {
+            self.counters.deaths += 1;
+        }
+        self.queue.push(instance, full);
+        out.push(Output::Changed(instance.clone()));
+    }
+}
+
+/// Returns the state to hold after a claim about an instance held as `held`.
+///
+/// A claim of death about an instance that counts as alive here starts a suspicion first. After
+/// a region cut both sides hold the other for dead, and without this rule each side would learn
+/// from the other that its own living members are dead.
+fn accepted_state(held: MemberState, claimed: MemberState) -> MemberState {
+    match (held, claimed) {
+        (MemberState::Alive, MemberState::Dead) => MemberState::Suspect,
+        _ => claimed,
+    }
+}
+
+fn state_since(now: Instant, state: MemberState, dead_for_secs: u32) -> Instant {
+    if state != MemberState::Dead {
+        return now;
+    }
+    now.checked_sub(Duration::from_secs(u64::from(dead_for_secs))).unwrap_or(now)
+}
--- /dev/null
+++ b/crates/fescuemux-core/src/member/digest.rs
@@ -0,0 +1,71 @@
+//! Digests that tell whether two members hold the same records.
+
+use super::record::RecordKey;
+
+/// Buckets of the repair digest. A difference costs the standings of one bucket, about nine
+/// records at 540 members.
+pub const BUCKETS: usize = 64;
+
+/// Hashes `parts` with FNV-1a and a final mix. The result is the same in every process and
+/// release, unlike that of the map hasher.
+pub fn stable_hash(parts: &[&[u8]]) -> u64 {
+    let mut hash = 0xcbf2_9ce4_8422_2325_u64;
+    for part in parts {
+        for byte in part.iter().chain(&[0xff]) {
+            hash = (hash ^ u64::from(*byte)).wrapping_mul(0x0000_0100_0000_01b3);
+        }
+    }
+    mix(hash)
+}
+
+fn mix(mut x: u64) -> u64 {
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+/// Sums of record hashes by bucket. A sum can be updated one record at a time.
+#[derive(Clone, Debug)]
+pub(super) struct Digest {
+    buckets: Box<[u64; BUCKETS]>,
+    total: u64,
+}
+
+impl Digest {
+    pub(super) fn new() -> Digest {
+        Digest { buckets: Box::new([0; BUCKETS]), total: 0 }
+    }
+
+    pub(super) fn add(&mut self, name: u64, key: &RecordKey) {
+        let hash = record_hash(name, key);
+        let bucket = &mut self.buckets[bucket_of(name)];
+        *bucket = bucket.wrapping_add(hash);
+        self.total = self.total.wrapping_add(hash);
+    }
+
+    pub(super) fn remove(&mut self, name: u64, key: &RecordKey) {
+        let hash = record_hash(name, key);
+        let bucket = &mut self.buckets[bucket_of(name)];
+        *bucket = bucket.wrapping_sub(hash);
+        self.total = self.total.wrapping_sub(hash);
+    }
+
+    pub(super) fn total(&self) -> u64 {
+        self.total
+    }
+
+    pub(super) fn buckets(&self) -> &[u64; BUCKETS] {
+        &self.buckets
+    }
+}
+
+/// Returns the bucket of the instance whose name hashes to `name`.
+pub(super) fn bucket_of(name: u64) -> usize {
+    (name % BUCKETS as u64) as usize
+}
+
+fn record_hash(name: u64, key: &RecordKey) -> u64 {
+    let mut hash = mix(name ^ key.incarnation);
+    hash = mix(hash ^ key.version);
+    mix(hash ^ (u64::from(key.refutation) << 8) ^ key.state as u64)
+}
--- /dev/null
+++ b/crates/fescuemux-core/src/member/sync.rs
@@ -0,0 +1,173 @@
+//! Digest repair and joining.
+
+use super::digest::BUCKETS;
+use super::membership::Membership;
+use super::message::{Body, Update};
+use super::output::{Output, Send};
+use super::record::Standing;
+use crate::base::{Cx, HashMap, InstanceId};
+use rand::Rng as _;
+use rand::seq::IndexedRandom as _;
+use std::net::SocketAddr;
+
+/// Most seed addresses kept.
+const MAX_SEEDS: usize = 64;
+
+impl Membership {
+    /// Replaces the seed addresses and asks one of them for its records. Seeds are asked again
+    /// each probe period while no other member is known, and now and then afterwards.
+    pub fn join(&mut self, cx: &mut Cx, mut seeds: Vec<SocketAddr>) -> Vec<Send> {
+        let own = self.own_record().addresses.rpc;
+        seeds.retain(|s| *s != own);
+        seeds.truncate(MAX_SEEDS);
+        self.seeds = seeds;
+        self.next_join = cx.now + self.config.probe_period;
+        self.ask_seed(cx).into_iter().collect()
+    }
+
+    /// Asks one random seed that is no present member for its records.
+    pub(super) fn absent_seed(&mut self, cx: &mut Cx) -> Option<Send> {
+        let addr = self.random_seed(cx)?;
+        let present = self.members().any(|r| r.addresses.rpc == addr);
+        if present { None } else { Some(self.ask(cx, addr)) }
+    }
+
+    /// Asks one random seed for its records.
+    pub(super) fn ask_seed(&mut self, cx: &mut Cx) -> Option<Send> {
+        let addr = self.random_seed(cx)?;
+        Some(self.ask(cx, addr))
+    }
+
+    fn random_seed(&self, cx: &mut Cx) -> Option<SocketAddr> {
+        self.seeds.choose(&mut cx.rng).copied()
+    }
+
+    fn ask(&self, cx: &Cx, addr: SocketAddr) -> Send {
+        let updates = self.update_about(cx, &self.own, true).into_iter().collect();
+        let message = self.message(self.sync_request(), updates);
+        Send { to: InstanceId::default(), addr, message }
+    }
+
+    /// Starts a repair with a member whose digest differs, at most once a sync interval.
+    pub(super) fn maybe_sync(
+        &mut self,
+        cx: &mut Cx,
+        with: &InstanceId,
+        digest: u64,
+        out: &mut Vec<Output>,
+    ) {
+        if digest == self.table.digest_total() || cx.now < self.next_sync {
+            return;
+        }
+        self.start_sync(cx, with, out);
+    }
+
+    /// Starts a repair with a member.
+    pub(super) fn start_sync(&mut self, cx: &mut Cx, with: &InstanceId, out: &mut Vec<Output>) {
+        // Half an interval of jitter keeps members from repairing in step after an event.
+        let jitter = cx.rng.random_range(0.75..1.25);
+        self.next_sync = cx.now + self.config.sync_interval.mul_f64(jitter);
+        self.counters.syncs += 1;
+        let body = self.sync_request();
+        out.extend(self.send(cx, with, body).map(Output::Send));
+    }
+
+    fn sync_request(&self) -> Body {
+        Body::SyncRequest { buckets: Box::new(*self.table.buckets()) }
+    }
+
+    /// Answers a repair with the standings in all buckets that differ.
+    pub(super) fn on_sync_request(
+        &mut self,
+        cx: &mut Cx,
+        from: &InstanceId,
+        buckets: &[u64; BUCKETS],
+        out: &mut Vec<Output>,
+    ) {
+        let own = self.table.buckets();
+        let differs = (0..BUCKETS).filter(|b| own[*b] != buckets[*b]);
+        let covered = differs.fold(0_u64, |bits, b| bits | 1 << b);
+        let standings = self.table.listed_in(covered).map(|p| p.standing(cx.now)).collect();
+        let body = Body::SyncResponse { covered, standings };
+        out.extend(self.send(cx, from, body).map(Output::Send));
+    }
+
+    /// Takes what is newer, returns what the other side lacks and asks for missing content.
+    pub(super) fn on_sync_response(
+        &mut self,
+        cx: &mut Cx,
+        from: &InstanceId,
+        covered: u64,
+        standings: Vec<Standing>,
+        out: &mut Vec<Output>,
+    ) {
+        let theirs: HashMap<InstanceId, Standing> =
+            standings.into_iter().map(|s| (s.instance.clone(), s)).collect();
+        let (updates, truncated) = self.newer_than(cx, covered, &theirs);
+        let mut want = Vec::new();
+        for standing in theirs.into_values() {
+            let instance = standing.instance.clone();
+            if self.apply(cx, Update::Standing(standing), out) == super::apply::Applied::Missing {
+                want.push(instance);
+            }
+        }
+        if updates.is_empty() && want.is_empty() {
+            return;
+        }
+        let body = Body::Push { want, truncated };
+        out.extend(self.send_with(cx, from, body, updates).map(Output::Send));
+    }
+
+    /// Sends whole records that a member asked for.
+    pub(super) fn on_want(
+        &mut self,
+        cx: &mut Cx,
+        from: &InstanceId,
+        want: &[InstanceId],
+        out: &mut Vec<Output>,
+    ) {
+        let (updates, truncated) = self.bounded(cx, want.iter().map(|w| (w, true)));
+        let body = Body::Push { want: Vec::new(), truncated };
+        out.extend(self.send_with(cx, from, body, updates).map(Output::Send));
+    }
+
+    /// Returns updates about the records that are newer here than in `theirs`.
+    fn newer_than(
+        &self,
+        cx: &Cx,
+        covered: u64,
+        theirs: &HashMap<InstanceId, Standing>,
+    ) -> (Vec<Update>, bool) {
+        let newer = self.table.listed_in(covered).filter_map(|peer| {
+            let key = peer.record.key();
+            let instance = &peer.record.instance;
+            match theirs.get(instance) {
+                Some(their) if their.key >= key => None,
+                Some(their) => Some((instance, their.key.content() != key.content())),
+                None => Some((instance, true)),
+            }
+        });
+        self.bounded(cx, newer)
+    }
+
+    /// Collects updates up to the size of one repair message and tells whether some were left
+    /// out.
+    fn bounded<'a>(
+        &self,
+        cx: &Cx,
+        wanted: impl Iterator<Item = (&'a InstanceId, bool)>,
+    ) -> (Vec<Update>, bool) {
+        let mut left = self.config.sync_bytes;
+        let mut updates = Vec::new();
+        for (instance, full) in wanted {
+            let Some(peer) = self.table.get(instance) else { continue };
+            let cost = peer.record.estimated_bytes();
+            if cost > left && !updates.is_empty() {
+                return (updates, true);
+            }
+            left = left.saturating_sub(cost);
+            updates.extend(self.update_about(cx, instance, full));
+        }
+        (updates, false)
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-wire/src/member.rs
@@ -0,0 +1,76 @@
+//! Wire types of membership.
+//!
+//! Every type checks sizes in `TryFrom` before its content reaches the core types.
+
+mod enums;
+mod message;
+mod record;
+#[cfg(test)]
+mod tests;
+
+pub use enums::{Health, Phase, State};
+pub use message::{Body, Message, Update};
+pub use record::{Instance, Server, Standing};
+
+use thiserror::Error;
+
+/// Longest name in bytes.
+pub const MAX_NAME: usize = 128;
+/// Most backend servers of one instance.
+pub const MAX_SERVERS: usize = 64;
+/// Most updates in one message.
+pub const MAX_UPDATES: usize = 4096;
+/// Most standings or wanted names in one message.
+pub const MAX_STANDINGS: usize = 4096;
+/// Longest encoded message in bytes.
+pub const MAX_MESSAGE: usize = 256 * 1024;
+
+/// A reason why received bytes are no membership message.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum MemberError {
+    /// The bytes exceed [`MAX_MESSAGE`].
+    #[error("message of {0} bytes is too long")]
+    TooLong(usize),
+    /// The bytes do not decode.
+    #[error("malformed message: {0}")]
+    Malformed(postcard::Error),
+    /// Bytes follow the message.
+    #[error("{0} bytes after the message")]
+    TrailingBytes(usize),
+    /// A name is empty or longer than [`MAX_NAME`].
+    #[error("name of {0} bytes")]
+    BadName(usize),
+    /// A list exceeds its bound.
+    #[error("list of {0} entries is too long")]
+    TooMany(usize),
+}
+
+/// Encodes a message.
+///
+/// # Errors
+///
+/// Returns an error if the message exceeds a bound of this module.
+pub fn encode(message: fescuemux_core::member::Message) -> Result<Vec<u8>, MemberError> {
+    let bytes = postcard::to_stdvec(&Message::from(message)).map_err(MemberError::Malformed)?;
+    if bytes.len() > MAX_MESSAGE {
+        return Err(MemberError::TooLong(bytes.len()));
+    }
+    Ok(bytes)
+}
+
+/// Decodes a message and checks its bounds.
+///
+/// # Errors
+///
+/// Returns an error if the bytes are no message or exceed a bound of this module.
+pub fn decode(bytes: &[u8]) -> Result<fescuemux_core::member::Message, MemberError> {
+    if bytes.len() > MAX_MESSAGE {
+        return Err(MemberError::TooLong(bytes.len()));
+    }
+    let (message, rest) =
+        postcard::take_from_bytes::<Message>(bytes).map_err(MemberError::Malformed)?;
+    if !rest.is_empty() {
+        return Err(MemberError::TrailingBytes(rest.len()));
+    }
+    message.try_into()
+}
--- /dev/null
+++ b/crates/fescuemux-wire/src/member/tests.rs
@@ -0,0 +1,121 @@
+//! Tests of the membership wire types.
+
+use super::{MAX_MESSAGE, MAX_NAME, MAX_SERVERS, MemberError, decode, encode};
+use fescuemux_core::base::Phase;
+use fescuemux_core::member::{
+    Addresses, BUCKETS, Body, ConfigStamp, InstanceRecord, MemberState, Message, ServerHealth,
+    ServerRecord, Update,
+};
+use proptest::prelude::{any, prop_assert_eq, proptest};
+use smol_str::SmolStr;
+
+fn message(name: &str, servers: usize, body: Body) -> Message {
+    let server = ServerRecord {
+        server: "s".into(),
+        service: "permits".into(),
+        slots: 4,
+        phase: Phase::Ready,
+        health: ServerHealth::Steered,
+        incarnation: 1_790_000_000_000,
+    };
+    let addr = "10.0.0.1:7000".parse().unwrap();
+    let record = InstanceRecord {
+        instance: name.into(),
+        domain: "d1".into(),
+        region: "r1".into(),
+        incarnation: 1_790_000_000_000,
+        version: 3,
+        refutation: 1,
+        addresses: Addresses { rpc: addr, hop: addr },
+        state: MemberState::Leaving,
+        servers: vec![server; servers],
+        generation: 9,
+    };
+    let config = ConfigStamp { generation: 9, head: [7; 16] };
+    let updates = vec![Update::Full { record, dead_for_secs: 0 }];
+    Message { config, digest: 77, updates, body }
+}
+
+/// Guards against a field or variant that is lost or mixed up in a conversion.
+#[test]
+fn messages_survive_a_round_trip() {
+    let bodies = [
+        Body::Ping { seq: 1 },
+        Body::Ack { seq: 2 },
+        Body::PingRequest { seq: 3, target: "b".into() },
+        Body::IndirectAck { seq: 4, reached: true },
+        Body::SyncRequest { buckets: Box::new([5; BUCKETS]) },
+        Body::SyncResponse { covered: 6, standings: Vec::new() },
+        Body::Push { want: vec!["c".into()], truncated: true },
+        Body::Notify,
+    ];
+    for body in bodies {
+        let sent = message("a", 8, body);
+        assert_eq!(decode(&encode(sent.clone()).unwrap()), Ok(sent));
+    }
+}
+
+/// Guards against content past the bounds reaching the core types.
+#[test]
+fn bounds_are_checked() {
+    struct Case {
+        what: &'static str,
+        name: usize,
+        servers: usize,
+        error: Option<MemberError>,
+    }
+    let cases = [
+        Case { what: "longest name", name: MAX_NAME, servers: 1, error: None },
+        Case {
+            what: "long name",
+            name: MAX_NAME + 1,
+            servers: 1,
+            error: Some(MemberError::BadName(MAX_NAME + 1)),
+        },
+        Case { what: "empty name", name: 0, servers: 1, error: Some(MemberError::BadName(0)) },
+        Case { what: "most servers", name: 1, servers: MAX_SERVERS, error: None },
+        Case {
+            what: "many servers",
+            name: 1,
+            servers: MAX_SERVERS + 1,
+            error: Some(MemberError::TooMany(MAX_SERVERS + 1)),
+        },
+    ];
+    for case in cases {
+        let sent = message(&"n".repeat(case.name), case.servers, Body::Notify);
+        let got = decode(&encode(sent).unwrap()).err();
+        assert_eq!(got, case.error, "{}", case.what);
+    }
+}
+
+/// Guards against accepting a frame that is too long or has bytes after the message.
+#[test]
+fn frame_bounds_are_checked() {
+    assert_eq!(decode(&vec![0; MAX_MESSAGE + 1]), Err(MemberError::TooLong(MAX_MESSAGE + 1)));
+    let mut bytes = encode(message("a", 1, Body::Notify)).unwrap();
+    bytes.push(0);
+    assert_eq!(decode(&bytes), Err(MemberError::TrailingBytes(1)));
+    let want = vec![SmolStr::new("w".repeat(MAX_NAME)); 4096];
+    let long = message("a", 1, Body::Push { want, truncated: false });
+    assert!(matches!(encode(long), Err(MemberError::TooLong(_))));
+}
+
+proptest! {
+    /// Guards against a panic or a huge allocation on bytes from outside.
+    #[test]
+    fn any_bytes_decode_without_panic(bytes in proptest::collection::vec(any::<u8>(), 0..2048)) {
+        let _ = decode(&bytes);
+    }
+
+    /// Guards against a panic on a damaged message, which gets further into the decoder than
+    /// random bytes do.
+    #[test]
+    fn damaged_messages_decode_without_panic(at in any::<usize>(), with in any::<u8>()) {
+        let mut bytes = encode(message("a", 8, Body::Notify)).unwrap();
+        let at = at % bytes.len();
+        bytes[at] = with;
+        if let Ok(decoded) = decode(&bytes) {
+            prop_assert_eq!(decode(&encode(decoded.clone()).unwrap()), Ok(decoded));
+        }
+    }
+}
