Accept deaths only after the own suspicion time

Cause: when two regions rejoined, each learned from the other that its own living members were dead.

Conclusion: a claim of death starts a suspicion, each member waits for its own suspicion time and asks the suspect a last time, and a member that learns of a doubt answers with its standing.

--- a/crates/fescuemux-core/src/member/apply.rs
+++ b/crates/fescuemux-core/src/member/apply.rs
@@ -88,6 +88,18 @@
         Applied::Accepted
     }
 
+    /// Remembers that `from` holds this member for suspect or dead, so that the next message to
+    /// it carries the own standing. The refutation may long have left the queue.
+    pub(super) fn note_claim(&mut self, from: &InstanceId, update: &Update) {
+        if *update.instance() != self.own {
+            return;
+        }
+        let doubted = matches!(update.key().state, MemberState::Suspect | MemberState::Dead);
+        if let Some(peer) = self.table.get_mut(from).filter(|_| doubted) {
+            peer.doubts_own = true;
+        }
+    }
+
     /// Admits the record of an instance that has none here.
     fn admit(
         &mut self,
@@ -165,12 +177,12 @@
 
 /// Returns the state to hold after a claim about an instance held as `held`.
 ///
-/// A claim of death about an instance that counts as alive here starts a suspicion first. After
-/// a region cut both sides hold the other for dead, and without this rule each side would learn
-/// from the other that its own living members are dead.
+/// A claim of death about an instance that counts as live here only starts a suspicion, and the
+/// own suspicion time decides. After a region cut each side holds the other for dead, and
+/// accepting such claims would teach each side that its own living members are dead.
 fn accepted_state(held: MemberState, claimed: MemberState) -> MemberState {
     match (held, claimed) {
-        (MemberState::Alive, MemberState::Dead) => MemberState::Suspect,
+        (MemberState::Alive | MemberState::Suspect, MemberState::Dead) => MemberState::Suspect,
         _ => claimed,
     }
 }
--- a/crates/fescuemux-core/src/member/message.rs
+++ b/crates/fescuemux-core/src/member/message.rs
@@ -1,7 +1,7 @@
 //! Messages between members.
 
 use super::digest::BUCKETS;
-use super::record::{InstanceRecord, Standing};
+use super::record::{InstanceRecord, RecordKey, Standing};
 use crate::base::{Generation, InstanceId};
 
 /// Generation in force at a member and the digest of its head.
@@ -35,6 +35,14 @@
             Update::Standing(standing) => &standing.instance,
         }
     }
+
+    /// Returns the position of the record that the statement claims.
+    pub fn key(&self) -> RecordKey {
+        match self {
+            Update::Full { record, .. } => record.key(),
+            Update::Standing(standing) => standing.key,
+        }
+    }
 }
 
 /// One message between members. Every message carries the generation and the digest of the
--- a/crates/fescuemux-core/src/member/probing.rs
+++ b/crates/fescuemux-core/src/member/probing.rs
@@ -28,6 +28,7 @@
         let mut progress = false;
         for update in message.updates {
             let instance = update.instance().clone();
+            self.note_claim(&from, &update);
             match self.apply(cx, update, &mut out) {
                 Applied::Ignored => {}
                 Applied::Accepted => progress = true,
@@ -76,6 +77,10 @@
                 if !want.is_empty() {
                     self.on_want(cx, from, &want, out);
                 }
+                if self.table.get(from).is_some_and(|p| p.doubts_own) {
+                    let body = Body::Push { want: Vec::new(), truncated: false };
+                    out.extend(self.send(cx, from, body).map(Output::Send));
+                }
                 // Without progress the rest would be left out again, without end.
                 if truncated && progress {
                     self.start_sync(cx, from, out);
@@ -233,15 +238,26 @@
         }
     }
 
+    /// Asks each suspect a last time one probe period before its suspicion ends, and declares
+    /// the overdue ones dead. Some members miss the refutation that spread by piggyback; the
+    /// answer to the last question brings it.
     fn run_suspicions(&mut self, cx: &mut Cx, out: &mut Vec<Output>) {
         let lasts = self.suspicion();
-        let overdue = |i: &&InstanceId| {
-            self.table.get(i).is_some_and(|p| cx.now.saturating_duration_since(p.since) >= lasts)
-        };
-        let overdue: Vec<InstanceId> =
-            self.table.suspects().iter().filter(overdue).cloned().collect();
-        for instance in overdue {
-            self.declare(cx, &instance, MemberState::Dead, out);
+        let ask_after = lasts.saturating_sub(self.config.probe_period);
+        for instance in self.table.suspects().to_vec() {
+            let Some(peer) = self.table.get_mut(&instance) else { continue };
+            let age = cx.now.saturating_duration_since(peer.since);
+            if age >= lasts && peer.asked_last {
+                self.declare(cx, &instance, MemberState::Dead, out);
+                continue;
+            }
+            if age >= ask_after && !peer.asked_last {
+                peer.asked_last = true;
+                // A late tick must leave time for the answer.
+                peer.since = peer.since.max(cx.now - ask_after);
+                let seq = self.take_seq();
+                out.extend(self.send(cx, &instance, Body::Ping { seq }).map(Output::Send));
+            }
         }
     }
 
@@ -291,6 +307,7 @@
         for instance in self.table.suspects().to_vec() {
             if let Some(peer) = self.table.get_mut(&instance) {
                 peer.since = cx.now;
+                peer.asked_last = false;
             }
         }
         self.wake = cx.now;
@@ -311,9 +328,10 @@
             wake = wake.min(relay.ends_at);
         }
         let lasts = self.suspicion();
+        let ask_after = lasts.saturating_sub(self.config.probe_period);
         for suspect in self.table.suspects() {
             if let Some(peer) = self.table.get(suspect) {
-                wake = wake.min(peer.since + lasts);
+                wake = wake.min(peer.since + if peer.asked_last { lasts } else { ask_after });
             }
         }
         if self.table.present() == 1 && !self.seeds.is_empty() {
--- a/crates/fescuemux-core/src/member/spread.rs
+++ b/crates/fescuemux-core/src/member/spread.rs
@@ -106,10 +106,16 @@
             if matches!(peer.record.state, MemberState::Suspect | MemberState::Dead) {
                 updates.push(Update::Standing(peer.standing(cx.now)));
             }
+            if peer.doubts_own {
+                updates.extend(self.update_about(cx, &self.own, false));
+            }
             if !peer.introduced {
                 updates.extend(self.update_about(cx, &self.own, true));
             }
         }
+        if let Some(peer) = self.table.get_mut(to) {
+            peer.doubts_own = false;
+        }
         let limit = self.config.transmits(self.table.present());
         let table = &self.table;
         let cost = |instance: &InstanceId, full: bool| {
--- a/crates/fescuemux-core/src/member/table.rs
+++ b/crates/fescuemux-core/src/member/table.rs
@@ -15,8 +15,13 @@
     pub(super) last_answer: Option<Instant>,
     /// Whether the instance got this member's own record in its present incarnation.
     pub(super) introduced: bool,
+    /// Whether the instance claimed that this member is suspect or dead and has not yet got the
+    /// own standing since.
+    pub(super) doubts_own: bool,
     /// Time of the last change into the present state.
     pub(super) since: Instant,
+    /// Whether the instance was asked for the last time in its present suspicion.
+    pub(super) asked_last: bool,
     name: u64,
     /// Whether the record takes part in digests and repair.
     listed: bool,
@@ -136,6 +141,7 @@
         peer.record = record;
         peer.record.generation = generation;
         peer.since = since;
+        peer.asked_last = false;
         self.relink(cx, &instance, old, state);
     }
 
@@ -153,6 +159,7 @@
         peer.record.refutation = refutation;
         peer.record.state = state;
         peer.since = since;
+        peer.asked_last = false;
         self.relink(cx, instance, old, state);
     }
 
@@ -215,7 +222,9 @@
             last_heard: None,
             last_answer: None,
             introduced: false,
+            doubts_own: false,
             since,
+            asked_last: false,
             name,
             listed: true,
         };
--- /dev/null
+++ b/crates/fescuemux-core/tests/member/faults.rs
@@ -0,0 +1,331 @@
+//! Faults and what the fleet must make of them.
+
+use crate::net::{Faults, Net, addr, name, record, server};
+use fescuemux_core::base::Cx;
+use fescuemux_core::member::{
+    Body, ConfigStamp, MemberConfig, MemberState, Membership, Message, Output, Update,
+};
+use std::time::Duration;
+
+struct Case {
+    what: &'static str,
+    nodes: usize,
+    faults: Faults,
+    /// Brings the fault about and lets time pass.
+    act: fn(&mut Net),
+    /// Members that must be dead in every view at the end; all others must be alive.
+    dead: fn(usize) -> bool,
+    /// Deaths of living members that all views together may have seen.
+    false_deaths: u64,
+}
+
+fn none(_: usize) -> bool {
+    false
+}
+
+fn cut(cut: fn(usize, usize) -> bool) -> Faults {
+    Faults { cut: Some(cut), max_delay_ms: 4, ..Faults::default() }
+}
+
+fn check(case: &Case, seed: u64) {
+    let mut net = Net::settled(seed, case.nodes);
+    assert_eq!(net.deaths(), 0, "{}: deaths before the fault", case.what);
+    net.faults = Faults { cut: case.faults.cut, ..case.faults };
+    (case.act)(&mut net);
+    let lost = (0..case.nodes).filter(|i| (case.dead)(*i)).count();
+    for at in (0..case.nodes).filter(|at| !(case.dead)(*at)) {
+        for of in 0..case.nodes {
+            let want = if (case.dead)(of) { MemberState::Dead } else { MemberState::Alive };
+            let got = net.state(at, of);
+            assert_eq!(got, Some(want), "{}, seed {seed}: {of} at {at}", case.what);
+        }
+    }
+    let true_deaths = (lost * (case.nodes - lost)) as u64;
+    let false_deaths = net.deaths().saturating_sub(true_deaths);
+    assert!(false_deaths <= case.false_deaths, "{}: {false_deaths} false deaths", case.what);
+}
+
+/// Guards against members that are wrongly held for dead, against lost ones that are not found,
+/// and against views that stay apart.
+#[test]
+fn views_converge_after_faults() {
+    let cases = [
+        Case {
+            what: "one-way loss between two members",
+            nodes: 12,
+            faults: cut(|from, to| from == 0 && to == 1),
+            act: |net| net.run(300),
+            dead: none,
+            false_deaths: 0,
+        },
+        Case {
+            what: "both ways between two members, reached by helpers",
+            nodes: 12,
+            faults: cut(|from, to| from + to == 1),
+            act: |net| net.run(300),
+            dead: none,
+            false_deaths: 0,
+        },
+        Case {
+            what: "loss, duplicates, reorder and delay",
+            nodes: 20,
+            faults: Faults { loss: 0.05, duplicates: 0.2, max_delay_ms: 120, cut: None },
+            act: |net| {
+                net.run(600);
+                net.faults.loss = 0.0;
+                net.run(30);
+            },
+            dead: none,
+            false_deaths: 0,
+        },
+        Case {
+            what: "pause of 10 s",
+            nodes: 20,
+            faults: cut(|_, _| false),
+            act: |net| pause(net, 10),
+            dead: none,
+            false_deaths: 19,
+        },
+        Case {
+            what: "pause of 120 s",
+            nodes: 20,
+            faults: cut(|_, _| false),
+            act: |net| pause(net, 120),
+            dead: none,
+            // Every other member rightly gives up on it; the paused one must blame nobody.
+            false_deaths: 19,
+        },
+        Case {
+            what: "crash",
+            nodes: 20,
+            faults: cut(|_, _| false),
+            act: |net| {
+                net.running[3] = false;
+                net.run(30);
+            },
+            dead: |i| i == 3,
+            false_deaths: 0,
+        },
+        Case {
+            what: "planned stop",
+            nodes: 20,
+            faults: cut(|_, _| false),
+            act: |net| {
+                let sends = net.nodes[3].leave(&mut net.cx);
+                net.post_all(3, sends);
+                net.run(5);
+                net.running[3] = false;
+                net.run(10);
+            },
+            dead: |i| i == 3,
+            false_deaths: 0,
+        },
+        Case {
+            what: "restart with a new incarnation",
+            nodes: 20,
+            faults: cut(|_, _| false),
+            act: |net| {
+                net.restart(3, 2);
+                net.run(15);
+                for node in &net.nodes {
+                    assert_eq!(node.record(&name(3)).unwrap().incarnation, 2);
+                }
+            },
+            dead: none,
+            false_deaths: 0,
+        },
+        Case {
+            what: "rack of 20 lost",
+            nodes: 60,
+            faults: cut(|_, _| false),
+            act: |net| {
+                net.running[..20].fill(false);
+                net.run(60);
+            },
+            dead: |i| i < 20,
+            false_deaths: 0,
+        },
+    ];
+    for case in &cases {
+        for seed in 0..3 {
+            check(case, seed);
+        }
+    }
+}
+
+fn pause(net: &mut Net, secs: u64) {
+    net.paused[3] = true;
+    net.run(secs);
+    net.wake(3);
+    net.run(40);
+}
+
+/// Guards against regions that never find each other again, and against each learning from the
+/// other that its own members are dead.
+#[test]
+fn regions_rejoin_without_false_deaths() {
+    for seed in 0..3 {
+        let mut net = Net::settled(seed, 40);
+        net.faults.cut = Some(|from, to| from % 2 != to % 2);
+        net.run(3600);
+        for at in 0..40 {
+            for of in 0..40 {
+                let same = at % 2 == of % 2;
+                let want = if same { MemberState::Alive } else { MemberState::Dead };
+                assert_eq!(net.state(at, of), Some(want), "cut: {of} at {at}, seed {seed}");
+            }
+        }
+        let before = net.deaths();
+        net.faults.cut = None;
+        net.run(120);
+        for at in 0..40 {
+            for of in 0..40 {
+                assert_eq!(net.state(at, of), Some(MemberState::Alive), "{of} at {at}");
+            }
+        }
+        assert_eq!(net.deaths(), before, "false deaths at the rejoin, seed {seed}");
+    }
+}
+
+/// Guards against a replayed record of an earlier version, incarnation or life.
+#[test]
+fn replayed_records_are_refused() {
+    struct Replay {
+        what: &'static str,
+        prepare: fn(&mut Net),
+    }
+    let cases = [
+        Replay {
+            what: "older version",
+            prepare: |net| {
+                let sends = net.nodes[3].set_servers(&mut net.cx, vec![server(9)]);
+                net.post_all(3, sends);
+                net.run(10);
+            },
+        },
+        Replay {
+            what: "older incarnation",
+            prepare: |net| {
+                net.restart(3, 2);
+                net.run(15);
+            },
+        },
+        Replay {
+            what: "dead",
+            prepare: |net| {
+                net.running[3] = false;
+                net.run(40);
+            },
+        },
+    ];
+    for case in &cases {
+        let mut net = Net::settled(5, 12);
+        (case.prepare)(&mut net);
+        let before = net.nodes[0].record(&name(3)).cloned();
+        let updates = vec![Update::Full { record: record(3, 1, 1), dead_for_secs: 0 }];
+        let config = ConfigStamp::default();
+        net.deliver(1, 0, Message { config, digest: 0, updates, body: Body::Notify });
+        assert_eq!(net.nodes[0].record(&name(3)).cloned(), before, "{}", case.what);
+    }
+}
+
+/// Guards against dead records that are kept for ever, or that members teach each other again
+/// after they forgot them.
+#[test]
+fn dead_records_are_forgotten() {
+    let mut net = Net::settled(6, 6);
+    net.running[3] = false;
+    net.run(7 * 3600);
+    for at in [0, 1, 2, 4, 5] {
+        assert_eq!(net.state(at, 3), None, "record at {at}");
+    }
+}
+
+/// Guards against a table that grows without bound.
+#[test]
+fn the_table_is_bounded() {
+    let config = MemberConfig { max_members: 8, ..MemberConfig::default() };
+    let now = std::time::Instant::now();
+    let mut cx = Cx::new(now, 1);
+    let mut member = Membership::new(config, record(0, 1, 1), now);
+    for i in 1..20 {
+        let updates = vec![Update::Full { record: record(i, 1, 1), dead_for_secs: 0 }];
+        let config = ConfigStamp::default();
+        let message = Message { config, digest: 0, updates, body: Body::Notify };
+        member.on_message(&mut cx, name(1), message);
+    }
+    assert_eq!(member.known(), 8);
+    assert_eq!(member.counters().refused_records, 12);
+}
+
+/// Guards against a lost or repeated report of a newer generation, and against a step back.
+#[test]
+fn generations_only_rise() {
+    let mut net = Net::settled(7, 6);
+    let sends = net.nodes[0].set_generation(&mut net.cx, 5, [5; 16]);
+    assert_eq!(sends.len(), 3);
+    let send = &sends[0];
+    let to = (1..6).find(|i| addr(*i) == send.addr).unwrap();
+    let outputs = net.nodes[to].on_message(&mut net.cx, name(0), send.message.clone());
+    let newer = Output::NewerGeneration { from: name(0), generation: 5 };
+    assert!(outputs.contains(&newer), "{outputs:?}");
+    assert!(net.nodes[0].set_generation(&mut net.cx, 4, [4; 16]).is_empty());
+    assert_eq!(net.nodes[0].config_stamp().generation, 5);
+}
+
+/// Guards against a silent process that shares its name with a later one.
+#[test]
+fn a_later_process_supersedes() {
+    let mut net = Net::settled(8, 4);
+    let updates = vec![Update::Full { record: record(0, 2, 1), dead_for_secs: 0 }];
+    let config = ConfigStamp::default();
+    net.deliver(1, 0, Message { config, digest: 0, updates, body: Body::Notify });
+    assert_eq!(net.nodes[0].superseded_by(), Some(2));
+    assert_eq!(net.nodes[0].own_record().incarnation, 1);
+}
+
+/// Guards against a member that trusts its own view after a pause, and against waiting for the
+/// ack timeout after a refused connection.
+#[test]
+fn local_faults_change_timeouts() {
+    let mut net = Net::settled(9, 6);
+    assert_eq!(net.nodes[0].timeout_factor(), 1);
+    net.cx.now += Duration::from_secs(10);
+    net.nodes[0].tick(&mut net.cx);
+    assert!(net.nodes[0].timeout_factor() > 1);
+
+    let mut net = Net::settled(9, 6);
+    let target = loop {
+        net.cx.now = net.nodes[0].next_wake();
+        let outputs = net.nodes[0].tick(&mut net.cx);
+        let ping = outputs.into_iter().find_map(|o| match o {
+            Output::Send(s) if matches!(s.message.body, Body::Ping { .. }) => Some(s.to),
+            _ => None,
+        });
+        if let Some(target) = ping {
+            break target;
+        }
+    };
+    let asked = net.nodes[0].on_delivery_failure(&mut net.cx, &target);
+    assert_eq!(asked.len(), 3, "helpers are asked at once");
+}
+
+/// Guards against more or fewer than two watchers, and against watchers that differ by view.
+#[test]
+fn each_domain_has_two_watchers() {
+    let mut net = Net::settled(10, 10);
+    for domain in ["d0", "d1"] {
+        let watchers = net.nodes[0].watchers(&domain.into());
+        assert_eq!(watchers.len(), 2);
+        for node in &net.nodes {
+            assert_eq!(node.watchers(&domain.into()), watchers);
+        }
+    }
+    let gone = net.nodes[0].watchers(&"d0".into())[0].clone();
+    let at = (0..10).find(|i| name(*i) == gone).unwrap();
+    net.running[at] = false;
+    net.run(30);
+    let watchers = net.nodes[1].watchers(&"d0".into());
+    assert_eq!(watchers.len(), 2);
+    assert!(!watchers.contains(&gone));
+}
--- /dev/null
+++ b/crates/fescuemux-core/tests/member/net.rs
@@ -0,0 +1,192 @@
+//! Seeded message queue that drives a small fleet of members.
+
+use fescuemux_core::base::{Cx, InstanceId, Phase};
+use fescuemux_core::member::{
+    Addresses, InstanceRecord, MemberConfig, MemberState, Membership, Message, Output, Send,
+    ServerHealth, ServerRecord,
+};
+use rand::Rng as _;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// Returns the name of member `i`.
+pub(crate) fn name(i: usize) -> InstanceId {
+    format!("i-{i}").into()
+}
+
+pub(crate) fn addr(i: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (i / 256) as u8, (i % 256) as u8], 7000))
+}
+
+/// Returns the record of member `i`; `version` shows in the slots of its server.
+pub(crate) fn record(i: usize, incarnation: u64, version: u64) -> InstanceRecord {
+    InstanceRecord {
+        instance: name(i),
+        domain: format!("d{}", i % 2).into(),
+        region: format!("r{}", i % 2).into(),
+        incarnation,
+        version,
+        refutation: 0,
+        addresses: Addresses { rpc: addr(i), hop: addr(i) },
+        state: MemberState::Alive,
+        servers: vec![server(version as u16)],
+        generation: 0,
+    }
+}
+
+pub(crate) fn server(slots: u16) -> ServerRecord {
+    ServerRecord {
+        server: "s".into(),
+        service: "permits".into(),
+        slots,
+        phase: Phase::Ready,
+        health: ServerHealth::Serving,
+        incarnation: 1,
+    }
+}
+
+/// Faults of the network and of processes.
+#[derive(Default)]
+pub(crate) struct Faults {
+    pub(crate) loss: f64,
+    pub(crate) duplicates: f64,
+    pub(crate) max_delay_ms: u64,
+    /// Whether a message between two members is lost now.
+    pub(crate) cut: Option<fn(usize, usize) -> bool>,
+}
+
+pub(crate) struct Net {
+    pub(crate) cx: Cx,
+    pub(crate) nodes: Vec<Membership>,
+    pub(crate) running: Vec<bool>,
+    pub(crate) paused: Vec<bool>,
+    pub(crate) faults: Faults,
+    /// Messages by time of arrival and a number that keeps the order stable.
+    queue: BTreeMap<(Instant, u64), (usize, usize, Message)>,
+    /// Messages that wait in the socket of a paused member.
+    held: Vec<(usize, usize, Message)>,
+    sent: u64,
+}
+
+impl Net {
+    /// Returns `count` members that join through member 0 and have settled.
+    pub(crate) fn settled(seed: u64, count: usize) -> Net {
+        let start = Instant::now();
+        let mut net = Net {
+            cx: Cx::new(start, seed),
+            nodes: Vec::new(),
+            running: vec![true; count],
+            paused: vec![false; count],
+            faults: Faults { max_delay_ms: 4, ..Faults::default() },
+            queue: BTreeMap::new(),
+            held: Vec::new(),
+            sent: 0,
+        };
+        for i in 0..count {
+            let node = Membership::new(MemberConfig::default(), record(i, 1, 1), start);
+            net.nodes.push(node);
+            net.join(i, if i == 0 { 1 } else { 0 });
+        }
+        net.run(30);
+        net
+    }
+
+    pub(crate) fn join(&mut self, i: usize, seed: usize) {
+        let sends = self.nodes[i].join(&mut self.cx, vec![addr(seed)]);
+        self.post_all(i, sends);
+    }
+
+    /// Replaces the process of member `i`.
+    pub(crate) fn restart(&mut self, i: usize, incarnation: u64) {
+        let own = record(i, incarnation, 1);
+        self.nodes[i] = Membership::new(MemberConfig::default(), own, self.cx.now);
+        self.running[i] = true;
+        self.join(i, (i + 1) % self.nodes.len());
+    }
+
+    pub(crate) fn post_all(&mut self, from: usize, sends: Vec<Send>) {
+        for send in sends {
+            self.post(from, send);
+        }
+    }
+
+    fn post(&mut self, from: usize, send: Send) {
+        let [_, _, high, low] = match send.addr {
+            SocketAddr::V4(a) => a.ip().octets(),
+            SocketAddr::V6(_) => return,
+        };
+        let to = usize::from(high) * 256 + usize::from(low);
+        let cut = self.faults.cut.is_some_and(|cut| cut(from, to));
+        if cut || self.cx.rng.random_bool(self.faults.loss) {
+            return;
+        }
+        let copies = 1 + u32::from(self.cx.rng.random_bool(self.faults.duplicates));
+        for _ in 0..copies {
+            let delay = self.cx.rng.random_range(1..=self.faults.max_delay_ms.max(1));
+            self.sent += 1;
+            let at = self.cx.now + Duration::from_millis(delay);
+            self.queue.insert((at, self.sent), (from, to, send.message.clone()));
+        }
+    }
+
+    fn handle(&mut self, i: usize, outputs: Vec<Output>) {
+        for output in outputs {
+            if let Output::Send(send) = output {
+                self.post(i, send);
+            }
+        }
+    }
+
+    pub(crate) fn deliver(&mut self, from: usize, to: usize, message: Message) {
+        if self.paused[to] {
+            self.held.push((from, to, message));
+        } else if self.running[to] {
+            let outputs = self.nodes[to].on_message(&mut self.cx, name(from), message);
+            self.handle(to, outputs);
+        }
+    }
+
+    /// Lets `secs` seconds pass.
+    pub(crate) fn run(&mut self, secs: u64) {
+        let end = self.cx.now + Duration::from_secs(secs);
+        loop {
+            let awake = |i: &usize| self.running[*i] && !self.paused[*i];
+            let wakes = (0..self.nodes.len()).filter(awake).map(|i| self.nodes[i].next_wake());
+            let arrival = self.queue.first_key_value().map(|(key, _)| key.0);
+            let next = wakes.chain(arrival).min().unwrap_or(end).max(self.cx.now);
+            if next >= end {
+                break;
+            }
+            self.cx.now = next;
+            while self.queue.first_key_value().is_some_and(|(key, _)| key.0 <= next) {
+                let (_, (from, to, message)) = self.queue.pop_first().unwrap();
+                self.deliver(from, to, message);
+            }
+            for i in 0..self.nodes.len() {
+                if self.running[i] && !self.paused[i] && self.nodes[i].next_wake() <= next {
+                    let outputs = self.nodes[i].tick(&mut self.cx);
+                    self.handle(i, outputs);
+                }
+            }
+        }
+        self.cx.now = end;
+    }
+
+    /// Ends the pause of member `i`, which then finds old messages in its socket.
+    pub(crate) fn wake(&mut self, i: usize) {
+        self.paused[i] = false;
+        for (from, to, message) in std::mem::take(&mut self.held) {
+            self.deliver(from, to, message);
+        }
+    }
+
+    pub(crate) fn state(&self, at: usize, of: usize) -> Option<MemberState> {
+        self.nodes[at].record(&name(of)).map(|r| r.state)
+    }
+
+    /// Returns the total count of deaths that all members saw.
+    pub(crate) fn deaths(&self) -> u64 {
+        self.nodes.iter().map(|n| n.counters().deaths).sum()
+    }
+}
