--- a/crates/fescuemux-core/src/lib.rs
+++ b/crates/fescuemux-core/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod route;
 pub mod detect;
 pub mod eject;
+pub mod member;
--- a/crates/fescuemux-wire/src/lib.rs
+++ b/crates/fescuemux-wire/src/lib.rs
@@ -13,3 +13,8 @@
 //! Must not know HTTP servers, or decisions beyond the core types it converts.
 
 pub mod ledger;
+//! Wire types of the fleet, with conversions to and from the types of `fescuemux-core`.
+//!
+//! The crate must not know HTTP servers, nor decisions beyond the core types.
+
+pub mod member;
