core: test routing, admission and retry; fix the floor rate of the retry budget

Cause: the budget check found that a quiet service earned no floor after a busy window: earnings cut off by the full reserve counted against the floor, and a window closed late was measured by its whole length. Conclusion: only credited earnings count, and time past the first window earns the floor in full.

--- /dev/null
+++ b/crates/fescuemux-core/src/admit/tests/callers.rs
@@ -0,0 +1,68 @@
+//! Token buckets of callers in a bounded table.
+
+use crate::admit::{CallerDecision, CallerLimit, CallerLimits, CallerLimitsConfig};
+use crate::base::Cx;
+use std::time::{Duration, Instant};
+
+fn admitted(limits: &mut CallerLimits, cx: &mut Cx, caller: &str, n: usize) -> usize {
+    let caller = caller.into();
+    (0..n).filter(|_| limits.admit(cx, &caller) == CallerDecision::Admitted).count()
+}
+
+fn limits(cx: &Cx, max_callers: usize) -> CallerLimits {
+    let unknown = CallerLimit { rate: 1.0, burst: 3.0 };
+    let cfg = CallerLimitsConfig { max_callers, unknown, ..CallerLimitsConfig::default() };
+    CallerLimits::new(cfg, cx.now)
+}
+
+struct Case {
+    name: &'static str,
+    share: f64,
+    wait: Duration,
+    /// Admitted of 100 at once, then of 100 after the wait.
+    expected: (usize, usize),
+}
+
+const CASES: &[Case] = &[
+    Case { name: "whole limit", share: 1.0, wait: Duration::from_secs(1), expected: (20, 10) },
+    Case { name: "a tenth", share: 0.1, wait: Duration::from_secs(1), expected: (2, 1) },
+    Case { name: "tiny share", share: 0.001, wait: Duration::from_secs(1), expected: (1, 0) },
+    Case { name: "long wait", share: 1.0, wait: Duration::from_secs(100), expected: (20, 20) },
+];
+
+#[test]
+fn burst_and_rate_follow_the_share() {
+    for case in CASES {
+        let mut cx = Cx::new(Instant::now(), 1);
+        let mut limits = limits(&cx, 8);
+        let caller = "a".into();
+        limits.set(&mut cx, &caller, CallerLimit { rate: 10.0, burst: 20.0 });
+        limits.set_share(&mut cx, &caller, case.share);
+        let first = admitted(&mut limits, &mut cx, "a", 100);
+        cx.now += case.wait;
+        let second = admitted(&mut limits, &mut cx, "a", 100);
+        assert_eq!((first, second), case.expected, "{}", case.name);
+    }
+}
+
+/// Guards against memory that grows with the caller names that clients make up.
+#[test]
+fn unknown_callers_share_a_bucket() {
+    let mut cx = Cx::new(Instant::now(), 1);
+    let mut limits = limits(&cx, 8);
+    let total: usize =
+        (0..1_000).map(|n| admitted(&mut limits, &mut cx, &format!("x{n}"), 1)).sum();
+    assert_eq!((total, limits.len()), (3, 0));
+}
+
+/// Guards against a configuration with more callers than the table has room for.
+#[test]
+fn the_table_is_bounded() {
+    let mut cx = Cx::new(Instant::now(), 1);
+    let mut limits = limits(&cx, 8);
+    let limit = CallerLimit { rate: 10.0, burst: 20.0 };
+    let taken = (0..20).filter(|n| limits.set(&mut cx, &format!("c{n}").into(), limit)).count();
+    assert_eq!((taken, limits.len()), (8, 8));
+    limits.remove(&"c0".into());
+    assert!(limits.set(&mut cx, &"c19".into(), limit));
+}
--- /dev/null
+++ b/crates/fescuemux-core/src/admit/tests/limit.rs
@@ -0,0 +1,84 @@
+//! The adaptive limit follows a server that degrades and recovers.
+
+use crate::admit::{AdaptiveLimit, AdaptiveLimitConfig, LimitSample};
+use crate::base::Cx;
+use std::time::{Duration, Instant};
+
+struct Case {
+    name: &'static str,
+    latency_ms: u64,
+    overloaded: bool,
+    in_flight: Option<u32>,
+    samples: u32,
+    expected: u32,
+}
+
+const CASES: &[Case] = &[
+    Case {
+        name: "healthy",
+        latency_ms: 25,
+        overloaded: false,
+        in_flight: None,
+        samples: 100,
+        expected: 4,
+    },
+    Case {
+        name: "slow",
+        latency_ms: 125,
+        overloaded: false,
+        in_flight: None,
+        samples: 100,
+        expected: 1,
+    },
+    Case {
+        name: "sheds load",
+        latency_ms: 5,
+        overloaded: true,
+        in_flight: None,
+        samples: 100,
+        expected: 1,
+    },
+    Case {
+        name: "one slow period counts once",
+        latency_ms: 125,
+        overloaded: false,
+        in_flight: None,
+        samples: 8,
+        expected: 3,
+    },
+];
+
+const STEP: Duration = Duration::from_millis(50);
+
+fn feed(limit: &mut AdaptiveLimit, cx: &mut Cx, case: &Case) {
+    for _ in 0..case.samples {
+        cx.now += STEP;
+        let in_flight = case.in_flight.unwrap_or(limit.limit());
+        let latency = Duration::from_millis(case.latency_ms);
+        let baseline = Duration::from_millis(25);
+        let sample = LimitSample { latency, baseline, in_flight, overloaded: case.overloaded };
+        limit.on_sample(cx, &sample);
+    }
+}
+
+#[test]
+fn follows_the_server() {
+    for case in CASES {
+        let mut cx = Cx::new(Instant::now(), 1);
+        let mut limit = AdaptiveLimit::new(AdaptiveLimitConfig::new(4));
+        feed(&mut limit, &mut cx, case);
+        assert_eq!(limit.limit(), case.expected, "{}", case.name);
+    }
+}
+
+/// Guards against a limit that stays down after recovery, or rises without evidence.
+#[test]
+fn rises_only_when_used() {
+    for (in_flight, expected) in [(None, 4), (Some(0), 1)] {
+        let mut cx = Cx::new(Instant::now(), 1);
+        let mut limit = AdaptiveLimit::new(AdaptiveLimitConfig::new(4));
+        feed(&mut limit, &mut cx, &CASES[1]);
+        feed(&mut limit, &mut cx, &Case { in_flight, ..CASES[0] });
+        assert_eq!(limit.limit(), expected);
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-core/src/admit/tests/queue.rs
@@ -0,0 +1,168 @@
+//! Order, refusals and expiry of the deadline queue.
+
+use crate::admit::{DeadlineQueue, Pushed, QueueConfig, Refusal, Waiting};
+use crate::base::Cx;
+use std::time::{Duration, Instant};
+
+const SLOTS: u32 = 1;
+
+struct Push {
+    caller: &'static str,
+    priority: u8,
+    cost: u32,
+    deadline_ms: u64,
+}
+
+const fn push(caller: &'static str) -> Push {
+    Push { caller, priority: 1, cost: 1, deadline_ms: 60_000 }
+}
+
+struct Case {
+    name: &'static str,
+    max_len: usize,
+    pushes: &'static [Push],
+    /// Positions of the refused pushes, with the reason.
+    refused: &'static [(usize, Refusal)],
+    displaced: &'static [usize],
+    /// Positions of the pushes in the order in which they start.
+    order: &'static [usize],
+}
+
+// The service time is 100 ms.
+const CASES: &[Case] = &[
+    Case {
+        name: "callers take turns",
+        max_len: 9,
+        pushes: &[push("a"), push("a"), push("a"), push("b"), push("c")],
+        refused: &[],
+        displaced: &[],
+        order: &[0, 3, 4, 1, 2],
+    },
+    Case {
+        name: "a better priority goes first",
+        max_len: 9,
+        pushes: &[push("a"), Push { priority: 0, ..push("b") }, push("c")],
+        refused: &[],
+        displaced: &[],
+        order: &[1, 0, 2],
+    },
+    Case {
+        name: "costly requests take more of the turns",
+        max_len: 9,
+        pushes: &[
+            Push { cost: 2, ..push("a") },
+            Push { cost: 2, ..push("a") },
+            push("b"),
+            push("b"),
+            push("b"),
+        ],
+        refused: &[],
+        displaced: &[],
+        order: &[2, 0, 3, 4, 1],
+    },
+    Case {
+        name: "a full queue refuses the caller that holds it",
+        max_len: 2,
+        pushes: &[push("a"), push("a"), push("a")],
+        refused: &[(2, Refusal::Full)],
+        displaced: &[],
+        order: &[0, 1],
+    },
+    Case {
+        name: "a full queue makes room for a caller that holds less",
+        max_len: 3,
+        pushes: &[push("a"), push("a"), push("a"), push("b")],
+        refused: &[],
+        displaced: &[2],
+        order: &[0, 3, 1],
+    },
+    Case {
+        name: "a full queue makes room for a better priority",
+        max_len: 1,
+        pushes: &[push("a"), Push { priority: 0, ..push("a") }],
+        refused: &[],
+        displaced: &[0],
+        order: &[1],
+    },
+    Case {
+        name: "a full queue keeps a better priority",
+        max_len: 1,
+        pushes: &[Push { priority: 0, ..push("a") }, push("b")],
+        refused: &[(1, Refusal::Full)],
+        displaced: &[],
+        order: &[0],
+    },
+    Case {
+        name: "a deadline below the service time is refused",
+        max_len: 9,
+        pushes: &[Push { deadline_ms: 99, ..push("a") }, Push { deadline_ms: 100, ..push("a") }],
+        refused: &[(0, Refusal::CannotFinish)],
+        displaced: &[],
+        order: &[1],
+    },
+    Case {
+        name: "a deadline below the expected wait is refused",
+        max_len: 9,
+        pushes: &[push("a"), push("a"), Push { deadline_ms: 250, ..push("b") }],
+        refused: &[(2, Refusal::CannotFinish)],
+        displaced: &[],
+        order: &[0, 1],
+    },
+];
+
+fn queue(max_len: usize) -> DeadlineQueue<()> {
+    let initial_service_time = Duration::from_millis(100);
+    DeadlineQueue::new(QueueConfig { max_len, initial_service_time, quantum: 1 })
+}
+
+fn waiting(cx: &Cx, id: u128, push: &Push) -> Waiting<()> {
+    let deadline = cx.now + Duration::from_millis(push.deadline_ms);
+    let caller = push.caller.into();
+    Waiting { id, caller, priority: push.priority, cost: push.cost, deadline, item: () }
+}
+
+#[test]
+fn order_refusals_and_displacement() {
+    for case in CASES {
+        check(case);
+    }
+}
+
+fn check(case: &Case) {
+    let mut cx = Cx::new(Instant::now(), 1);
+    let mut queue = queue(case.max_len);
+    let (mut refused, mut displaced) = (vec![], vec![]);
+    for (at, push) in case.pushes.iter().enumerate() {
+        let waiting = waiting(&cx, at as u128, push);
+        match queue.push(&mut cx, SLOTS, waiting) {
+            Ok(Pushed::Queued) => {}
+            Ok(Pushed::Displaced(other)) => displaced.push(other.id as usize),
+            Err(error) => refused.push((at, error.reason)),
+        }
+    }
+    let mut expired = vec![];
+    let started = std::iter::from_fn(|| queue.pop(&mut cx, &mut expired));
+    let order: Vec<_> = started.map(|w| w.id as usize).collect();
+    assert_eq!(refused, case.refused, "{}", case.name);
+    assert_eq!(displaced, case.displaced, "{}", case.name);
+    assert_eq!(order, case.order, "{}", case.name);
+}
+
+/// Guards against work that starts although its caller will no longer wait for the answer.
+#[test]
+fn late_requests_expire() {
+    let mut cx = Cx::new(Instant::now(), 1);
+    let mut queue = queue(9);
+    for (id, deadline_ms) in [(1, 150), (2, 1_000), (3, 300)] {
+        let request = waiting(&cx, id, &Push { deadline_ms, ..push("a") });
+        assert!(queue.push(&mut cx, 4, request).is_ok(), "{id}");
+    }
+    assert_eq!(queue.next_expiry(), Some(cx.now + Duration::from_millis(50)));
+    cx.now += Duration::from_millis(51);
+    assert_eq!(queue.expire(&mut cx).iter().map(|w| w.id).collect::<Vec<_>>(), [1]);
+    cx.now += Duration::from_millis(200);
+    let mut expired = vec![];
+    assert_eq!(queue.pop(&mut cx, &mut expired).map(|w| w.id), Some(2));
+    assert!(queue.pop(&mut cx, &mut expired).is_none());
+    assert_eq!(expired.iter().map(|w| w.id).collect::<Vec<_>>(), [3]);
+}
--- /dev/null
+++ b/crates/fescuemux-core/src/admit/tests/slots.rs
@@ -0,0 +1,205 @@
+//! Slots under any interleaving of admit, finish, cancel, late releases and ingress crashes.
+
+use crate::admit::Slots;
+use proptest::prelude::{Strategy, TestCaseError, prop_oneof};
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+const SLOTS: u32 = 4;
+
+#[derive(Clone, Debug)]
+enum Event {
+    Admit {
+        owner: u8,
+    },
+    /// Releases the running request at a position; `cancel` selects the way.
+    Release {
+        position: usize,
+        cancel: bool,
+    },
+    /// Releases a permit that was released before, or was never given.
+    Late {
+        id: u64,
+        cancel: bool,
+    },
+    Crash {
+        owner: u8,
+    },
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        4 => (0..3u8).prop_map(|owner| Event::Admit { owner }),
+        2 => (0..4usize, proptest::bool::ANY)
+            .prop_map(|(position, cancel)| Event::Release { position, cancel }),
+        1 => (0..20u64, proptest::bool::ANY).prop_map(|(id, cancel)| Event::Late { id, cancel }),
+        1 => (0..3u8).prop_map(|owner| Event::Crash { owner }),
+    ]
+}
+
+/// What the check drives; the broken variants implement it too.
+trait Counter {
+    fn admit(&mut self, owner: u8) -> Option<u64>;
+    fn release(&mut self, id: u64, cancel: bool);
+    fn owned_by(&self, owner: u8) -> Vec<u64>;
+}
+
+impl Counter for Slots<u8> {
+    fn admit(&mut self, owner: u8) -> Option<u64> {
+        Slots::admit(self, owner)
+    }
+
+    fn release(&mut self, id: u64, cancel: bool) {
+        match cancel {
+            true => self.cancel(id),
+            false => self.finish(id),
+        };
+    }
+
+    fn owned_by(&self, owner: u8) -> Vec<u64> {
+        Slots::owned_by(self, &owner)
+    }
+}
+
+/// Counts requests without telling permits apart.
+struct PlainCount(u32, u64);
+
+impl Counter for PlainCount {
+    fn admit(&mut self, _owner: u8) -> Option<u64> {
+        (self.0 < SLOTS).then(|| {
+            self.0 += 1;
+            self.1 += 1;
+            self.1
+        })
+    }
+
+    fn release(&mut self, _id: u64, _cancel: bool) {
+        self.0 = self.0.saturating_sub(1);
+    }
+
+    fn owned_by(&self, _owner: u8) -> Vec<u64> {
+        vec![]
+    }
+}
+
+/// Keeps the slots of canceled requests.
+struct KeepsCanceled(Slots<u8>);
+
+impl Counter for KeepsCanceled {
+    fn admit(&mut self, owner: u8) -> Option<u64> {
+        self.0.admit(owner)
+    }
+
+    fn release(&mut self, id: u64, cancel: bool) {
+        if !cancel {
+            self.0.finish(id);
+        }
+    }
+
+    fn owned_by(&self, owner: u8) -> Vec<u64> {
+        self.0.owned_by(&owner)
+    }
+}
+
+/// Does not find the permits of a crashed ingress.
+struct ForgetsCrashes(Slots<u8>);
+
+impl Counter for ForgetsCrashes {
+    fn admit(&mut self, owner: u8) -> Option<u64> {
+        self.0.admit(owner)
+    }
+
+    fn release(&mut self, id: u64, _cancel: bool) {
+        self.0.finish(id);
+    }
+
+    fn owned_by(&self, _owner: u8) -> Vec<u64> {
+        vec![]
+    }
+}
+
+/// Plays `events` against a backend server that knows what it runs.
+fn play(counter: &mut impl Counter, events: &[Event]) -> Result<(), String> {
+    let mut running: Vec<(u64, u8)> = vec![];
+    for event in events {
+        match *event {
+            Event::Admit { owner } => admit(counter, &mut running, owner)?,
+            Event::Release { position, cancel } if position < running.len() => {
+                let (id, _) = running.remove(position);
+                counter.release(id, cancel);
+            }
+            Event::Release { .. } => {}
+            Event::Late { id, cancel } => {
+                if running.iter().all(|(other, _)| *other != id) {
+                    counter.release(id, cancel);
+                }
+            }
+            Event::Crash { owner } => {
+                for id in counter.owned_by(owner) {
+                    running.retain(|(other, _)| *other != id);
+                    counter.release(id, true);
+                }
+                // The server ends the requests of closed connections, whoever lists them.
+                running.retain(|(_, other)| *other != owner);
+            }
+        }
+    }
+    for (id, _) in running.drain(..) {
+        counter.release(id, false);
+    }
+    for _ in 0..SLOTS {
+        admit(counter, &mut running, 0)?;
+    }
+    Ok(())
+}
+
+fn admit(
+    counter: &mut impl Counter,
+    running: &mut Vec<(u64, u8)>,
+    owner: u8,
+) -> Result<(), String> {
+    let free = running.len() < SLOTS as usize;
+    match counter.admit(owner) {
+        Some(_) if !free => Err("more requests than slots".into()),
+        None if free => Err("a slot is lost".into()),
+        Some(id) => {
+            running.push((id, owner));
+            Ok(())
+        }
+        None => Ok(()),
+    }
+}
+
+fn check<C: Counter>(new: impl Fn() -> C) -> Result<(), String> {
+    let events = proptest::collection::vec(event(), 1..120);
+    let config = Config { failure_persistence: None, ..Config::default() };
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    runner
+        .run(&events, |events| play(&mut new(), &events).map_err(TestCaseError::fail))
+        .map_err(|error| error.to_string())
+}
+
+#[test]
+fn never_more_than_four_and_none_lost() {
+    assert_eq!(check(|| Slots::new(SLOTS)), Ok(()));
+}
+
+#[test]
+fn the_check_catches_broken_counters() {
+    assert!(check(|| PlainCount(0, 0)).is_err());
+    assert!(check(|| KeepsCanceled(Slots::new(SLOTS))).is_err());
+    assert!(check(|| ForgetsCrashes(Slots::new(SLOTS))).is_err());
+}
+
+/// Guards against an underflow when a limit is lowered below the requests that run.
+#[test]
+fn a_lower_limit_lets_running_requests_finish() {
+    let mut slots = Slots::new(2);
+    let ids: Vec<_> = (0..2).filter_map(|_| slots.admit(())).collect();
+    slots.set_limit(1);
+    assert_eq!((slots.free(), slots.admit(())), (0, None));
+    slots.finish(ids[0]);
+    assert_eq!(slots.admit(()), None);
+    slots.finish(ids[1]);
+    assert!(slots.admit(()).is_some());
+}
--- a/crates/fescuemux-core/src/retry/budget.rs
+++ b/crates/fescuemux-core/src/retry/budget.rs
@@ -53,8 +53,9 @@
     /// Counts a request of a caller, not its retries.
     pub fn on_request(&mut self, cx: &mut Cx) {
         self.top_up(cx.now);
-        self.earned_in_window += self.cfg.ratio;
-        self.earn(self.cfg.ratio);
+        // What the full reserve cuts off must not count, or a quiet service that spends its
+        // reserve gets no floor for a window.
+        self.earned_in_window += self.earn(self.cfg.ratio);
     }
 
     /// Decides about a failed attempt and takes from the budget when it is repeated.
@@ -125,14 +126,19 @@
         if passed < FLOOR_WINDOW {
             return;
         }
-        let floor = self.cfg.floor_rate * passed.as_secs_f64();
-        let missing = (floor - self.earned_in_window).max(0.0);
+        // Only the first window held requests, or this call would have come earlier.
+        let in_window = self.cfg.floor_rate * FLOOR_WINDOW.as_secs_f64();
+        let missing = (in_window - self.earned_in_window).max(0.0);
+        let since = self.cfg.floor_rate * (passed - FLOOR_WINDOW).as_secs_f64();
         self.window_start = now;
         self.earned_in_window = 0.0;
-        self.earn(missing);
+        self.earn(missing + since);
     }
 
-    fn earn(&mut self, amount: f64) {
-        self.balance = (self.balance + amount).min(self.cfg.reserve);
+    /// Adds to the balance up to the reserve and returns what was added.
+    fn earn(&mut self, amount: f64) -> f64 {
+        let before = self.balance;
+        self.balance = (before + amount).min(self.cfg.reserve);
+        self.balance - before
     }
 }
--- a/crates/fescuemux-core/src/retry/tests.rs
+++ b/crates/fescuemux-core/src/retry/tests.rs
@@ -1,1 +1,4 @@
+//! Tests of retries and hedging.
 
+mod budget_model;
+mod decisions;
--- /dev/null
+++ b/crates/fescuemux-core/src/retry/tests/decisions.rs
@@ -0,0 +1,133 @@
+//! Retry decisions by verdict, route, body, deadline and number of attempts.
+
+use crate::base::{Cx, Verdict};
+use crate::retry::{
+    Attempt, GiveUpReason, LatencyQuantile, RetryBudget, RetryConfig, RetryDecision,
+};
+use GiveUpReason::{Attempts, BodySpent, Budget, Deadline, MayHaveRun};
+use std::time::{Duration, Instant};
+
+const SAFE: Attempt = Attempt {
+    verdict: Verdict::NotRun,
+    earlier: Verdict::NotRun,
+    idempotent: false,
+    body_replayable: true,
+    remaining_deadline: Duration::from_secs(1),
+    expected_latency: Duration::from_millis(25),
+    attempts: 1,
+    retry_after: None,
+};
+
+struct Case {
+    name: &'static str,
+    attempt: Attempt,
+    give_up: Option<(Verdict, GiveUpReason)>,
+}
+
+const CASES: &[Case] = &[
+    Case { name: "not run", attempt: SAFE, give_up: None },
+    Case {
+        name: "may have run, not idempotent",
+        attempt: Attempt { verdict: Verdict::MayHaveRun, ..SAFE },
+        give_up: Some((Verdict::MayHaveRun, MayHaveRun)),
+    },
+    Case {
+        name: "an earlier attempt may have run, not idempotent",
+        attempt: Attempt { earlier: Verdict::MayHaveRun, attempts: 2, ..SAFE },
+        give_up: Some((Verdict::MayHaveRun, MayHaveRun)),
+    },
+    Case {
+        name: "ran, not idempotent",
+        attempt: Attempt { verdict: Verdict::Ran, ..SAFE },
+        give_up: Some((Verdict::Ran, MayHaveRun)),
+    },
+    Case {
+        name: "may have run, idempotent",
+        attempt: Attempt { verdict: Verdict::MayHaveRun, idempotent: true, ..SAFE },
+        give_up: None,
+    },
+    Case {
+        name: "body spent",
+        attempt: Attempt { body_replayable: false, ..SAFE },
+        give_up: Some((Verdict::NotRun, BodySpent)),
+    },
+    Case {
+        name: "deadline too close",
+        attempt: Attempt { remaining_deadline: Duration::from_millis(20), ..SAFE },
+        give_up: Some((Verdict::NotRun, Deadline)),
+    },
+    Case {
+        name: "the guard asks for a wait beyond the deadline",
+        attempt: Attempt { retry_after: Some(Duration::from_secs(1)), ..SAFE },
+        give_up: Some((Verdict::NotRun, Deadline)),
+    },
+    Case {
+        name: "attempts used up",
+        attempt: Attempt { attempts: 3, idempotent: true, earlier: Verdict::MayHaveRun, ..SAFE },
+        give_up: Some((Verdict::MayHaveRun, Attempts)),
+    },
+];
+
+fn full_budget(cx: &Cx) -> RetryBudget {
+    RetryBudget::new(RetryConfig { reserve: 100.0, ..RetryConfig::default() }, cx.now)
+}
+
+#[test]
+fn decides_by_attempt() {
+    for case in CASES {
+        let mut cx = Cx::new(Instant::now(), 1);
+        let decision = full_budget(&cx).decide(&mut cx, &case.attempt);
+        let give_up = match decision {
+            RetryDecision::Retry { .. } => None,
+            RetryDecision::GiveUp { verdict, reason } => Some((verdict, reason)),
+        };
+        assert_eq!(give_up, case.give_up, "{}", case.name);
+    }
+}
+
+/// Guards against a refusal on other grounds that still costs the budget a retry.
+#[test]
+fn only_retries_and_hedges_cost_budget() {
+    let mut cx = Cx::new(Instant::now(), 1);
+    let mut budget = full_budget(&cx);
+    for case in CASES {
+        let before = budget.balance();
+        budget.decide(&mut cx, &case.attempt);
+        let cost = before - budget.balance();
+        assert_eq!(cost > 0.5, case.give_up.is_none(), "{}", case.name);
+    }
+}
+
+#[test]
+fn an_empty_budget_gives_up() {
+    let mut cx = Cx::new(Instant::now(), 1);
+    let mut budget =
+        RetryBudget::new(RetryConfig { reserve: 0.0, ..RetryConfig::default() }, cx.now);
+    let expected = RetryDecision::GiveUp { verdict: Verdict::NotRun, reason: Budget };
+    assert_eq!(budget.decide(&mut cx, &SAFE), expected);
+}
+
+#[test]
+fn hedges_only_idempotent_requests() {
+    for idempotent in [true, false] {
+        let mut cx = Cx::new(Instant::now(), 1);
+        let attempt = Attempt { verdict: Verdict::MayHaveRun, idempotent, ..SAFE };
+        assert_eq!(full_budget(&cx).try_hedge(&mut cx, &attempt), idempotent);
+    }
+}
+
+/// Guards against a quantile that is off by more than its bucket width, and against one that
+/// never forgets a slow period.
+#[test]
+fn quantile_of_recent_latencies() {
+    let mut latencies = LatencyQuantile::default();
+    assert_eq!(latencies.get(0.95), None);
+    for _ in 0..2_000 {
+        latencies.record(Duration::from_secs(1));
+    }
+    for _ in 0..200 {
+        (1..=100).for_each(|ms| latencies.record(Duration::from_millis(ms)));
+    }
+    let p95 = latencies.get(0.95).expect("enough latencies").as_secs_f64();
+    assert!((0.095..0.095 * 1.1).contains(&p95), "{p95}");
+}
--- a/crates/fescuemux-core/src/route/choose.rs
+++ b/crates/fescuemux-core/src/route/choose.rs
@@ -3,7 +3,7 @@
 use crate::base::Cx;
 use crate::route::entry::{Entry, Index, Tier};
 use crate::route::service::ServiceTable;
-use crate::route::{BreakerState, Choice, RequestKind, RouteQuery, Router};
+use crate::route::{BreakerState, Choice, EndpointHealth, RequestKind, RouteQuery, Router};
 use rand::Rng;
 
 /// Candidates compared in each tier.
@@ -32,10 +32,10 @@
             if let Some(entry) = self.entries[index as usize].as_mut() {
                 entry.trial_until = Some(until);
             }
-            return self.choice(index, RequestKind::Trial, false);
+            return self.choice(index, false);
         }
         if let Some(index) = self.path_trial(cx, service, query) {
-            return self.choice(index, RequestKind::Normal, true);
+            return self.choice(index, true);
         }
         self.normal(cx, service, query)
     }
@@ -50,7 +50,7 @@
                 continue;
             };
             if found.load <= self.cfg.room {
-                return self.choice(found.index, RequestKind::Normal, false);
+                return self.choice(found.index, false);
             }
             if best.is_none_or(|b| found.load < b.load) {
                 best = Some(found);
@@ -60,16 +60,19 @@
         if let Some(found) = self.best_of(cx, table, query, table.steered.len(), at)
             && best.is_none_or(|_| found.load <= self.cfg.room)
         {
-            return self.choice(found.index, RequestKind::LastResort, false);
+            return self.choice(found.index, false);
         }
         if let Some(found) = best {
-            return self.choice(found.index, RequestKind::Normal, false);
+            return self.choice(found.index, false);
         }
         // Every path looks broken, which is more likely a fault on this side: spread the load.
-        let blocked = if table.blocked.is_empty() { &table.half_open } else { &table.blocked };
-        let at = |position: usize| blocked.get(position).copied();
-        let found = self.best_of(cx, table, query, blocked.len(), at)?;
-        self.choice(found.index, RequestKind::Normal, false)
+        for list in [&table.blocked, &table.half_open] {
+            let at = |position: usize| list.get(position).copied();
+            if let Some(found) = self.best_of(cx, table, query, list.len(), at) {
+                return self.choice(found.index, false);
+            }
+        }
+        None
     }
 
     /// Samples [`CHOICES`] of `count` servers and returns the one with the lowest load.
@@ -113,7 +116,7 @@
         last
     }
 
-    /// Draws a random server that is not excluded.
+    /// Draws a random server that is neither excluded nor in probation.
     fn draw(
         &self,
         cx: &mut Cx,
@@ -128,7 +131,8 @@
         for step in 0..count.min(MAX_STEPS) {
             let index = at((start + step) % count)?;
             let entry = self.entries[index as usize].as_ref()?;
-            if !excluded(query, entry) {
+            let probation = entry.health == EndpointHealth::Probation;
+            if !probation && !excluded(query, entry) {
                 return Some((index, entry));
             }
         }
@@ -183,10 +187,15 @@
         Some(index)
     }
 
-    fn choice(&self, index: Index, kind: RequestKind, path_trial: bool) -> Option<Choice> {
-        let endpoint = &self.entries[index as usize].as_ref()?.endpoint;
-        let server = endpoint.server.clone();
-        Some(Choice { server, instance: endpoint.instance.clone(), kind, path_trial })
+    fn choice(&self, index: Index, path_trial: bool) -> Option<Choice> {
+        let entry = self.entries[index as usize].as_ref()?;
+        let kind = match entry.health {
+            EndpointHealth::Steered => RequestKind::LastResort,
+            EndpointHealth::Probation => RequestKind::Trial,
+            EndpointHealth::Serving | EndpointHealth::Ejected => RequestKind::Normal,
+        };
+        let server = entry.endpoint.server.clone();
+        Some(Choice { server, instance: entry.endpoint.instance.clone(), kind, path_trial })
     }
 }
 
--- /dev/null
+++ b/crates/fescuemux-core/src/route/tests/breaker.rs
@@ -0,0 +1,132 @@
+//! Path failures are charged to the path, and a path returns through a single trial.
+
+use super::support::{answered, choose, cx, endpoint, router, share};
+use crate::base::Cx;
+use crate::route::{BreakerState, EndpointHealth, Router};
+use std::time::Duration;
+
+fn fail(router: &mut Router, cx: &mut Cx, server: &str, n: usize) {
+    for _ in 0..n {
+        router.on_path_failure(cx, &format!("i-{server}").into(), &server.into());
+    }
+}
+
+/// Guards against a path fault that ejects or steers a healthy server.
+#[test]
+fn an_open_path_gets_nothing_and_leaves_health_alone() {
+    let (mut cx, mut router) = (cx(), router());
+    router.upsert(&mut cx, endpoint("a", "d1"));
+    router.upsert(&mut cx, endpoint("b", "d1"));
+    fail(&mut router, &mut cx, "a", 3);
+    assert_eq!(share(&mut router, &mut cx, 100, "a"), 0.0);
+    assert_eq!(router.health(&"a".into()), Some(EndpointHealth::Serving));
+}
+
+/// Guards against a breaker that opens at single lost packets among many answers.
+#[test]
+fn rare_failures_do_not_open_the_path() {
+    let (mut cx, mut router) = (cx(), router());
+    router.upsert(&mut cx, endpoint("a", "d1"));
+    for _ in 0..50 {
+        fail(&mut router, &mut cx, "a", 1);
+        router.on_answer(&mut cx, &"a".into(), answered(0, 0));
+        router.on_answer(&mut cx, &"a".into(), answered(0, 0));
+    }
+    assert_eq!(router.path_state(&"i-a".into()), Some(BreakerState::Closed));
+}
+
+struct TrialCase {
+    name: &'static str,
+    idempotent: bool,
+    wait: Duration,
+    trial: bool,
+}
+
+const TRIAL_CASES: &[TrialCase] = &[
+    TrialCase {
+        name: "still open",
+        idempotent: true,
+        wait: Duration::from_millis(500),
+        trial: false,
+    },
+    TrialCase {
+        name: "half-open, idempotent",
+        idempotent: true,
+        wait: Duration::from_secs(2),
+        trial: true,
+    },
+    TrialCase {
+        name: "half-open, not idempotent",
+        idempotent: false,
+        wait: Duration::from_secs(2),
+        trial: false,
+    },
+    TrialCase {
+        name: "half-open for long, not idempotent",
+        idempotent: false,
+        wait: Duration::from_secs(20),
+        trial: true,
+    },
+];
+
+#[test]
+fn a_half_open_path_gets_one_trial() {
+    for case in TRIAL_CASES {
+        let (mut cx, mut router) = (cx(), router());
+        router.upsert(&mut cx, endpoint("a", "d1"));
+        router.upsert(&mut cx, endpoint("b", "d1"));
+        fail(&mut router, &mut cx, "a", 3);
+        cx.now += Duration::from_millis(1_500).min(case.wait);
+        choose(&mut router, &mut cx, false);
+        cx.now += case.wait.saturating_sub(Duration::from_millis(1_500));
+        let trials = (0..50).filter_map(|_| choose(&mut router, &mut cx, case.idempotent));
+        let trials = trials.filter(|c| c.path_trial && c.server == "a").count();
+        assert_eq!(trials, usize::from(case.trial), "{}", case.name);
+    }
+}
+
+/// Guards against a path that stays out after it was repaired, and against one that returns
+/// although its trial failed.
+#[test]
+fn the_trial_decides() {
+    for repaired in [true, false] {
+        let (mut cx, mut router) = (cx(), router());
+        router.upsert(&mut cx, endpoint("a", "d1"));
+        router.upsert(&mut cx, endpoint("b", "d1"));
+        fail(&mut router, &mut cx, "a", 3);
+        cx.now += Duration::from_secs(2);
+        let trial = choose(&mut router, &mut cx, true).expect("a trial");
+        router.on_sent(&mut cx, &trial);
+        match repaired {
+            true => router.on_answer(&mut cx, &"a".into(), answered(0, 0)),
+            false => fail(&mut router, &mut cx, "a", 1),
+        }
+        assert_eq!(share(&mut router, &mut cx, 200, "a") > 0.3, repaired);
+    }
+}
+
+/// Guards against a trial whose caller left and that would block the path for ever.
+#[test]
+fn a_lost_trial_is_repeated() {
+    let (mut cx, mut router) = (cx(), router());
+    router.upsert(&mut cx, endpoint("a", "d1"));
+    router.upsert(&mut cx, endpoint("b", "d1"));
+    fail(&mut router, &mut cx, "a", 3);
+    cx.now += Duration::from_secs(2);
+    assert!(choose(&mut router, &mut cx, true).expect("a trial").path_trial);
+    cx.now += Duration::from_secs(31);
+    assert!(choose(&mut router, &mut cx, true).expect("a second trial").path_trial);
+}
+
+/// Guards against an ingress that refuses all work because its own link was broken.
+#[test]
+fn when_all_paths_are_open_load_is_spread() {
+    let (mut cx, mut router) = (cx(), router());
+    for server in ["a", "b", "c"] {
+        router.upsert(&mut cx, endpoint(server, "d1"));
+        fail(&mut router, &mut cx, server, 3);
+    }
+    for server in ["a", "b", "c"] {
+        assert!(share(&mut router, &mut cx, 300, server) > 0.2, "{server}");
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-core/src/route/tests/model.rs
@@ -0,0 +1,152 @@
+//! Compares the cached lists with a plain scan over random sequences of events.
+
+use super::support::{answered, cx, endpoint, router};
+use crate::base::{Cx, HashMap, Phase, ServerId, ServiceId};
+use crate::route::{Choice, EndpointHealth, RequestKind, RouteQuery, Router};
+use proptest::prelude::{Strategy, TestCaseError, any, prop_oneof};
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use std::time::Duration;
+
+#[derive(Clone, Debug)]
+enum Event {
+    Upsert { server: u8, phase: u8, health: u8, domain: u8 },
+    Remove { server: u8 },
+    Fail { server: u8 },
+    Answer { server: u8, busy: u32 },
+    Choose { idempotent: bool, exclude: Option<u8> },
+    Wait { ms: u64 },
+}
+
+const PHASES: [Phase; 3] = [Phase::Cold, Phase::Ready, Phase::Draining];
+const HEALTHS: [EndpointHealth; 4] = [
+    EndpointHealth::Serving,
+    EndpointHealth::Steered,
+    EndpointHealth::Ejected,
+    EndpointHealth::Probation,
+];
+const DOMAINS: [&str; 3] = ["d1", "d2", "x1"];
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        3 => (0..6u8, 0..3u8, 0..4u8, 0..3u8).prop_map(|(server, phase, health, domain)| {
+            Event::Upsert { server, phase, health, domain }
+        }),
+        1 => (0..6u8).prop_map(|server| Event::Remove { server }),
+        3 => (0..6u8).prop_map(|server| Event::Fail { server }),
+        2 => (0..6u8, 0..9u32).prop_map(|(server, busy)| Event::Answer { server, busy }),
+        6 => (any::<bool>(), proptest::option::of(0..6u8))
+            .prop_map(|(idempotent, exclude)| Event::Choose { idempotent, exclude }),
+        1 => (0..5_000u64).prop_map(|ms| Event::Wait { ms }),
+    ]
+}
+
+/// Known servers with phase and health, kept without any index.
+#[derive(Default)]
+struct Model {
+    servers: HashMap<ServerId, (Phase, EndpointHealth)>,
+    incarnation: u64,
+    /// Makes the router a broken one that is not told of draining.
+    lose_drains: bool,
+}
+
+impl Model {
+    fn allows(&self, choice: &Choice) -> bool {
+        let Some((phase, health)) = self.servers.get(&choice.server) else {
+            return false;
+        };
+        if *phase == Phase::Draining {
+            return false;
+        }
+        match health {
+            EndpointHealth::Serving => choice.kind == RequestKind::Normal,
+            EndpointHealth::Steered => choice.kind == RequestKind::LastResort,
+            EndpointHealth::Probation => choice.kind == RequestKind::Trial,
+            EndpointHealth::Ejected => false,
+        }
+    }
+
+    /// Returns true when some server may take an ordinary request, whatever its path.
+    fn has_server(&self, exclude: &[ServerId]) -> bool {
+        self.servers.iter().any(|(server, (phase, health))| {
+            let takes = matches!(health, EndpointHealth::Serving | EndpointHealth::Steered);
+            takes && *phase != Phase::Draining && !exclude.contains(server)
+        })
+    }
+}
+
+fn run(lose_drains: bool, events: &[Event]) -> Result<(), String> {
+    let (mut cx, mut router) = (cx(), router());
+    let mut model = Model { lose_drains, ..Model::default() };
+    for event in events {
+        step(&mut router, &mut cx, &mut model, event)?;
+    }
+    Ok(())
+}
+
+fn step(router: &mut Router, cx: &mut Cx, model: &mut Model, event: &Event) -> Result<(), String> {
+    let name = |server: u8| ServerId::from(format!("s{server}"));
+    match *event {
+        Event::Upsert { server, phase, health, domain } => {
+            let mut record = endpoint(&name(server), DOMAINS[domain as usize]);
+            record.phase = PHASES[phase as usize];
+            record.health = HEALTHS[health as usize];
+            // Each record is new, so that its health always counts.
+            model.incarnation += 1;
+            record.incarnation = model.incarnation;
+            model.servers.insert(name(server), (record.phase, record.health));
+            if !(model.lose_drains && record.phase == Phase::Draining) {
+                router.upsert(cx, record);
+            }
+        }
+        Event::Remove { server } => {
+            model.servers.remove(&name(server));
+            router.remove(&name(server));
+        }
+        Event::Fail { server } => {
+            let instance = format!("i-s{server}").into();
+            router.on_path_failure(cx, &instance, &name(server));
+        }
+        Event::Answer { server, busy } => router.on_answer(cx, &name(server), answered(busy, 0)),
+        Event::Wait { ms } => cx.now += Duration::from_millis(ms),
+        Event::Choose { idempotent, exclude } => {
+            let service: ServiceId = "s".into();
+            let exclude: Vec<ServerId> = exclude.map(name).into_iter().collect();
+            let query = RouteQuery { exclude: &exclude, ..RouteQuery::first(&service, idempotent) };
+            let choice = router.choose(cx, &query);
+            judge(model, &exclude, choice)?;
+        }
+    }
+    Ok(())
+}
+
+fn judge(model: &Model, exclude: &[ServerId], choice: Option<Choice>) -> Result<(), String> {
+    match choice {
+        Some(choice) if exclude.contains(&choice.server) => Err(format!("excluded: {choice:?}")),
+        Some(choice) if !model.allows(&choice) => Err(format!("not allowed: {choice:?}")),
+        None if model.has_server(exclude) => Err("no choice although a server may take it".into()),
+        _ => Ok(()),
+    }
+}
+
+fn check(lose_drains: bool) -> bool {
+    let events = proptest::collection::vec(event(), 1..200);
+    let config = Config { failure_persistence: None, ..Config::default() };
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let result =
+        runner.run(&events, |events| run(lose_drains, &events).map_err(TestCaseError::fail));
+    if !lose_drains && let Err(error) = &result {
+        panic!("{error}");
+    }
+    result.is_ok()
+}
+
+#[test]
+fn lists_agree_with_a_scan() {
+    assert!(check(false));
+}
+
+#[test]
+fn the_check_catches_a_router_that_misses_draining() {
+    assert!(!check(true));
+}
--- /dev/null
+++ b/crates/fescuemux-core/src/route/tests/slow_start.rs
@@ -0,0 +1,55 @@
+//! Cold and returned servers take a growing share.
+
+use super::support::{cx, endpoint, router, share};
+use crate::base::{Cx, Phase};
+use crate::route::{EndpointHealth, Router};
+use std::time::Duration;
+
+struct Case {
+    name: &'static str,
+    prepare: fn(&mut Router, &mut Cx),
+    age: Duration,
+    /// Bounds of the share of two equal servers that the one named `a` gets.
+    share: (f64, f64),
+}
+
+fn cold(router: &mut Router, cx: &mut Cx) {
+    router.upsert(cx, crate::route::Endpoint { phase: Phase::Cold, ..endpoint("a", "d1") });
+}
+
+fn returned(router: &mut Router, cx: &mut Cx) {
+    for health in [EndpointHealth::Probation, EndpointHealth::Serving] {
+        router.upsert(cx, crate::route::Endpoint { health, ..endpoint("a", "d1") });
+    }
+}
+
+fn warm(router: &mut Router, cx: &mut Cx) {
+    router.upsert(cx, endpoint("a", "d1"));
+}
+
+const CASES: &[Case] = &[
+    Case { name: "cold", prepare: cold, age: Duration::ZERO, share: (0.0, 0.2) },
+    Case { name: "cold, half way", prepare: cold, age: Duration::from_secs(5), share: (0.2, 0.45) },
+    Case { name: "cold, done", prepare: cold, age: Duration::from_secs(10), share: (0.45, 0.55) },
+    Case { name: "returned", prepare: returned, age: Duration::ZERO, share: (0.0, 0.2) },
+    Case {
+        name: "returned, done",
+        prepare: returned,
+        age: Duration::from_secs(10),
+        share: (0.45, 0.55),
+    },
+    Case { name: "ready at once", prepare: warm, age: Duration::ZERO, share: (0.45, 0.55) },
+];
+
+#[test]
+fn share_grows_with_age() {
+    for case in CASES {
+        let (mut cx, mut router) = (cx(), router());
+        router.upsert(&mut cx, endpoint("b", "d1"));
+        (case.prepare)(&mut router, &mut cx);
+        cx.now += case.age;
+        let share = share(&mut router, &mut cx, 4_000, "a");
+        let (low, high) = case.share;
+        assert!(low <= share && share <= high, "{}: {share}", case.name);
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-core/src/route/tests/updates.rs
@@ -0,0 +1,81 @@
+//! Records of membership and reports on answers that arrive late, twice or out of order.
+
+use super::support::{answered, cx, endpoint, router, share};
+use crate::base::Cx;
+use crate::route::{Answered, Endpoint, EndpointHealth, Router};
+use EndpointHealth::{Ejected, Serving, Steered};
+
+struct Case {
+    name: &'static str,
+    steps: &'static [Step],
+    expected: EndpointHealth,
+}
+
+enum Step {
+    /// A membership record of this incarnation and health.
+    Record(u64, EndpointHealth),
+    /// A report on an answer.
+    Report(EndpointHealth),
+}
+use Step::{Record, Report};
+
+const CASES: &[Case] = &[
+    Case { name: "report", steps: &[Record(1, Serving), Report(Steered)], expected: Steered },
+    Case {
+        name: "a repeated record does not undo a report",
+        steps: &[Record(1, Serving), Report(Steered), Record(1, Serving)],
+        expected: Steered,
+    },
+    Case {
+        name: "a changed record overrides a report",
+        steps: &[Record(1, Serving), Report(Steered), Record(1, Ejected)],
+        expected: Ejected,
+    },
+    Case {
+        name: "a record of an earlier incarnation is ignored",
+        steps: &[Record(2, Ejected), Record(1, Serving)],
+        expected: Ejected,
+    },
+    Case {
+        name: "a record of a later incarnation overrides a report",
+        steps: &[Record(1, Serving), Report(Ejected), Record(2, Serving)],
+        expected: Serving,
+    },
+];
+
+#[test]
+fn the_freshest_health_counts() {
+    for case in CASES {
+        let (mut cx, mut router) = (cx(), router());
+        for step in case.steps {
+            apply(&mut router, &mut cx, step);
+        }
+        assert_eq!(router.health(&"a".into()), Some(case.expected), "{}", case.name);
+    }
+}
+
+fn apply(router: &mut Router, cx: &mut Cx, step: &Step) {
+    match step {
+        Record(incarnation, health) => {
+            let (incarnation, health) = (*incarnation, *health);
+            router.upsert(cx, Endpoint { incarnation, health, ..endpoint("a", "d1") });
+        }
+        Report(health) => {
+            let answer = Answered { health: Some(*health), ..answered(0, 0) };
+            router.on_answer(cx, &"a".into(), answer);
+        }
+    }
+}
+
+/// Guards against a server that is listed under its old place after it moved.
+#[test]
+fn a_moved_server_is_listed_once() {
+    let (mut cx, mut router) = (cx(), router());
+    router.upsert(&mut cx, endpoint("a", "d1"));
+    router.upsert(&mut cx, endpoint("b", "d1"));
+    router.upsert(&mut cx, endpoint("a", "x1"));
+    assert_eq!(router.len(), 2);
+    assert_eq!(share(&mut router, &mut cx, 100, "a"), 0.0);
+    router.remove(&"b".into());
+    assert_eq!(share(&mut router, &mut cx, 100, "a"), 1.0);
+}
