--- a/crates/fescuemux-daemon/src/guard/forward.rs
+++ b/crates/fescuemux-daemon/src/guard/forward.rs
@@ -119,6 +119,7 @@
         let outcome = outcome_of(parts.status);
         let limits = PumpLimits { idle: self.limits.idle_timeout, bytes: self.limits.body_bytes };
         let server = work.server();
+        let service_time = Some(work.elapsed());
         let body = if is_replayable(&body.size_hint(), self.limits.replay_bytes) {
             let collected = timeout_at(deadline.into(), collect(body, limits)).await;
             let latency = work.elapsed();
@@ -141,7 +142,12 @@
         };
         strip(&mut parts.headers);
         let (load, health) = server.report();
-        let hop = HopAnswer { verdict: Verdict::Ran, load: Some(load), health: Some(health) };
+        let hop = HopAnswer {
+            verdict: Verdict::Ran,
+            load: Some(load),
+            health: Some(health),
+            service_time,
+        };
         hop.write(&mut parts.headers);
         Ok((Response::from_parts(parts, body), Verdict::Ran))
     }
--- a/crates/fescuemux-daemon/src/guard/refused.rs
+++ b/crates/fescuemux-daemon/src/guard/refused.rs
@@ -16,7 +16,7 @@
 
 impl Refused {
     fn new(status: StatusCode, verdict: Verdict, reason: impl Into<String>) -> Refused {
-        let answer = HopAnswer { verdict, load: None, health: None };
+        let answer = HopAnswer { verdict, load: None, health: None, service_time: None };
         Refused { status, reason: reason.into(), answer }
     }
 
--- a/crates/fescuemux-daemon/src/http.rs
+++ b/crates/fescuemux-daemon/src/http.rs
@@ -14,7 +14,7 @@
 #[cfg(test)]
 mod tests;
 
-pub(crate) use body::{BodyError, OutBody, empty, full, gated, is_replayable};
+pub(crate) use body::{BodyError, HeldBody, OutBody, empty, full, gated, is_replayable};
 pub(crate) use limits::HttpLimits;
 pub(crate) use pool::{Answer, AnswerBody, Freshness, Pool, SendError};
 pub(crate) use pump::{PumpLimits, RelayedBody, collect, relay};
--- a/crates/fescuemux-daemon/src/http/body.rs
+++ b/crates/fescuemux-daemon/src/http/body.rs
@@ -6,7 +6,8 @@
 use http_body_util::{BodyExt, Empty, Full};
 use hyper::body::{Body, Frame, SizeHint};
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll, ready};
 use thiserror::Error;
 use tokio::sync::oneshot;
 
@@ -42,15 +43,38 @@
     size.upper().is_some_and(|upper| upper <= replay_bytes)
 }
 
-/// Returns a body that yields nothing until `open` fires, so that no byte of the source is taken
-/// before the receiver has agreed to take the body.
-pub(crate) fn gated(source: RelayedBody, open: oneshot::Receiver<()>) -> OutBody {
-    GatedBody { open: Some(open), source }.boxed()
+/// Source of a body that is taken only once its receiver has agreed to take it.
+pub(crate) type HeldBody = Arc<Mutex<Option<RelayedBody>>>;
+
+/// Returns a body that takes `held` once `open` fires. Until then no byte is taken from the
+/// caller, so the request can still be sent to another receiver.
+pub(crate) fn gated(held: &HeldBody, open: oneshot::Receiver<()>) -> OutBody {
+    let size = lock(held).as_ref().map(Body::size_hint).unwrap_or_default();
+    GatedBody { state: GateState::Closed(open, Arc::clone(held)), size }.boxed()
 }
 
 struct GatedBody {
-    open: Option<oneshot::Receiver<()>>,
-    source: RelayedBody,
+    state: GateState,
+    size: SizeHint,
+}
+
+enum GateState {
+    Closed(oneshot::Receiver<()>, HeldBody),
+    Open(RelayedBody),
+}
+
+impl GatedBody {
+    fn poll_open(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), BodyError>> {
+        let GateState::Closed(open, held) = &mut self.state else {
+            return Poll::Ready(Ok(()));
+        };
+        // A dropped sender means that the final answer came without an invitation.
+        let uninvited = || BodyError::Source("the receiver did not ask for the body".to_owned());
+        ready!(Pin::new(open).poll(cx)).map_err(|_| uninvited())?;
+        let source = lock(held).take().ok_or_else(uninvited)?;
+        self.state = GateState::Open(source);
+        Poll::Ready(Ok(()))
+    }
 }
 
 impl Body for GatedBody {
@@ -61,20 +85,20 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        if let Some(open) = &mut self.open {
-            match Pin::new(open).poll(cx) {
-                Poll::Pending => return Poll::Pending,
-                // A dropped sender means that the final answer came without an invitation.
-                Poll::Ready(Err(_)) => {
-                    return Poll::Ready(Some(Err(BodyError::Source("not invited".to_owned()))));
-                }
-                Poll::Ready(Ok(())) => self.open = None,
-            }
+        if let Err(e) = ready!(self.poll_open(cx)) {
+            return Poll::Ready(Some(Err(e)));
+        }
+        match &mut self.state {
+            GateState::Open(source) => Pin::new(source).poll_frame(cx),
+            GateState::Closed(..) => Poll::Pending,
         }
-        Pin::new(&mut self.source).poll_frame(cx)
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.source.size_hint()
+        self.size
     }
 }
+
+fn lock(held: &HeldBody) -> MutexGuard<'_, Option<RelayedBody>> {
+    held.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/fescuemux-daemon/src/ingress.rs
@@ -0,0 +1,201 @@
+//! The ingress: takes callers' requests, admits and routes them, and is the only part that
+//! retries.
+//!
+//! Must not know slots, detection or how members find each other.
+
+mod attempt;
+mod caller_body;
+mod directory;
+mod effective;
+mod failure;
+mod incoming;
+mod keyed;
+mod sent;
+mod service_parts;
+
+pub(crate) use directory::{Directory, Peer};
+pub(crate) use effective::Effective;
+pub(crate) use failure::Failure;
+
+use self::caller_body::CallerBody;
+use self::incoming::IncomingRequest;
+use self::service_parts::ServiceParts;
+use crate::decisions::Decisions;
+use crate::homes::Homes;
+use crate::http::{HttpLimits, OutBody, Pool};
+use crate::metrics::Metrics;
+use crate::stop::{StopPhase, StopSignal};
+use fescuemux_core::admit::{CallerDecision, CallerLimit, CallerLimits, CallerLimitsConfig};
+use fescuemux_core::base::{CallerId, Clock, HashMap, RequestId, ServiceId, Verdict};
+use fescuemux_core::route::{Router, RouterConfig};
+use fescuemux_wire::auth::KeyRing;
+use fescuemux_wire::headers;
+use http::{HeaderValue, Request, Response};
+use hyper::body::Incoming;
+use rand::Rng;
+use std::sync::{Arc, PoisonError, RwLock};
+use std::time::{Duration, Instant};
+use tokio::sync::Semaphore;
+
+/// Name in the configuration of the limit that callers without a limit of their own share.
+const OTHER_CALLERS: &str = "*";
+/// Limit of callers when the configuration names none: no limit.
+const UNLIMITED: CallerLimit = CallerLimit { rate: 1e9, burst: 1e9 };
+
+/// What the ingress needs from the daemon around it.
+#[derive(Clone, Debug)]
+pub(crate) struct IngressContext {
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) keys: KeyRing,
+    pub(crate) limits: HttpLimits,
+    /// Most caller requests under way.
+    pub(crate) in_flight: usize,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) stop: StopSignal,
+    pub(crate) seed: u64,
+}
+
+/// The ingress of one instance.
+#[derive(Debug)]
+pub(crate) struct Ingress {
+    cx: IngressContext,
+    pool: Arc<Pool>,
+    homes: Arc<Homes>,
+    pub(crate) directory: Directory,
+    pub(crate) router: Decisions<Router>,
+    callers: Decisions<CallerLimits>,
+    ids: Decisions<()>,
+    services: RwLock<HashMap<ServiceId, Arc<ServiceParts>>>,
+    effective: RwLock<Option<Arc<Effective>>>,
+    under_way: Arc<Semaphore>,
+}
+
+impl Ingress {
+    pub(crate) fn new(
+        cx: IngressContext,
+        router: RouterConfig,
+        pool: Arc<Pool>,
+        homes: Arc<Homes>,
+    ) -> Arc<Ingress> {
+        let clock = || Arc::clone(&cx.clock);
+        let limits = CallerLimitsConfig { unknown: UNLIMITED, ..CallerLimitsConfig::default() };
+        let callers = CallerLimits::new(limits, cx.clock.now());
+        Arc::new(Ingress {
+            router: Decisions::new(clock(), cx.seed, Router::new(router)),
+            callers: Decisions::new(clock(), cx.seed.wrapping_add(1), callers),
+            ids: Decisions::new(clock(), cx.seed.wrapping_add(2), ()),
+            under_way: Arc::new(Semaphore::new(cx.in_flight)),
+            directory: Directory::default(),
+            services: RwLock::default(),
+            effective: RwLock::default(),
+            pool,
+            homes,
+            cx,
+        })
+    }
+
+    /// Answers a caller's request.
+    pub(crate) async fn handle(self: Arc<Ingress>, req: Request<Incoming>) -> Response<OutBody> {
+        let started = Instant::now();
+        let id: RequestId = self.ids.with(|cx, ()| cx.rng.random());
+        self.cx.metrics.in_flight.inc();
+        let _under_way = CountDown(&self.cx.metrics);
+        let mut service = ServiceId::default();
+        let mut answer = match self.serve(id, req, &mut service).await {
+            Ok(answer) => answer,
+            Err(failure) => failure.into_answer(),
+        };
+        let map = answer.headers_mut();
+        if let Ok(value) = HeaderValue::try_from(format!("{id:032x}")) {
+            map.insert(headers::REQUEST_ID, value);
+        }
+        let verdict = map.get(headers::VERDICT).and_then(|value| value.to_str().ok());
+        let verdict = verdict.and_then(Verdict::parse).unwrap_or(Verdict::MayHaveRun);
+        let seconds = started.elapsed().as_secs_f64();
+        self.cx.metrics.answered(&service, answer.status().as_u16(), verdict, seconds);
+        answer
+    }
+
+    async fn serve(
+        &self,
+        id: RequestId,
+        req: Request<Incoming>,
+        service: &mut ServiceId,
+    ) -> Result<Response<OutBody>, Failure> {
+        if self.cx.stop.phase() >= StopPhase::Closing {
+            return Err(Failure::unavailable("this instance is stopping"));
+        }
+        let permit = self.under_way.try_acquire();
+        let _permit = permit.map_err(|_| Failure::unavailable("too many requests under way"))?;
+        let effective = self.effective();
+        let effective =
+            effective.ok_or_else(|| Failure::unavailable("no configuration is in force yet"))?;
+        let (parts, body) = req.into_parts();
+        let req = IncomingRequest::new(id, parts, &effective, self.cx.clock.now())?;
+        service.clone_from(&req.service.id);
+        self.admit_caller(&req.caller)?;
+        let mut body = CallerBody::take(body, &self.cx.limits, req.deadline).await?;
+        self.run_once(&req, &mut body).await
+    }
+
+    fn admit_caller(&self, caller: &CallerId) -> Result<(), Failure> {
+        match self.callers.with(|cx, callers| callers.admit(cx, caller)) {
+            CallerDecision::Admitted => Ok(()),
+            CallerDecision::Limited { retry_after } => Err(Failure::limited(retry_after)),
+        }
+    }
+
+    /// Puts a generation of the configuration in force.
+    pub(crate) fn set_effective(&self, effective: Arc<Effective>) {
+        self.callers.with(|cx, callers| {
+            let known = self.effective();
+            let before = known.iter().flat_map(|known| known.config.callers.keys());
+            for gone in before.filter(|caller| !effective.config.callers.contains_key(*caller)) {
+                callers.remove(gone);
+            }
+            for limit in effective.config.callers.values() {
+                let rate = f64::from(limit.rate_per_s);
+                let limit_of = CallerLimit { rate, burst: f64::from(limit.burst) };
+                if !callers.set(cx, &limit.caller, limit_of) {
+                    tracing::warn!(caller = %limit.caller, "the table of callers is full");
+                }
+            }
+        });
+        *self.effective.write().unwrap_or_else(PoisonError::into_inner) = Some(effective);
+    }
+
+    pub(crate) fn effective(&self) -> Option<Arc<Effective>> {
+        self.effective.read().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    fn parts(&self, service: &fescuemux_core::config::Service) -> Arc<ServiceParts> {
+        let known = self.services.read().unwrap_or_else(PoisonError::into_inner);
+        if let Some(parts) = known.get(&service.id).filter(|parts| parts.fits(service)) {
+            return Arc::clone(parts);
+        }
+        drop(known);
+        let parts = Arc::new(ServiceParts::new(Arc::clone(&self.cx.clock), self.cx.seed, service));
+        let mut known = self.services.write().unwrap_or_else(PoisonError::into_inner);
+        known.insert(service.id.clone(), Arc::clone(&parts));
+        parts
+    }
+
+    /// Returns the name of the limit that applies to a caller.
+    fn caller_or_other(effective: &Effective, caller: CallerId) -> CallerId {
+        if effective.config.callers.contains_key(&caller) { caller } else { OTHER_CALLERS.into() }
+    }
+
+    /// Returns the retry budget and baseline of each service for a dump.
+    pub(crate) fn service_summaries(&self) -> Vec<(ServiceId, f64, Option<Duration>)> {
+        let services = self.services.read().unwrap_or_else(PoisonError::into_inner);
+        services.iter().map(|(id, parts)| parts.summary(id)).collect()
+    }
+}
+
+struct CountDown<'a>(&'a Metrics);
+
+impl Drop for CountDown<'_> {
+    fn drop(&mut self) {
+        self.0.in_flight.dec();
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-daemon/src/ingress/attempt.rs
@@ -0,0 +1,350 @@
+//! Attempts of one request at backend servers.
+
+use super::caller_body::CallerBody;
+use super::incoming::IncomingRequest;
+use super::sent::Sent;
+use super::service_parts::ServiceParts;
+use super::{Failure, Ingress, Peer};
+use crate::http::{
+    Answer, Freshness, OutBody, PumpLimits, collect, full, is_replayable, relay,
+    strip_connection_headers, strip_fleet_headers,
+};
+use fescuemux_core::base::{InstanceId, ServerId, Verdict};
+use fescuemux_core::retry::{Attempt, RetryDecision};
+use fescuemux_core::route::{
+    Answered, Choice, EndpointHealth, RequestKind, RouteQuery, ServerLoad,
+};
+use fescuemux_wire::headers;
+use fescuemux_wire::hop::{
+    HopAnswer, HopHealth, HopKind, HopRequest, sign_request, verify_answer,
+};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri, Version, header};
+use http_body_util::BodyExt;
+use hyper::body::Body;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::sync::oneshot;
+use tokio::time::timeout_at;
+
+/// Part of the remaining time that stays with the ingress, so that the guard's own answer to a
+/// missed deadline still arrives and its verdict is known.
+const HOP_MARGIN: Duration = Duration::from_millis(10);
+
+/// Result of one attempt.
+enum Attempted {
+    /// The backend server's answer.
+    Answer(Response<OutBody>),
+    /// A complete answer that says that the server failed.
+    ServerError(Response<OutBody>),
+    /// No answer.
+    Failed(Failure),
+}
+
+/// Servers and instances that a request has been to.
+#[derive(Debug, Default)]
+struct Tried {
+    servers: Vec<ServerId>,
+    instances: Vec<InstanceId>,
+    /// Strongest verdict of the attempts before the last one.
+    earlier: Option<Verdict>,
+    attempts: u8,
+}
+
+impl Ingress {
+    /// Sends a request to backend servers until one answers or no further attempt is permitted.
+    pub(super) async fn run(
+        &self,
+        req: &IncomingRequest,
+        body: &mut CallerBody,
+    ) -> Result<Response<OutBody>, Failure> {
+        let parts = self.parts(&req.service);
+        parts.on_request();
+        let mut tried = Tried::default();
+        loop {
+            let Some(choice) = self.choose(req, &tried) else {
+                let verdict = tried.earlier.unwrap_or(Verdict::NotRun);
+                let mut failure = Failure::unavailable("no backend server can take the request");
+                failure.verdict = verdict;
+                return Err(failure);
+            };
+            let attempted = self.attempt(req, body, &parts, &choice, &mut tried).await;
+            let (verdict, retry_after) = match &attempted {
+                Attempted::Answer(_) => (Verdict::Ran, None),
+                Attempted::ServerError(_) => (Verdict::Ran, None),
+                Attempted::Failed(failure) => (failure.verdict, failure.retry_after),
+            };
+            if let Attempted::Answer(answer) = attempted {
+                return Ok(answer);
+            }
+            match parts.decide(&attempt_of(req, body, &parts, &tried, verdict, retry_after)) {
+                RetryDecision::Retry { after } => {
+                    tokio::time::sleep(after).await;
+                    tried.earlier = tried.earlier.max(Some(verdict));
+                    self.cx.metrics.attempt(&req.service.id, "retried");
+                }
+                RetryDecision::GiveUp { verdict, .. } => {
+                    return give_up(attempted, verdict);
+                }
+            }
+        }
+    }
+
+    fn choose(&self, req: &IncomingRequest, tried: &Tried) -> Option<Choice> {
+        let mut query = RouteQuery {
+            service: &req.service.id,
+            idempotent: req.idempotent,
+            exclude: &tried.servers,
+            exclude_instances: &tried.instances,
+        };
+        self.router.with(|cx, router| {
+            if let Some(choice) = router.choose(cx, &query) {
+                return Some(choice);
+            }
+            // With every server tried, a second visit beats no answer.
+            query.exclude = &[];
+            query.exclude_instances = &[];
+            router.choose(cx, &query)
+        })
+    }
+
+    async fn attempt(
+        &self,
+        req: &IncomingRequest,
+        body: &CallerBody,
+        parts: &ServiceParts,
+        choice: &Choice,
+        tried: &mut Tried,
+    ) -> Attempted {
+        let number = tried.attempts;
+        tried.attempts = tried.attempts.saturating_add(1);
+        tried.servers.push(choice.server.clone());
+        let Some(peer) = self.directory.get(&choice.instance) else {
+            return Attempted::Failed(Failure::unavailable("the instance is no longer known"));
+        };
+        let (outgoing, mac) = self.outgoing(req, body, parts, choice, peer, number);
+        let sent = Sent::new(&self.router, choice);
+        let started = Instant::now();
+        let sending = self.pool.send(peer.hop, Freshness::Any, outgoing);
+        let answer = match timeout_at(req.deadline.into(), sending).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(e)) => {
+                sent.path_failed();
+                tried.instances.push(choice.instance.clone());
+                self.cx.metrics.attempt(&req.service.id, "path failed");
+                let mut failure = Failure::broken(e.to_string());
+                failure.verdict = e.verdict();
+                if failure.verdict == Verdict::NotRun {
+                    failure.status = StatusCode::SERVICE_UNAVAILABLE;
+                }
+                return Attempted::Failed(failure);
+            }
+            Err(_) => {
+                sent.path_failed();
+                self.cx.metrics.attempt(&req.service.id, "path timed out");
+                return Attempted::Failed(Failure::timed_out(Verdict::MayHaveRun));
+            }
+        };
+        self.take_answer(req, parts, choice, sent, started, &mac, answer).await
+    }
+
+    /// Checks that an answer belongs to the request and reports it to the router.
+    #[expect(clippy::too_many_arguments, reason = "all belong to one attempt")]
+    async fn take_answer(
+        &self,
+        req: &IncomingRequest,
+        parts: &ServiceParts,
+        choice: &Choice,
+        sent: Sent<'_>,
+        started: Instant,
+        mac: &str,
+        answer: Answer,
+    ) -> Attempted {
+        let status = answer.status();
+        let verified = verify_answer(&self.cx.keys, mac, status.as_u16(), answer.headers());
+        let hop = verified.and_then(|()| HopAnswer::try_from(answer.headers()));
+        let hop = match hop {
+            Ok(hop) => hop,
+            Err(e) => {
+                tracing::warn!(instance = %choice.instance, error = %e, "refused an answer");
+                sent.path_failed();
+                self.cx.metrics.attempt(&req.service.id, "answer refused");
+                return Attempted::Failed(Failure::broken("the guard's answer is not authentic"));
+            }
+        };
+        sent.answered(Answered {
+            verdict: hop.verdict,
+            latency: started.elapsed(),
+            load: hop.load.map(load_of),
+            health: hop.health.map(health_of),
+        });
+        self.cx.metrics.attempt(&req.service.id, hop.verdict.as_str());
+        if hop.verdict != Verdict::Ran {
+            return Attempted::Failed(refusal(&answer, hop.verdict));
+        }
+        let ok = !status.is_server_error();
+        if let Some(time) = hop.service_time {
+            parts.on_answer(&choice.server, time, ok);
+        }
+        match self.pass_on(req, answer).await {
+            Ok(answer) if ok => Attempted::Answer(answer),
+            Ok(answer) => Attempted::ServerError(answer),
+            Err(failure) => Attempted::Failed(failure),
+        }
+    }
+
+    /// Turns a hop's answer into the caller's. Small bodies are read whole, so that a cut answer
+    /// never looks like an answer; larger ones are relayed and cut off when their source is.
+    async fn pass_on(
+        &self,
+        req: &IncomingRequest,
+        answer: Answer,
+    ) -> Result<Response<OutBody>, Failure> {
+        let (mut parts, body) = answer.into_parts();
+        let limits = &self.cx.limits;
+        let pump = PumpLimits { idle: limits.idle_timeout, bytes: limits.body_bytes };
+        let body = if is_replayable(&body.size_hint(), limits.replay_bytes) {
+            match timeout_at(req.deadline.into(), collect(body, pump)).await {
+                Ok(Ok(content)) => full(content),
+                Ok(Err(e)) => return Err(Failure::broken(format!("the answer was cut: {e}"))),
+                Err(_) => return Err(Failure::timed_out(Verdict::MayHaveRun)),
+            }
+        } else {
+            relay(body, pump).boxed()
+        };
+        strip_connection_headers(&mut parts.headers);
+        strip_fleet_headers(&mut parts.headers);
+        let verdict = HeaderValue::from_static(Verdict::Ran.as_str());
+        parts.headers.insert(headers::VERDICT, verdict);
+        parts.version = Version::HTTP_11;
+        Ok(Response::from_parts(parts, body))
+    }
+
+    /// Builds the hop request and returns it with its tag.
+    fn outgoing(
+        &self,
+        req: &IncomingRequest,
+        body: &CallerBody,
+        parts: &ServiceParts,
+        choice: &Choice,
+        peer: Peer,
+        attempt: u8,
+    ) -> (Request<OutBody>, String) {
+        let mut map = req.parts.headers.clone();
+        let caller = map.get(headers::CALLER).cloned();
+        strip_connection_headers(&mut map);
+        strip_fleet_headers(&mut map);
+        if let Some(caller) = caller {
+            map.insert(headers::CALLER, caller);
+        }
+        let left = req.deadline.saturating_duration_since(self.cx.clock.now());
+        let hop = HopRequest {
+            id: req.id,
+            attempt,
+            server: choice.server.clone(),
+            incarnation: peer.incarnation,
+            deadline: left.saturating_sub(HOP_MARGIN.min(left / 2)),
+            kind: kind_of(choice.kind),
+            idempotent: req.idempotent,
+            priority: req.service.priority,
+            baseline: parts.baseline(),
+        };
+        hop.write(&mut map);
+        let (body, invitation) = body.outgoing();
+        let wall = self.cx.clock.wall();
+        sign_request(&self.cx.keys, wall, &req.parts.method, req.target(), &mut map);
+        let mac = text_of(&map, headers::MAC);
+        let mut outgoing = Request::new(body);
+        *outgoing.method_mut() = req.parts.method.clone();
+        *outgoing.uri_mut() = Uri::try_from(req.target()).unwrap_or_default();
+        *outgoing.headers_mut() = map;
+        if let Some(invitation) = invitation {
+            await_invitation(&mut outgoing, invitation);
+        }
+        (outgoing, mac)
+    }
+}
+
+/// Asks the guard to invite the body (RFC 9110, section 10.1.1), so that a refused upload is not
+/// spent and can go to another server.
+fn await_invitation(req: &mut Request<OutBody>, invitation: oneshot::Sender<()>) {
+    req.headers_mut().insert(header::EXPECT, HeaderValue::from_static("100-continue"));
+    let invitation = Mutex::new(Some(invitation));
+    hyper::ext::on_informational(req, move |informational| {
+        if informational.status() != StatusCode::CONTINUE {
+            return;
+        }
+        let mut invitation = invitation.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(invitation) = invitation.take() {
+            let _ = invitation.send(());
+        }
+    });
+}
+
+fn attempt_of(
+    req: &IncomingRequest,
+    body: &CallerBody,
+    parts: &Arc<ServiceParts>,
+    tried: &Tried,
+    verdict: Verdict,
+    retry_after: Option<Duration>,
+) -> Attempt {
+    Attempt {
+        verdict,
+        earlier: tried.earlier.unwrap_or(Verdict::NotRun),
+        idempotent: req.idempotent,
+        body_replayable: body.is_whole(),
+        remaining_deadline: req.deadline.saturating_duration_since(Instant::now()),
+        expected_latency: parts.expected_latency(),
+        attempts: u32::from(tried.attempts),
+        retry_after,
+    }
+}
+
+fn give_up(attempted: Attempted, verdict: Verdict) -> Result<Response<OutBody>, Failure> {
+    match attempted {
+        Attempted::Answer(answer) | Attempted::ServerError(answer) => Ok(answer),
+        Attempted::Failed(mut failure) => {
+            failure.verdict = verdict;
+            if verdict != Verdict::NotRun && failure.status == StatusCode::SERVICE_UNAVAILABLE {
+                failure.status = StatusCode::BAD_GATEWAY;
+            }
+            Err(failure)
+        }
+    }
+}
+
+/// Describes a guard's refusal to the caller.
+fn refusal(answer: &Answer, verdict: Verdict) -> Failure {
+    let reason = text_of(answer.headers(), headers::REASON);
+    let status = match answer.status() {
+        StatusCode::GATEWAY_TIMEOUT => StatusCode::GATEWAY_TIMEOUT,
+        _ if verdict == Verdict::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+        _ => StatusCode::BAD_GATEWAY,
+    };
+    Failure::new(status, verdict, reason)
+}
+
+fn text_of(map: &HeaderMap, name: &str) -> String {
+    map.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default().to_owned()
+}
+
+fn kind_of(kind: RequestKind) -> HopKind {
+    match kind {
+        RequestKind::Normal => HopKind::Normal,
+        RequestKind::LastResort => HopKind::LastResort,
+        RequestKind::Trial => HopKind::Trial,
+    }
+}
+
+fn load_of(load: fescuemux_wire::hop::ServerLoad) -> ServerLoad {
+    ServerLoad { busy: load.busy, slots: load.slots, queued: load.queued }
+}
+
+fn health_of(health: HopHealth) -> EndpointHealth {
+    match health {
+        HopHealth::Serving => EndpointHealth::Serving,
+        HopHealth::Steered => EndpointHealth::Steered,
+        HopHealth::Ejected => EndpointHealth::Ejected,
+        HopHealth::Probation => EndpointHealth::Probation,
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-daemon/src/ingress/caller_body.rs
@@ -0,0 +1,78 @@
+//! Body of a caller's request, as far as it can still be sent.
+
+use super::Failure;
+use crate::http::{
+    BodyError, HeldBody, HttpLimits, OutBody, PumpLimits, collect, empty, full, gated,
+    is_replayable, relay,
+};
+use bytes::Bytes;
+use fescuemux_core::base::Verdict;
+use http::StatusCode;
+use hyper::body::{Body, Incoming};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Instant;
+use tokio::sync::oneshot;
+use tokio::time::timeout_at;
+
+/// Body of a request.
+#[derive(Clone)]
+pub(super) enum CallerBody {
+    /// There is none.
+    Empty,
+    /// Held in memory; can be sent any number of times.
+    Buffered(Bytes),
+    /// Streamed; can be sent as long as no receiver has begun to take it.
+    Streamed(HeldBody),
+}
+
+impl CallerBody {
+    /// Takes small bodies into memory and leaves larger ones with the caller.
+    pub(super) async fn take(
+        body: Incoming,
+        limits: &HttpLimits,
+        deadline: Instant,
+    ) -> Result<CallerBody, Failure> {
+        if body.is_end_stream() {
+            return Ok(CallerBody::Empty);
+        }
+        let size = body.size_hint();
+        if size.lower() > limits.body_bytes {
+            return Err(Failure::too_large(limits.body_bytes));
+        }
+        let pump = PumpLimits { idle: limits.idle_timeout, bytes: limits.body_bytes };
+        if !is_replayable(&size, limits.replay_bytes) {
+            let held = Arc::new(Mutex::new(Some(relay(body, pump))));
+            return Ok(CallerBody::Streamed(held));
+        }
+        match timeout_at(deadline.into(), collect(body, pump)).await {
+            Ok(Ok(content)) => Ok(CallerBody::Buffered(content)),
+            Ok(Err(BodyError::Idle)) | Err(_) => {
+                let reason = "the body did not arrive in time";
+                Err(Failure::new(StatusCode::REQUEST_TIMEOUT, Verdict::NotRun, reason))
+            }
+            Ok(Err(e)) => Err(Failure::bad_request(e.to_string())),
+        }
+    }
+
+    /// Returns whether the body can be sent from its beginning.
+    pub(super) fn is_whole(&self) -> bool {
+        match self {
+            CallerBody::Empty | CallerBody::Buffered(_) => true,
+            CallerBody::Streamed(held) => {
+                held.lock().unwrap_or_else(PoisonError::into_inner).is_some()
+            }
+        }
+    }
+
+    /// Returns the body to send, and the sender that opens it when it waits for an invitation.
+    pub(super) fn outgoing(&self) -> (OutBody, Option<oneshot::Sender<()>>) {
+        match self {
+            CallerBody::Empty => (empty(), None),
+            CallerBody::Buffered(content) => (full(content.clone()), None),
+            CallerBody::Streamed(held) => {
+                let (tx, rx) = oneshot::channel();
+                (gated(held, rx), Some(tx))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-daemon/src/ingress/directory.rs
@@ -0,0 +1,36 @@
+//! Addresses of the other instances.
+
+use fescuemux_core::base::{HashMap, Incarnation, InstanceId};
+use std::net::SocketAddr;
+use std::sync::{PoisonError, RwLock};
+
+/// How to reach an instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Peer {
+    /// Address for hop requests.
+    pub(crate) hop: SocketAddr,
+    /// Address for remote procedures.
+    pub(crate) rpc: SocketAddr,
+    /// Incarnation of the instance's guard.
+    pub(crate) incarnation: Incarnation,
+}
+
+/// Live instances by name.
+#[derive(Debug, Default)]
+pub(crate) struct Directory {
+    peers: RwLock<HashMap<InstanceId, Peer>>,
+}
+
+impl Directory {
+    pub(crate) fn set(&self, instance: InstanceId, peer: Peer) {
+        self.peers.write().unwrap_or_else(PoisonError::into_inner).insert(instance, peer);
+    }
+
+    pub(crate) fn remove(&self, instance: &InstanceId) {
+        self.peers.write().unwrap_or_else(PoisonError::into_inner).remove(instance);
+    }
+
+    pub(crate) fn get(&self, instance: &InstanceId) -> Option<Peer> {
+        self.peers.read().unwrap_or_else(PoisonError::into_inner).get(instance).copied()
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-daemon/src/ingress/keyed.rs
@@ -0,0 +1,62 @@
+//! Requests with an idempotency key on routes that are not idempotent.
+
+use super::caller_body::CallerBody;
+use super::incoming::IncomingRequest;
+use super::{Failure, Ingress};
+use crate::http::OutBody;
+use fescuemux_core::base::Verdict;
+use fescuemux_core::dedup::KeyOutcome;
+use fescuemux_wire::rpc::{ClaimWire, OutcomeWire};
+use http::Response;
+
+impl Ingress {
+    /// Runs a request, claiming its key first where the route is not idempotent.
+    pub(super) async fn run_once(
+        &self,
+        req: &IncomingRequest,
+        body: &mut CallerBody,
+    ) -> Result<Response<OutBody>, Failure> {
+        let Some(key) = req.key.as_deref().filter(|_| !req.idempotent) else {
+            return self.run(req, body).await;
+        };
+        let claim = self.homes.claim(&req.service.id, key, req.id, req.deadline).await;
+        check_claim(claim)?;
+        // Dropped without an outcome, for example because the caller left, the claim stays open
+        // and a resend is told that the request may have run.
+        let result = self.run(req, body).await;
+        let outcome = match &result {
+            Ok(answer) => Some(OutcomeWire::Ran(answer.status().as_u16())),
+            Err(failure) => outcome_of(failure.verdict),
+        };
+        self.homes.settle(&req.service.id, key, req.id, outcome);
+        result
+    }
+}
+
+fn outcome_of(verdict: Verdict) -> Option<OutcomeWire> {
+    match verdict {
+        Verdict::NotRun => None,
+        Verdict::MayHaveRun | Verdict::Ran => Some(OutcomeWire::Unknown),
+    }
+}
+
+fn check_claim(claim: ClaimWire) -> Result<(), Failure> {
+    match claim {
+        ClaimWire::Granted => Ok(()),
+        ClaimWire::Duplicate(outcome) => {
+            let verdict = KeyOutcome::from(outcome).verdict();
+            let first_status = match outcome {
+                OutcomeWire::Ran(status) => Some(status),
+                OutcomeWire::InProgress | OutcomeWire::Unknown => None,
+            };
+            Err(Failure::duplicate(verdict, first_status, "the idempotency key was used before"))
+        }
+        ClaimWire::Unknown => {
+            let reason = "the key is older than what its home remembers";
+            Err(Failure::duplicate(Verdict::MayHaveRun, None, reason))
+        }
+        ClaimWire::FromFuture => Err(Failure::bad_request("the key's time is in the future")),
+        ClaimWire::Full => Err(Failure::unavailable("the home of the key is full")),
+        ClaimWire::Refused => Err(Failure::unavailable("the home of the key cannot grant it")),
+    }
+}
--- a/crates/fescuemux-wire/src/headers.rs
+++ b/crates/fescuemux-wire/src/headers.rs
@@ -31,6 +31,8 @@
 pub const PRIORITY: &str = "fescuemux-priority";
 /// Load of a backend server: busy slots, slots and queued requests.
 pub const LOAD: &str = "fescuemux-load";
+/// Time in microseconds for which the backend server worked on the request.
+pub const SERVICE_TIME_US: &str = "fescuemux-service-time-us";
 /// Health of a backend server as its guard judges it.
 pub const HEALTH: &str = "fescuemux-health";
 /// Message authentication code of a hop request or answer.
--- a/crates/fescuemux-wire/src/hop/answer.rs
+++ b/crates/fescuemux-wire/src/hop/answer.rs
@@ -5,6 +5,7 @@
 use crate::headers;
 use fescuemux_core::base::Verdict;
 use http::{HeaderMap, HeaderValue};
+use std::time::Duration;
 
 /// Load of a backend server at the time of the answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -26,6 +27,9 @@
     pub load: Option<ServerLoad>,
     /// Health of the backend server, absent when the guard does not have the server.
     pub health: Option<HopHealth>,
+    /// Time for which the backend server worked on the request, without queues and network.
+    /// Ingresses build the service-wide baseline from it.
+    pub service_time: Option<Duration>,
 }
 
 impl HopAnswer {
@@ -40,6 +44,10 @@
         if let Some(health) = self.health {
             headers.insert(headers::HEALTH, HeaderValue::from_static(health.as_str()));
         }
+        if let Some(time) = self.service_time {
+            let micros = u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+            headers.insert(headers::SERVICE_TIME_US, HeaderValue::from(micros));
+        }
     }
 }
 
@@ -52,6 +60,7 @@
             verdict: Verdict::parse(verdict).ok_or(HopError::Value(headers::VERDICT))?,
             load: read_load(map)?,
             health: read_health(map)?,
+            service_time: read_service_time(map)?,
         })
     }
 }
@@ -68,3 +77,9 @@
     let Some(text) = parse::optional(map, headers::HEALTH)? else { return Ok(None) };
     HopHealth::parse(text).map(Some).ok_or(HopError::Value(headers::HEALTH))
 }
+
+fn read_service_time(map: &HeaderMap) -> Result<Option<Duration>, HopError> {
+    let Some(text) = parse::optional(map, headers::SERVICE_TIME_US)? else { return Ok(None) };
+    let micros = text.parse().map_err(|_| HopError::Value(headers::SERVICE_TIME_US))?;
+    Ok(Some(Duration::from_micros(micros)))
+}
--- a/crates/fescuemux-wire/src/hop/signing.rs
+++ b/crates/fescuemux-wire/src/hop/signing.rs
@@ -24,7 +24,8 @@
     headers::IDEMPOTENCY_KEY,
 ];
 /// Headers that an answer's tag covers besides the status, in this order.
-const ANSWER_HEADERS: [&str; 3] = [headers::VERDICT, headers::LOAD, headers::HEALTH];
+const ANSWER_HEADERS: [&str; 4] =
+    [headers::VERDICT, headers::LOAD, headers::HEALTH, headers::SERVICE_TIME_US];
 
 /// Signs a hop request at wall-clock time `now`, after all its headers are written.
 pub fn sign_request(
--- a/crates/fescuemux-wire/src/hop/tests.rs
+++ b/crates/fescuemux-wire/src/hop/tests.rs
@@ -38,6 +38,7 @@
         verdict: Verdict::NotRun,
         load: Some(ServerLoad { busy: 4, slots: 4, queued: 9 }),
         health: Some(HopHealth::Probation),
+        service_time: Some(Duration::from_micros(25)),
     };
     let mut map = HeaderMap::new();
     answer.write(&mut map);
@@ -119,7 +120,7 @@
 #[test]
 fn an_answer_belongs_to_one_request() {
     let mut map = HeaderMap::new();
-    let answer = HopAnswer { verdict: Verdict::Ran, load: None, health: None };
+    let answer = HopAnswer { verdict: Verdict::Ran, load: None, health: None, service_time: None };
     answer.write(&mut map);
     sign_answer(&keys(1), "tag-of-request-1", 200, &mut map);
     assert!(verify_answer(&keys(1), "tag-of-request-1", 200, &map).is_ok());
