--- /dev/null
+++ b/crates/fescuemux-core/src/config/change.rs
@@ -0,0 +1,108 @@
+//! Changes as an operator asks for them, and differences as a plan shows them.
+
+use super::{CallerLimit, Route, Service};
+use crate::base::{CallerId, RouteId, ServiceId};
+use std::fmt;
+
+/// One change of an intent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// Adds or replaces a service.
+    PutService(Service),
+    /// Removes a service.
+    RemoveService(ServiceId),
+    /// Adds or replaces a route.
+    PutRoute(Route),
+    /// Removes a route.
+    RemoveRoute(RouteId),
+    /// Adds or replaces the limit of a caller.
+    PutCaller(CallerLimit),
+    /// Removes the limit of a caller.
+    RemoveCaller(CallerId),
+}
+
+/// One item before and after; `None` where it does not exist.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Edit<T> {
+    /// Content before.
+    pub before: Option<T>,
+    /// Content after.
+    pub after: Option<T>,
+}
+
+/// One item that differs between two configurations.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Difference {
+    /// A service.
+    Service(Edit<Service>),
+    /// A route.
+    Route(Edit<Route>),
+    /// The limit of a caller.
+    Caller(Edit<CallerLimit>),
+}
+
+/// Name of an item, with its kind.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Subject {
+    /// A service.
+    Service(ServiceId),
+    /// A route.
+    Route(RouteId),
+    /// The limit of a caller.
+    Caller(CallerId),
+}
+
+/// An item that is not as a difference found it.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{0} is not as the plan found it")]
+pub struct Mismatch(
+    /// The item.
+    pub Subject,
+);
+
+impl Change {
+    /// Returns the item that the change is about.
+    pub fn subject(&self) -> Subject {
+        match self {
+            Change::PutService(service) => Subject::Service(service.id.clone()),
+            Change::RemoveService(id) => Subject::Service(id.clone()),
+            Change::PutRoute(route) => Subject::Route(route.id.clone()),
+            Change::RemoveRoute(id) => Subject::Route(id.clone()),
+            Change::PutCaller(limit) => Subject::Caller(limit.caller.clone()),
+            Change::RemoveCaller(id) => Subject::Caller(id.clone()),
+        }
+    }
+}
+
+impl Difference {
+    /// Returns the item that differs.
+    ///
+    /// # Panics
+    /// Panics when the edit holds neither side, which no constructor of this crate produces and
+    /// the wire types refuse.
+    pub fn subject(&self) -> Subject {
+        const EMPTY: &str = "an edit has a side";
+        match self {
+            Difference::Service(edit) => Subject::Service(edit.either().expect(EMPTY).id.clone()),
+            Difference::Route(edit) => Subject::Route(edit.either().expect(EMPTY).id.clone()),
+            Difference::Caller(edit) => Subject::Caller(edit.either().expect(EMPTY).caller.clone()),
+        }
+    }
+}
+
+impl<T> Edit<T> {
+    /// Returns the item as it is after, or as it was before if it is removed.
+    pub fn either(&self) -> Option<&T> {
+        self.after.as_ref().or(self.before.as_ref())
+    }
+}
+
+impl fmt::Display for Subject {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Subject::Service(id) => write!(f, "service {id}"),
+            Subject::Route(id) => write!(f, "route {id}"),
+            Subject::Caller(id) => write!(f, "caller {id}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-core/src/config/layout.rs
@@ -0,0 +1,194 @@
+//! Layout of the configuration in the store: one chunk of services, 64 buckets of routes and 64
+//! of callers, named by a head.
+//!
+//! 64 buckets keep one change at 8,100 routes and 11,000 callers to one chunk of about 20 KB
+//! and the head to about 9 KB.
+
+use super::change::{Difference, Subject};
+use super::{CallerLimit, Config, Digest, Route, Service};
+use crate::base::PlanId;
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::Write as _;
+
+/// Buckets of routes, and buckets of callers.
+pub const BUCKETS: usize = 64;
+/// Key of the head.
+pub const HEAD_KEY: &str = "cfg/head";
+/// Start of all chunk keys.
+pub const CHUNK_PREFIX: &str = "cfg/chunk/";
+/// Start of all plan keys.
+pub const PLAN_PREFIX: &str = "plan/";
+
+/// A part of the configuration that is stored as one chunk.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Part {
+    /// All services.
+    Services,
+    /// The routes of a bucket below [`BUCKETS`].
+    Routes(u8),
+    /// The callers of a bucket below [`BUCKETS`].
+    Callers(u8),
+}
+
+impl Part {
+    /// Returns every part.
+    pub fn all() -> impl Iterator<Item = Part> {
+        let buckets = || 0..BUCKETS as u8;
+        std::iter::once(Part::Services)
+            .chain(buckets().map(Part::Routes))
+            .chain(buckets().map(Part::Callers))
+    }
+
+    fn of(subject: &Subject) -> Part {
+        match subject {
+            Subject::Service(_) => Part::Services,
+            Subject::Route(id) => Part::Routes(bucket_of(id)),
+            Subject::Caller(id) => Part::Callers(bucket_of(id)),
+        }
+    }
+}
+
+/// Content of one chunk, ordered by name.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Chunk {
+    /// All services.
+    Services(Vec<Service>),
+    /// Bucket and its routes.
+    Routes(u8, Vec<Route>),
+    /// Bucket and its callers.
+    Callers(u8, Vec<CallerLimit>),
+}
+
+impl Chunk {
+    /// Returns the part that the chunk holds.
+    pub fn part(&self) -> Part {
+        match self {
+            Chunk::Services(_) => Part::Services,
+            Chunk::Routes(bucket, _) => Part::Routes(*bucket),
+            Chunk::Callers(bucket, _) => Part::Callers(*bucket),
+        }
+    }
+}
+
+/// Chunks that do not form a configuration.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum LayoutError {
+    /// An item lies in a bucket that its name does not select.
+    #[error("{0} lies in the wrong bucket")]
+    WrongBucket(Subject),
+    /// An item appears twice.
+    #[error("{0} appears twice")]
+    Twice(Subject),
+}
+
+/// Returns the bucket of a name. Uses 32-bit FNV-1a: the result is stored, so it must be the
+/// same in every version and on every platform.
+pub fn bucket_of(name: &str) -> u8 {
+    const OFFSET_BASIS: u32 = 0x811c_9dc5;
+    const PRIME: u32 = 0x0100_0193;
+    let hash =
+        name.bytes().fold(OFFSET_BASIS, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(PRIME));
+    // The low bits of FNV-1a mix worse than the folded ones.
+    ((hash ^ (hash >> 16)) % BUCKETS as u32) as u8
+}
+
+/// Returns the key of the chunk named `name`.
+pub fn chunk_key(name: &Digest) -> String {
+    let mut key = String::with_capacity(CHUNK_PREFIX.len() + 64);
+    key.push_str(CHUNK_PREFIX);
+    for byte in name {
+        let _ = write!(key, "{byte:02x}");
+    }
+    key
+}
+
+/// Returns the key of the first record of a plan.
+pub fn plan_key(plan: PlanId) -> String {
+    format!("{PLAN_PREFIX}{plan:032x}")
+}
+
+/// Returns the parts that the differences touch.
+pub fn parts_of(differences: &[Difference]) -> BTreeSet<Part> {
+    differences.iter().map(|difference| Part::of(&difference.subject())).collect()
+}
+
+/// Returns the chunks of all parts that are not empty.
+pub fn split(config: &Config) -> BTreeMap<Part, Chunk> {
+    split_parts(config, &Part::all().collect())
+}
+
+/// Returns the chunks of those of `parts` that are not empty.
+pub fn split_parts(config: &Config, parts: &BTreeSet<Part>) -> BTreeMap<Part, Chunk> {
+    let mut chunks = BTreeMap::new();
+    if parts.contains(&Part::Services) && !config.services.is_empty() {
+        let services = config.services.values().cloned().collect();
+        chunks.insert(Part::Services, Chunk::Services(services));
+    }
+    for (bucket, routes) in buckets(&config.routes, |bucket| parts.contains(&Part::Routes(bucket)))
+    {
+        chunks.insert(Part::Routes(bucket), Chunk::Routes(bucket, routes));
+    }
+    let is_wanted = |bucket| parts.contains(&Part::Callers(bucket));
+    for (bucket, callers) in buckets(&config.callers, is_wanted) {
+        chunks.insert(Part::Callers(bucket), Chunk::Callers(bucket, callers));
+    }
+    chunks
+}
+
+fn buckets<K: AsRef<str>, T: Clone>(
+    items: &BTreeMap<K, T>,
+    is_wanted: impl Fn(u8) -> bool,
+) -> BTreeMap<u8, Vec<T>> {
+    let mut buckets: BTreeMap<u8, Vec<T>> = BTreeMap::new();
+    for (id, item) in items {
+        let bucket = bucket_of(id.as_ref());
+        if is_wanted(bucket) {
+            buckets.entry(bucket).or_default().push(item.clone());
+        }
+    }
+    buckets
+}
+
+/// Puts chunks together to a configuration.
+///
+/// # Errors
+/// Fails when an item lies in the wrong bucket or appears twice.
+pub fn join<'a>(chunks: impl IntoIterator<Item = &'a Chunk>) -> Result<Config, LayoutError> {
+    let mut config = Config::default();
+    for chunk in chunks {
+        match chunk {
+            Chunk::Services(services) => {
+                for item in services {
+                    let subject = Subject::Service(item.id.clone());
+                    let earlier = config.services.insert(item.id.clone(), item.clone());
+                    check_item(chunk, subject, earlier.is_some())?;
+                }
+            }
+            Chunk::Routes(_, routes) => {
+                for item in routes {
+                    let subject = Subject::Route(item.id.clone());
+                    let earlier = config.routes.insert(item.id.clone(), item.clone());
+                    check_item(chunk, subject, earlier.is_some())?;
+                }
+            }
+            Chunk::Callers(_, callers) => {
+                for item in callers {
+                    let subject = Subject::Caller(item.caller.clone());
+                    let earlier = config.callers.insert(item.caller.clone(), item.clone());
+                    check_item(chunk, subject, earlier.is_some())?;
+                }
+            }
+        }
+    }
+    Ok(config)
+}
+
+fn check_item(chunk: &Chunk, subject: Subject, is_twice: bool) -> Result<(), LayoutError> {
+    if is_twice {
+        return Err(LayoutError::Twice(subject));
+    }
+    if Part::of(&subject) != chunk.part() {
+        return Err(LayoutError::WrongBucket(subject));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/fescuemux-core/src/config/names.rs
@@ -0,0 +1,47 @@
+//! Names of the chunks that make up a configuration.
+
+use super::layout::{BUCKETS, Part};
+
+/// SHA-256 of an encoded chunk, which is its name.
+pub type Digest = [u8; 32];
+
+/// Names of the chunks of one configuration. An empty part has no chunk.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Names {
+    services: Option<Digest>,
+    routes: [Option<Digest>; BUCKETS],
+    callers: [Option<Digest>; BUCKETS],
+}
+
+impl Default for Names {
+    fn default() -> Names {
+        Names { services: None, routes: [None; BUCKETS], callers: [None; BUCKETS] }
+    }
+}
+
+impl Names {
+    /// Returns the name of the chunk of `part`.
+    pub fn get(&self, part: Part) -> Option<Digest> {
+        match part {
+            Part::Services => self.services,
+            Part::Routes(bucket) => self.routes.get(usize::from(bucket)).copied().flatten(),
+            Part::Callers(bucket) => self.callers.get(usize::from(bucket)).copied().flatten(),
+        }
+    }
+
+    /// Sets the name of the chunk of `part` and returns the earlier one. A bucket past the last
+    /// one is left out.
+    pub fn set(&mut self, part: Part, name: Option<Digest>) -> Option<Digest> {
+        let place = match part {
+            Part::Services => Some(&mut self.services),
+            Part::Routes(bucket) => self.routes.get_mut(usize::from(bucket)),
+            Part::Callers(bucket) => self.callers.get_mut(usize::from(bucket)),
+        };
+        place.and_then(|place| std::mem::replace(place, name))
+    }
+
+    /// Returns the parts that have a chunk, with its name.
+    pub fn iter(&self) -> impl Iterator<Item = (Part, Digest)> + '_ {
+        Part::all().filter_map(|part| self.get(part).map(|name| (part, name)))
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-core/src/config/plan.rs
@@ -0,0 +1,208 @@
+//! Plans: the exact effect of an intent on one generation.
+
+use super::review::review;
+use super::{CapacityReport, Change, Config, Difference, FloorEffect, Intent};
+use crate::base::{Cx, Generation, PlanId, ServiceId};
+use rand::Rng as _;
+use smol_str::SmolStr;
+use std::collections::BTreeSet;
+
+/// The content that a plan is made on.
+#[derive(Clone, Copy, Debug)]
+pub struct Base<'a> {
+    /// Generation in force; zero without configuration.
+    pub generation: Generation,
+    /// Its content.
+    pub config: &'a Config,
+    /// Content of the generation that the intent returns to, if it is still known.
+    pub older: Option<&'a Config>,
+}
+
+/// Kind of a warning or refusal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum FindingKind {
+    /// Refusal: the plan changes nothing.
+    NothingToChange,
+    /// Refusal: an item to remove does not exist.
+    NoSuchItem,
+    /// Refusal: the intent changes an item twice.
+    ChangedTwice,
+    /// Refusal: a field is out of bounds.
+    OutOfBounds,
+    /// Refusal: a route names a service that does not exist.
+    UnknownService,
+    /// Refusal: two routes select the same requests.
+    SameSelector,
+    /// Refusal: the configuration would have too many items.
+    TooMany,
+    /// Warning: the floor is at or above the announced slots, so nothing can be ejected.
+    FloorBlocksEjection,
+    /// Warning: backend servers are announced for a service that is removed.
+    RemovedWithServers,
+    /// Warning: requests of the route may run more than once from now on.
+    BecomesIdempotent,
+    /// Warning: more than half of the items of one kind change.
+    LargeChange,
+}
+
+impl FindingKind {
+    /// Every kind.
+    pub const ALL: [FindingKind; 11] = [
+        FindingKind::NothingToChange,
+        FindingKind::NoSuchItem,
+        FindingKind::ChangedTwice,
+        FindingKind::OutOfBounds,
+        FindingKind::UnknownService,
+        FindingKind::SameSelector,
+        FindingKind::TooMany,
+        FindingKind::FloorBlocksEjection,
+        FindingKind::RemovedWithServers,
+        FindingKind::BecomesIdempotent,
+        FindingKind::LargeChange,
+    ];
+
+    /// Returns the spelling used on the wire.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            FindingKind::NothingToChange => "nothing_to_change",
+            FindingKind::NoSuchItem => "no_such_item",
+            FindingKind::ChangedTwice => "changed_twice",
+            FindingKind::OutOfBounds => "out_of_bounds",
+            FindingKind::UnknownService => "unknown_service",
+            FindingKind::SameSelector => "same_selector",
+            FindingKind::TooMany => "too_many",
+            FindingKind::FloorBlocksEjection => "floor_blocks_ejection",
+            FindingKind::RemovedWithServers => "removed_with_servers",
+            FindingKind::BecomesIdempotent => "becomes_idempotent",
+            FindingKind::LargeChange => "large_change",
+        }
+    }
+
+    /// Parses the spelling of [`FindingKind::as_str`].
+    pub fn parse(text: &str) -> Option<FindingKind> {
+        FindingKind::ALL.into_iter().find(|kind| kind.as_str() == text)
+    }
+}
+
+/// A warning or refusal.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Finding {
+    /// Kind.
+    pub kind: FindingKind,
+    /// Item and reason, for people.
+    pub text: String,
+}
+
+/// The exact effect of an intent on one generation.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Plan {
+    /// Id, drawn at random.
+    pub id: PlanId,
+    /// Generation that the plan was made on; it can be confirmed on no other.
+    pub base: Generation,
+    /// Operator who proposed it.
+    pub author: SmolStr,
+    /// Items that change: services, routes, callers, each by name.
+    pub changes: Vec<Difference>,
+    /// Floors of the services that change.
+    pub effects: Vec<FloorEffect>,
+    /// What the operator should know before confirming.
+    pub warnings: Vec<Finding>,
+    /// Why the plan cannot be confirmed; empty if it can.
+    pub refusals: Vec<Finding>,
+}
+
+/// An intent from which no plan can be made.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum PlanError {
+    /// The generation to return to is not known any more, or not yet.
+    #[error("the content of generation {0} is not known")]
+    UnknownGeneration(Generation),
+    /// The intent has more changes than [`super::MAX_CHANGES`].
+    #[error("{0} changes are too many for one intent; give the whole content")]
+    TooManyChanges(usize),
+}
+
+/// Makes a plan for `intent` on `base`. The plan's id is drawn from `cx`.
+///
+/// # Errors
+/// Fails when the intent refers to unknown content or is too large.
+pub fn plan(
+    cx: &mut Cx,
+    base: Base<'_>,
+    capacity: &CapacityReport,
+    intent: &Intent,
+    author: SmolStr,
+) -> Result<Plan, PlanError> {
+    let (target, mut refusals) = target(base, intent)?;
+    let changes = base.config.differences(&target);
+    let (warnings, more) = review(&target, &changes, capacity);
+    refusals.extend(more);
+    let effects = effects(base.config, &target, &changes, capacity);
+    let id = cx.rng.random();
+    Ok(Plan { id, base: base.generation, author, changes, effects, warnings, refusals })
+}
+
+fn target(base: Base<'_>, intent: &Intent) -> Result<(Config, Vec<Finding>), PlanError> {
+    match intent {
+        Intent::Changes(changes) if changes.len() > super::MAX_CHANGES => {
+            Err(PlanError::TooManyChanges(changes.len()))
+        }
+        Intent::Changes(changes) => Ok(apply_changes(base.config, changes)),
+        Intent::Content(content) => Ok(((**content).clone(), Vec::new())),
+        Intent::ReturnTo(generation) => match base.older {
+            Some(older) => Ok((older.clone(), Vec::new())),
+            None => Err(PlanError::UnknownGeneration(*generation)),
+        },
+    }
+}
+
+fn apply_changes(config: &Config, changes: &[Change]) -> (Config, Vec<Finding>) {
+    let mut target = config.clone();
+    let mut refusals = Vec::new();
+    let mut seen = BTreeSet::new();
+    for change in changes {
+        let subject = change.subject();
+        let is_missing = match change {
+            Change::RemoveService(id) => !config.services.contains_key(id),
+            Change::RemoveRoute(id) => !config.routes.contains_key(id),
+            Change::RemoveCaller(id) => !config.callers.contains_key(id),
+            Change::PutService(_) | Change::PutRoute(_) | Change::PutCaller(_) => false,
+        };
+        if is_missing {
+            let text = format!("{subject} does not exist");
+            refusals.push(Finding { kind: FindingKind::NoSuchItem, text });
+        }
+        if !seen.insert(subject.clone()) {
+            let text = format!("{subject} is changed twice");
+            refusals.push(Finding { kind: FindingKind::ChangedTwice, text });
+        }
+        target.apply_change(change);
+    }
+    (target, refusals)
+}
+
+fn effects(
+    before: &Config,
+    after: &Config,
+    changes: &[Difference],
+    capacity: &CapacityReport,
+) -> Vec<FloorEffect> {
+    let touched: BTreeSet<&ServiceId> = changes
+        .iter()
+        .filter_map(|change| match change {
+            Difference::Service(edit) => edit.either().map(|service| &service.id),
+            Difference::Route(_) | Difference::Caller(_) => None,
+        })
+        .collect();
+    let floor = |config: &Config, id| config.services.get(id).map(|s| s.floor_slots);
+    touched
+        .into_iter()
+        .map(|id| FloorEffect {
+            service: id.clone(),
+            slots_announced: capacity.slots_of(id),
+            floor_before: floor(before, id),
+            floor_after: floor(after, id),
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/fescuemux-core/src/config/route.rs
@@ -0,0 +1,86 @@
+//! Configuration of one route.
+
+use super::bounds::{
+    FieldError, MAX_HOST_BYTES, MAX_METHOD_BYTES, MAX_PATH_BYTES, check_deadline, check_name,
+};
+use crate::base::{RouteId, ServiceId};
+use smol_str::SmolStr;
+use std::time::Duration;
+
+/// Maps requests to a service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Route {
+    /// Name.
+    pub id: RouteId,
+    /// Method in capital letters; `None` for every method.
+    pub method: Option<SmolStr>,
+    /// Host in lower case without port; `None` for every host.
+    pub host: Option<SmolStr>,
+    /// Whole path segments that the path starts with, `/` for every path. No slash at the end.
+    pub path_prefix: SmolStr,
+    /// Service that gets the requests.
+    pub service: ServiceId,
+    /// Whether a request may run more than once.
+    pub idempotent: bool,
+    /// Deadline of requests that bring none; `None` for the service's.
+    pub deadline: Option<Duration>,
+}
+
+impl Route {
+    /// Checks every field.
+    ///
+    /// # Errors
+    /// Fails at the first field that is out of bounds.
+    pub fn check(&self) -> Result<(), FieldError> {
+        check_name("id", &self.id)?;
+        self.method.as_deref().map_or(Ok(()), check_method)?;
+        self.host.as_deref().map_or(Ok(()), check_host)?;
+        check_path(&self.path_prefix)?;
+        check_name("service", &self.service)?;
+        self.deadline.map_or(Ok(()), |deadline| check_deadline("deadline_ms", deadline))
+    }
+
+    /// Returns the fields that select requests. Two routes of one configuration never share them.
+    pub(super) fn selector(&self) -> (Option<&str>, Option<&str>, &str) {
+        (self.method.as_deref(), self.host.as_deref(), &self.path_prefix)
+    }
+}
+
+fn check_method(method: &str) -> Result<(), FieldError> {
+    let is_ok = (1..=MAX_METHOD_BYTES).contains(&method.len())
+        && method.bytes().all(|b| b.is_ascii_uppercase() || b == b'-');
+    if is_ok {
+        return Ok(());
+    }
+    let reason = format!("must have 1 to {MAX_METHOD_BYTES} of the characters A-Z -");
+    Err(FieldError::new("method", reason))
+}
+
+fn check_host(host: &str) -> Result<(), FieldError> {
+    let is_plain =
+        |b: u8| b.is_ascii_lowercase() || b.is_ascii_digit() || matches!(b, b'.' | b'-' | b'_');
+    let is_ok = (1..=MAX_HOST_BYTES).contains(&host.len()) && host.bytes().all(is_plain);
+    if is_ok {
+        return Ok(());
+    }
+    let reason =
+        format!("must have 1 to {MAX_HOST_BYTES} of the characters a-z 0-9 . - _, without port");
+    Err(FieldError::new("host", reason))
+}
+
+fn check_path(path: &str) -> Result<(), FieldError> {
+    let is_plain = |b: u8| b.is_ascii_graphic() && !matches!(b, b'?' | b'#');
+    let is_ok = path.len() <= MAX_PATH_BYTES
+        && path.starts_with('/')
+        && (path == "/" || !path.ends_with('/'))
+        && !path.contains("//")
+        && path.bytes().all(is_plain);
+    if is_ok {
+        return Ok(());
+    }
+    let reason = format!(
+        "must start with /, have no / at the end, no //, ? or #, and at most {MAX_PATH_BYTES} \
+         visible ASCII characters"
+    );
+    Err(FieldError::new("path_prefix", reason))
+}
--- /dev/null
+++ b/crates/fescuemux-core/src/config/route_table.rs
@@ -0,0 +1,131 @@
+//! Lookup of the route of a request.
+
+use super::{Config, Route};
+use crate::base::HashMap;
+use smol_str::SmolStr;
+use std::borrow::Cow;
+
+/// Stands for every method or every host in a [`Selector`].
+const ANY: u32 = 0;
+/// The node of the path `/`.
+const ROOT: u32 = 0;
+
+/// Routes of one generation, arranged for lookups. A trie by path segment: the cost of a lookup
+/// depends on the length of the path, not on the number of routes.
+///
+/// The longest path prefix wins; among equal prefixes a route with a host wins over one without,
+/// then one with a method over one without. Paths are compared byte by byte: percent signs and
+/// dot segments have no meaning here.
+#[derive(Clone, Debug, Default)]
+pub struct RouteTable {
+    routes: Vec<Route>,
+    methods: HashMap<SmolStr, u32>,
+    hosts: HashMap<SmolStr, u32>,
+    segments: HashMap<SmolStr, u32>,
+    children: HashMap<(u32, u32), u32>,
+    /// Whether any route ends at a node, by node.
+    has_routes: Vec<bool>,
+    ends: HashMap<Selector, u32>,
+}
+
+/// What selects a route: the node of its path, its host and its method.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Selector {
+    node: u32,
+    host: u32,
+    method: u32,
+}
+
+impl RouteTable {
+    /// Builds the table of `config`.
+    pub fn new(config: &Config) -> RouteTable {
+        let mut table = RouteTable { has_routes: vec![false], ..RouteTable::default() };
+        for route in config.routes.values() {
+            table.insert(route);
+        }
+        table
+    }
+
+    /// Returns the number of routes.
+    pub fn len(&self) -> usize {
+        self.routes.len()
+    }
+
+    /// Returns whether there is no route.
+    pub fn is_empty(&self) -> bool {
+        self.routes.is_empty()
+    }
+
+    /// Returns the route of a request. `host` may be in any case and carry a port, `path` may
+    /// carry a query.
+    pub fn lookup(&self, method: &str, host: &str, path: &str) -> Option<&Route> {
+        let path = path.split(['?', '#']).next()?.strip_prefix('/')?;
+        let method = self.methods.get(method).copied();
+        let host = self.hosts.get(normal_host(host).as_ref()).copied();
+        let mut node = ROOT;
+        let mut best = self.end(node, host, method);
+        for segment in path.split('/') {
+            let Some(child) = self.child(node, segment) else { break };
+            node = child;
+            best = self.end(node, host, method).or(best);
+        }
+        best.and_then(|index| self.routes.get(index as usize))
+    }
+
+    fn child(&self, node: u32, segment: &str) -> Option<u32> {
+        let segment = self.segments.get(segment)?;
+        self.children.get(&(node, *segment)).copied()
+    }
+
+    fn end(&self, node: u32, host: Option<u32>, method: Option<u32>) -> Option<u32> {
+        if !self.has_routes[node as usize] {
+            return None;
+        }
+        let with_host = host.and_then(|host| self.end_of_host(node, host, method));
+        with_host.or_else(|| self.end_of_host(node, ANY, method))
+    }
+
+    fn end_of_host(&self, node: u32, host: u32, method: Option<u32>) -> Option<u32> {
+        let exact = method.and_then(|method| self.ends.get(&Selector { node, host, method }));
+        exact.or_else(|| self.ends.get(&Selector { node, host, method: ANY })).copied()
+    }
+
+    fn insert(&mut self, route: &Route) {
+        let mut node = ROOT;
+        for segment in route.path_prefix.split('/').filter(|segment| !segment.is_empty()) {
+            node = self.grow(node, segment);
+        }
+        let host = route.host.as_ref().map_or(ANY, |host| intern(&mut self.hosts, host));
+        let method = route.method.as_ref().map_or(ANY, |m| intern(&mut self.methods, m));
+        self.has_routes[node as usize] = true;
+        self.ends.insert(Selector { node, host, method }, self.routes.len() as u32);
+        self.routes.push(route.clone());
+    }
+
+    fn grow(&mut self, node: u32, segment: &str) -> u32 {
+        let segment = intern(&mut self.segments, segment);
+        let next = self.has_routes.len() as u32;
+        let child = *self.children.entry((node, segment)).or_insert(next);
+        if child == next {
+            self.has_routes.push(false);
+        }
+        child
+    }
+}
+
+/// Returns the number of `text`, counted from one so that [`ANY`] stays free.
+fn intern(numbers: &mut HashMap<SmolStr, u32>, text: &str) -> u32 {
+    let next = numbers.len() as u32 + 1;
+    *numbers.entry(SmolStr::new(text)).or_insert(next)
+}
+
+fn normal_host(host: &str) -> Cow<'_, str> {
+    let name = match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) => name,
+        _ => host,
+    };
+    if name.bytes().any(|b| b.is_ascii_uppercase()) {
+        return Cow::Owned(name.to_ascii_lowercase());
+    }
+    Cow::Borrowed(name)
+}
--- /dev/null
+++ b/crates/fescuemux-core/src/config/service.rs
@@ -0,0 +1,54 @@
+//! Configuration of one service.
+
+use super::bounds::{
+    FieldError, MAX_FLOOR_SLOTS, MAX_QUEUE, MAX_RETRY_PERMILLE, check_deadline, check_name,
+    check_range,
+};
+use crate::base::{Favor, ServiceId};
+use std::time::Duration;
+
+/// Configuration of one service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Service {
+    /// Name.
+    pub id: ServiceId,
+    /// Healthy capacity, in slots, below which no ejection may push the service.
+    pub floor_slots: u32,
+    /// Which detection error weighs more.
+    pub favor: Favor,
+    /// Priority in overload; larger is served first.
+    pub priority: u8,
+    /// Deadline of requests that bring none and whose route sets none.
+    pub default_deadline: Duration,
+    /// Requests that may wait at one guard, for each backend server.
+    pub queue_limit: u32,
+    /// Retries allowed for each 1,000 requests.
+    pub retry_permille: u32,
+}
+
+impl Service {
+    /// Returns a service with floor zero and the defaults of an intent.
+    pub fn new(id: impl Into<ServiceId>) -> Service {
+        Service {
+            id: id.into(),
+            floor_slots: 0,
+            favor: Favor::default(),
+            priority: 100,
+            default_deadline: Duration::from_secs(10),
+            queue_limit: 16,
+            retry_permille: 100,
+        }
+    }
+
+    /// Checks every field.
+    ///
+    /// # Errors
+    /// Fails at the first field that is out of bounds.
+    pub fn check(&self) -> Result<(), FieldError> {
+        check_name("id", &self.id)?;
+        check_range("floor_slots", self.floor_slots, 0..=MAX_FLOOR_SLOTS)?;
+        check_deadline("default_deadline_ms", self.default_deadline)?;
+        check_range("queue_limit", self.queue_limit, 0..=MAX_QUEUE)?;
+        check_range("retry_permille", self.retry_permille, 0..=MAX_RETRY_PERMILLE)
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-core/src/config/stale.rs
@@ -0,0 +1,55 @@
+//! Explanation of a plan whose base is no longer in force.
+
+use super::{Config, Difference, Plan, Subject};
+use crate::base::{Generation, PlanId};
+use std::collections::BTreeSet;
+use std::fmt;
+
+/// Why a plan can no longer be confirmed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Stale {
+    /// The plan.
+    pub plan: PlanId,
+    /// Generation that the plan was made on.
+    pub base: Generation,
+    /// Generation in force.
+    pub current: Generation,
+    /// What changed since the base; `None` when the history no longer reaches back to it.
+    pub since: Option<Vec<Difference>>,
+    /// Items that both the plan and the changes since touch.
+    pub overlap: Vec<Subject>,
+}
+
+/// Explains what changed since the base of `plan`. `base` is the content that the plan was made
+/// on, if it is still known.
+pub fn explain_stale(
+    plan: &Plan,
+    base: Option<&Config>,
+    current: &Config,
+    generation: Generation,
+) -> Stale {
+    let since = base.map(|base| base.differences(current));
+    let planned: BTreeSet<Subject> = plan.changes.iter().map(Difference::subject).collect();
+    let overlap = since
+        .iter()
+        .flatten()
+        .map(Difference::subject)
+        .filter(|subject| planned.contains(subject))
+        .collect();
+    Stale { plan: plan.id, base: plan.base, current: generation, since, overlap }
+}
+
+impl fmt::Display for Stale {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Stale { base, current, .. } = self;
+        write!(f, "made on generation {base}, generation {current} is in force; ")?;
+        match &self.since {
+            None => f.write_str("the history no longer reaches back to the base")?,
+            Some(since) => write!(f, "{} items changed since", since.len())?,
+        }
+        if !self.overlap.is_empty() {
+            write!(f, ", {} of them are in the plan", self.overlap.len())?;
+        }
+        Ok(())
+    }
+}
--- a/crates/fescuemux-core/src/lib.rs
+++ b/crates/fescuemux-core/src/lib.rs
@@ -6,3 +6,4 @@
 //! daemon, a test or a measuring tool can drive the same code.
 
 pub mod base;
+pub mod config;
--- /dev/null
+++ b/crates/fescuemux-standins/src/store/state.rs
@@ -0,0 +1,135 @@
+//! Keys, versions and leases of a stand-in store. Knows no threads and no faults.
+
+use fescuemux_store::{
+    Change, Entry, Expect, Failure, LeaseId, Listed, MAX_KEY_BYTES, MAX_VALUE_BYTES, Renewal,
+    StoreError, Swap, Version, Watched,
+};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+#[derive(Clone, Copy, Debug)]
+struct Lease {
+    ttl: Duration,
+    lapses_at: Duration,
+}
+
+/// Content of the store.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct State {
+    entries: BTreeMap<String, Entry>,
+    leases: BTreeMap<LeaseId, Lease>,
+    last_version: Version,
+    last_lease: LeaseId,
+}
+
+impl State {
+    pub(crate) fn get(&self, key: &str) -> Result<Option<Entry>, StoreError> {
+        check_key(key)?;
+        Ok(self.entries.get(key).cloned())
+    }
+
+    pub(crate) fn list(&self, prefix: &str) -> Vec<Listed> {
+        self.entries
+            .range(prefix.to_owned()..)
+            .take_while(|(key, _)| key.starts_with(prefix))
+            .map(|(key, entry)| Listed { key: key.clone(), version: entry.version })
+            .collect()
+    }
+
+    /// Returns what a watch that knows version `after` sees now, if anything.
+    pub(crate) fn seen(&self, key: &str, after: Version) -> Option<Watched> {
+        match self.entries.get(key) {
+            Some(entry) if entry.version > after => Some(Watched::Changed(entry.clone())),
+            None if after > 0 => Some(Watched::Deleted),
+            _ => None,
+        }
+    }
+
+    pub(crate) fn compare_and_swap(
+        &mut self,
+        key: &str,
+        expect: Expect,
+        change: Change<'_>,
+    ) -> Result<Swap, StoreError> {
+        check_key(key)?;
+        self.check_change(change)?;
+        let found = self.entries.get(key).map(|entry| entry.version);
+        let expected = match expect {
+            Expect::Absent => None,
+            Expect::Version(version) => Some(version),
+        };
+        if found != expected {
+            return Ok(Swap::Conflict(found));
+        }
+        self.last_version += 1;
+        let version = self.last_version;
+        match change {
+            Change::Put { value, lease } => {
+                let entry = Entry { version, value: value.to_vec(), lease };
+                self.entries.insert(key.to_owned(), entry);
+            }
+            Change::Delete => {
+                self.entries.remove(key);
+            }
+        }
+        Ok(Swap::Done(version))
+    }
+
+    fn check_change(&self, change: Change<'_>) -> Result<(), StoreError> {
+        let Change::Put { value, lease } = change else { return Ok(()) };
+        if value.len() > MAX_VALUE_BYTES {
+            return Err(refused("value too large"));
+        }
+        match lease {
+            Some(lease) if !self.leases.contains_key(&lease) => Err(refused("no such lease")),
+            _ => Ok(()),
+        }
+    }
+
+    pub(crate) fn grant(&mut self, now: Duration, ttl: Duration) -> LeaseId {
+        self.last_lease += 1;
+        self.leases.insert(self.last_lease, Lease { ttl, lapses_at: now + ttl });
+        self.last_lease
+    }
+
+    pub(crate) fn renew(&mut self, now: Duration, lease: LeaseId) -> Renewal {
+        let Some(found) = self.leases.get_mut(&lease) else { return Renewal::Lapsed };
+        found.lapses_at = now + found.ttl;
+        Renewal::Renewed
+    }
+
+    pub(crate) fn revoke(&mut self, lease: LeaseId) {
+        if self.leases.remove(&lease).is_some() {
+            self.entries.retain(|_, entry| entry.lease != Some(lease));
+        }
+    }
+
+    /// Ends the leases that are due and returns whether there were any.
+    pub(crate) fn lapse(&mut self, now: Duration) -> bool {
+        let due: Vec<LeaseId> = self
+            .leases
+            .iter()
+            .filter(|(_, lease)| lease.lapses_at <= now)
+            .map(|(id, _)| *id)
+            .collect();
+        due.iter().for_each(|lease| self.revoke(*lease));
+        !due.is_empty()
+    }
+
+    /// Ends all leases.
+    pub(crate) fn lapse_all(&mut self) {
+        let all: Vec<LeaseId> = self.leases.keys().copied().collect();
+        all.iter().for_each(|lease| self.revoke(*lease));
+    }
+}
+
+fn check_key(key: &str) -> Result<(), StoreError> {
+    if key.is_empty() || key.len() > MAX_KEY_BYTES {
+        return Err(refused("key length out of bounds"));
+    }
+    Ok(())
+}
+
+fn refused(detail: &str) -> StoreError {
+    StoreError::none(Failure::Refused, detail)
+}
--- /dev/null
+++ b/crates/fescuemux-store/src/config_store/load.rs
@@ -0,0 +1,110 @@
+//! Reading of the head and its chunks.
+
+use super::{ConfigStore, ConfigStoreError};
+use crate::{Store, Version, Watched};
+use fescuemux_core::base::Generation;
+use fescuemux_core::config::{Config, HEAD_KEY, Head, Names, Record, chunk_key};
+use fescuemux_wire::config::{ChunkSet, ConfigError, decode_head};
+use std::time::Duration;
+
+/// One generation with its content.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Snapshot {
+    /// Head.
+    pub head: Head,
+    /// Content.
+    pub config: Config,
+}
+
+/// Result of a load.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Loaded {
+    /// Version of the head's key, for the next watch; zero if there is no head.
+    pub version: Version,
+    /// Generation above the one known; `None` if the store answered no such generation.
+    pub newer: Option<Snapshot>,
+}
+
+impl<S: Store> ConfigStore<S> {
+    /// Loads the newest generation if it is above that of `known`. Reads only the chunks that
+    /// `chunks` lacks, and leaves in it exactly the chunks of the loaded generation.
+    ///
+    /// # Errors
+    /// Fails when the store does, or when a record cannot be used; `chunks` then keeps what it
+    /// had and what was read.
+    pub fn load(
+        &self,
+        known: Option<&Head>,
+        chunks: &mut ChunkSet,
+    ) -> Result<Loaded, ConfigStoreError> {
+        let Some((version, head)) = self.read_head()? else {
+            return Ok(Loaded { version: 0, newer: None });
+        };
+        if head.generation() <= known.map_or(0, Head::generation) {
+            return Ok(Loaded { version, newer: None });
+        }
+        self.fetch(&head.names, chunks)?;
+        let config = chunks.config(&head.names)?;
+        chunks.retain(&[&head.names]);
+        Ok(Loaded { version, newer: Some(Snapshot { head, config }) })
+    }
+
+    /// Waits until the head's key has a version above `after` and returns the head with its
+    /// version; `None` if nothing changed before the timeout.
+    ///
+    /// # Errors
+    /// Fails when the store does, or when the head cannot be used.
+    pub fn watch(
+        &self,
+        after: Version,
+        timeout: Duration,
+    ) -> Result<Option<(Version, Head)>, ConfigStoreError> {
+        match self.store.watch(HEAD_KEY, after, timeout)? {
+            Watched::Changed(entry) => Ok(Some((entry.version, decode_head(&entry.value)?))),
+            Watched::Deleted | Watched::TimedOut => Ok(None),
+        }
+    }
+
+    /// Returns the known generations, newest first.
+    ///
+    /// # Errors
+    /// Fails when the store does, or when the head cannot be used.
+    pub fn history(&self) -> Result<Vec<Record>, ConfigStoreError> {
+        let head = self.read_head()?;
+        Ok(head.map(|(_, head)| head.records().cloned().collect()).unwrap_or_default())
+    }
+
+    pub(super) fn read_head(&self) -> Result<Option<(Version, Head)>, ConfigStoreError> {
+        let Some(entry) = self.store.get(HEAD_KEY)? else { return Ok(None) };
+        Ok(Some((entry.version, decode_head(&entry.value)?)))
+    }
+
+    /// Returns the content of `names` through the driver's own chunks.
+    pub(super) fn config_of(&self, names: &Names) -> Result<Config, ConfigStoreError> {
+        let mut chunks = self.chunks();
+        self.fetch(names, &mut chunks)?;
+        Ok(chunks.config(names)?)
+    }
+
+    /// Returns the content of `generation`, if `head` remembers it. Generation zero is empty.
+    pub(super) fn config_at(
+        &self,
+        head: &Head,
+        generation: Generation,
+    ) -> Result<Option<Config>, ConfigStoreError> {
+        match head.names_at(generation) {
+            Some(names) => self.config_of(&names).map(Some),
+            None => Ok(None),
+        }
+    }
+
+    fn fetch(&self, names: &Names, chunks: &mut ChunkSet) -> Result<(), ConfigStoreError> {
+        for name in chunks.missing(names) {
+            let key = chunk_key(&name);
+            let entry =
+                self.store.get(&key)?.ok_or_else(|| ConfigError::MissingChunk(key.clone()))?;
+            chunks.insert(name, entry.value.into())?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-store/src/config_store/plans.rs
@@ -0,0 +1,98 @@
+//! Proposals and their records.
+
+use super::{ConfigStore, ConfigStoreError};
+use crate::{Change, Expect, LeaseId, Store, StoreError, Swap};
+use fescuemux_core::base::{Cx, PlanId};
+use fescuemux_core::config::{Base, CapacityReport, Intent, Plan, plan, plan_key};
+use fescuemux_wire::config::{decode_plan, decode_plan_index, encode_plan, encode_plan_index};
+use smol_str::SmolStr;
+use std::time::Duration;
+
+/// How long a plan can be confirmed.
+const PLAN_TTL: Duration = Duration::from_secs(3_600);
+
+/// Largest record of a plan. Larger plans are split, because a value of the store holds 1 MB.
+const RECORD_BYTES: usize = 900_000;
+
+/// Most records of one plan: the bound of a plan's encoding over the size of a record.
+const MAX_RECORDS: usize = 40;
+
+impl<S: Store> ConfigStore<S> {
+    /// Makes a plan for `intent` on the newest generation and stores it for an hour. A plan with
+    /// refusals is returned but not stored, since it can never be confirmed.
+    ///
+    /// # Errors
+    /// Fails when the store does, or when the intent gives no plan.
+    pub fn propose(
+        &self,
+        cx: &mut Cx,
+        intent: &Intent,
+        capacity: &CapacityReport,
+        author: SmolStr,
+    ) -> Result<Plan, ConfigStoreError> {
+        let head = self.read_head()?.map(|(_, head)| head);
+        let names = head.as_ref().map(|head| head.names.clone()).unwrap_or_default();
+        let config = self.config_of(&names)?;
+        let older = match (intent, &head) {
+            (Intent::ReturnTo(generation), Some(head)) => self.config_at(head, *generation)?,
+            _ => None,
+        };
+        let generation = head.as_ref().map_or(0, |head| head.generation());
+        let base = Base { generation, config: &config, older: older.as_ref() };
+        let plan = plan(cx, base, capacity, intent, author)?;
+        if plan.refusals.is_empty() {
+            self.store_plan(&plan)?;
+        }
+        Ok(plan)
+    }
+
+    /// Writes the first record last, so that a plan that can be found is whole.
+    fn store_plan(&self, plan: &Plan) -> Result<(), ConfigStoreError> {
+        let bytes = encode_plan(plan);
+        let lease = self.store.lease_grant(PLAN_TTL)?;
+        let key = plan_key(plan.id);
+        if bytes.len() <= RECORD_BYTES {
+            return Ok(self.create(&key, &bytes, Some(lease))?);
+        }
+        let records: Vec<&[u8]> = bytes.chunks(RECORD_BYTES).collect();
+        for (i, record) in records.iter().enumerate() {
+            self.create(&format!("{key}/{i}"), record, Some(lease))?;
+        }
+        Ok(self.create(&key, &encode_plan_index(records.len()), Some(lease))?)
+    }
+
+    /// Creates a key whose content belongs to its name. A key that exists already holds the same
+    /// content, so the second try after an unknown effect is safe.
+    pub(super) fn create(
+        &self,
+        key: &str,
+        value: &[u8],
+        lease: Option<LeaseId>,
+    ) -> Result<(), StoreError> {
+        let change = Change::Put { value, lease };
+        let create = || self.store.compare_and_swap(key, Expect::Absent, change);
+        match create().or_else(|error| if error.is_transient() { create() } else { Err(error) })? {
+            Swap::Done(_) | Swap::Conflict(_) => Ok(()),
+        }
+    }
+
+    /// Returns the plan with this id, if it is stored.
+    ///
+    /// # Errors
+    /// Fails when the store does, or when the record cannot be used.
+    pub fn stored_plan(&self, plan: PlanId) -> Result<Option<Plan>, ConfigStoreError> {
+        let key = plan_key(plan);
+        let Some(entry) = self.store.get(&key)? else { return Ok(None) };
+        let Some(count) = decode_plan_index(&entry.value) else {
+            return Ok(Some(decode_plan(&entry.value)?));
+        };
+        let mut bytes = Vec::new();
+        for i in 0..count.min(MAX_RECORDS) {
+            match self.store.get(&format!("{key}/{i}"))? {
+                Some(record) => bytes.extend(record.value),
+                None => return Ok(None),
+            }
+        }
+        Ok(Some(decode_plan(&bytes)?))
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-store/src/error.rs
@@ -0,0 +1,78 @@
+//! Errors of store calls.
+
+use std::fmt;
+
+/// States whether a failed call may have changed the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Effect {
+    /// The call changed nothing and never will.
+    None,
+    /// The call may have taken effect, or may yet take effect.
+    Unknown,
+}
+
+/// Reason for a failed call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Failure {
+    /// No connection to any address.
+    Unreachable,
+    /// Connection broken, or no answer in time.
+    NoAnswer,
+    /// The store answered that it cannot serve the call now.
+    Unavailable,
+    /// The store refused the call, or the client refused to send it: a key or value is out of
+    /// bounds, or a lease does not exist.
+    Refused,
+    /// The answer does not follow the protocol.
+    BadAnswer,
+}
+
+/// Error of one store call.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("store call failed ({failure}, effect {effect}): {detail}")]
+pub struct StoreError {
+    /// Whether the call may have taken effect.
+    pub effect: Effect,
+    /// Kind of the failure.
+    pub failure: Failure,
+    /// Text for logs.
+    pub detail: String,
+}
+
+impl StoreError {
+    /// Returns an error of a call that changed nothing.
+    pub fn none(failure: Failure, detail: impl Into<String>) -> StoreError {
+        StoreError { effect: Effect::None, failure, detail: detail.into() }
+    }
+
+    /// Returns an error of a call that may have taken effect.
+    pub fn unknown(failure: Failure, detail: impl Into<String>) -> StoreError {
+        StoreError { effect: Effect::Unknown, failure, detail: detail.into() }
+    }
+
+    /// Returns whether the same call can succeed later without a change to its arguments.
+    pub fn is_transient(&self) -> bool {
+        !matches!(self.failure, Failure::Refused)
+    }
+}
+
+impl fmt::Display for Effect {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Effect::None => "none",
+            Effect::Unknown => "unknown",
+        })
+    }
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Failure::Unreachable => "unreachable",
+            Failure::NoAnswer => "no answer",
+            Failure::Unavailable => "unavailable",
+            Failure::Refused => "refused",
+            Failure::BadAnswer => "bad answer",
+        })
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-store/src/http.rs
@@ -0,0 +1,281 @@
+//! HTTP client of the store.
+
+use crate::protocol::{
+    ErrorBody, GET, GetAnswer, GetRequest, GrantRequest, LEASE_GRANT, LEASE_RENEW, LEASE_REVOKE,
+    LIST, LeaseAnswer, LeaseRequest, ListAnswer, ListRequest, MAX_BODY_BYTES, SWAP, SwapAnswer,
+    SwapRequest, WATCH, WatchAnswer, WatchRequest,
+};
+use crate::{
+    CallHook, CallKind, Change, Effect, Entry, Expect, Failure, LeaseId, Listed, MAX_KEY_BYTES,
+    MAX_VALUE_BYTES, Renewal, Store, StoreError, Swap, Version, Watched, protocol,
+};
+use attohttpc::{ErrorKind, ProxySettings};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::io::{self, Read as _};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+/// Settings of [`HttpStore`].
+#[derive(Clone, Debug)]
+pub struct HttpStoreSettings {
+    /// Addresses of the store's front ends; at least one.
+    pub addrs: Vec<SocketAddr>,
+    /// Longest time to open a connection.
+    pub connect_timeout: Duration,
+    /// Longest time for one call to one address, beyond the wait of a watch.
+    pub call_timeout: Duration,
+}
+
+impl HttpStoreSettings {
+    /// Returns settings with timeouts of 1 s to connect and 5 s for a call.
+    pub fn new(addrs: Vec<SocketAddr>) -> HttpStoreSettings {
+        HttpStoreSettings {
+            addrs,
+            connect_timeout: Duration::from_secs(1),
+            call_timeout: Duration::from_secs(5),
+        }
+    }
+}
+
+/// Store client over HTTP. Opens a connection for each call.
+pub struct HttpStore {
+    settings: HttpStoreSettings,
+    preferred: AtomicUsize,
+    hook: Option<CallHook>,
+}
+
+/// Whether a call may be sent again to another address after an unknown effect.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Repeat {
+    Safe,
+    Unsafe,
+}
+
+/// One call: its path, accounting and timeout.
+#[derive(Clone, Copy)]
+struct Call {
+    path: &'static str,
+    kind: CallKind,
+    repeat: Repeat,
+    wait: Duration,
+}
+
+impl HttpStore {
+    /// Returns a client for the store at the addresses of `settings`.
+    ///
+    /// # Errors
+    /// Fails when `settings` holds no address.
+    pub fn new(settings: HttpStoreSettings) -> Result<HttpStore, StoreError> {
+        if settings.addrs.is_empty() {
+            return Err(StoreError::none(Failure::Refused, "no store address is set"));
+        }
+        Ok(HttpStore { settings, preferred: AtomicUsize::new(0), hook: None })
+    }
+
+    /// Sets the function that is told of each call.
+    #[must_use]
+    pub fn with_hook(mut self, hook: CallHook) -> HttpStore {
+        self.hook = Some(hook);
+        self
+    }
+
+    /// Sends a call to the address that answered last, then to the others while that is safe:
+    /// after an unknown effect only a call whose repetition changes nothing goes on.
+    fn call<T: DeserializeOwned>(
+        &self,
+        call: Call,
+        request: &impl Serialize,
+    ) -> Result<T, StoreError> {
+        let body = serde_json::to_vec(request)
+            .map_err(|e| StoreError::none(Failure::Refused, e.to_string()))?;
+        let count = self.settings.addrs.len();
+        let first = self.preferred.load(Ordering::Relaxed);
+        let mut worst = Effect::None;
+        let mut last = None;
+        for index in (0..count).map(|offset| (first + offset) % count) {
+            let error = match self.call_one(call, self.settings.addrs[index], &body) {
+                Ok(answer) => {
+                    self.preferred.store(index, Ordering::Relaxed);
+                    return Ok(answer);
+                }
+                Err(error) => error,
+            };
+            if error.effect == Effect::Unknown {
+                worst = Effect::Unknown;
+            }
+            let stop = !error.is_transient()
+                || (error.effect == Effect::Unknown && call.repeat == Repeat::Unsafe);
+            last = Some(error);
+            if stop {
+                break;
+            }
+        }
+        let error =
+            last.unwrap_or_else(|| StoreError::none(Failure::Unreachable, "no store address"));
+        Err(StoreError { effect: worst, ..error })
+    }
+
+    fn call_one<T: DeserializeOwned>(
+        &self,
+        call: Call,
+        addr: SocketAddr,
+        body: &[u8],
+    ) -> Result<T, StoreError> {
+        if let Some(hook) = &self.hook {
+            hook(call.kind);
+        }
+        let timeout = self.settings.call_timeout + call.wait;
+        let response = attohttpc::post(format!("http://{addr}{}", call.path))
+            .header("content-type", "application/json")
+            .connect_timeout(self.settings.connect_timeout)
+            .read_timeout(timeout)
+            .timeout(timeout)
+            .follow_redirects(false)
+            .proxy_settings(ProxySettings::builder().build())
+            .bytes(body)
+            .send()
+            .map_err(|error| transport_error(call, addr, &error))?;
+        let status = response.status().as_u16();
+        let mut text = Vec::new();
+        response
+            .split()
+            .2
+            .take(MAX_BODY_BYTES)
+            .read_to_end(&mut text)
+            .map_err(|error| failure(call, Failure::NoAnswer, format!("{addr}: {error}")))?;
+        if status == 200 {
+            return serde_json::from_slice(&text)
+                .map_err(|error| failure(call, Failure::BadAnswer, format!("{addr}: {error}")));
+        }
+        Err(status_error(call, addr, status, &text))
+    }
+}
+
+/// Reads have no effect, so their errors never carry an unknown one.
+fn failure(call: Call, failure: Failure, detail: String) -> StoreError {
+    match call.kind {
+        CallKind::Read => StoreError::none(failure, detail),
+        CallKind::Write => StoreError::unknown(failure, detail),
+    }
+}
+
+/// Only a refused connection proves that nothing was sent: unreachable hosts and timeouts are
+/// also reported on connections that already carried the request.
+fn transport_error(call: Call, addr: SocketAddr, error: &attohttpc::Error) -> StoreError {
+    let detail = format!("{addr}: {error}");
+    match error.kind() {
+        ErrorKind::Io(e) if e.kind() == io::ErrorKind::ConnectionRefused => {
+            StoreError::none(Failure::Unreachable, detail)
+        }
+        ErrorKind::Io(_) => failure(call, Failure::NoAnswer, detail),
+        _ => failure(call, Failure::BadAnswer, detail),
+    }
+}
+
+fn status_error(call: Call, addr: SocketAddr, status: u16, text: &[u8]) -> StoreError {
+    let body: Option<ErrorBody> = serde_json::from_slice(text).ok();
+    let reason = body.as_ref().map_or("", |b| b.error.as_str());
+    let detail = format!("{addr}: status {status} {reason}");
+    let promised = body.is_some_and(|b| b.no_effect);
+    match status {
+        400..=499 => StoreError::none(Failure::Refused, detail),
+        _ if promised => StoreError::none(Failure::Unavailable, detail),
+        _ => failure(call, Failure::Unavailable, detail),
+    }
+}
+
+/// Checks the bounds that the store states, before anything is sent.
+fn check_key(key: &str) -> Result<(), StoreError> {
+    if key.is_empty() || key.len() > MAX_KEY_BYTES {
+        let detail = format!("key of {} bytes; 1 to {MAX_KEY_BYTES} are allowed", key.len());
+        return Err(StoreError::none(Failure::Refused, detail));
+    }
+    Ok(())
+}
+
+fn check_value(value: &[u8]) -> Result<(), StoreError> {
+    if value.len() > MAX_VALUE_BYTES {
+        let detail = format!("value of {} bytes; {MAX_VALUE_BYTES} are allowed", value.len());
+        return Err(StoreError::none(Failure::Refused, detail));
+    }
+    Ok(())
+}
+
+const fn read(path: &'static str) -> Call {
+    Call { path, kind: CallKind::Read, repeat: Repeat::Safe, wait: Duration::ZERO }
+}
+
+const fn write(path: &'static str, repeat: Repeat) -> Call {
+    Call { path, kind: CallKind::Write, repeat, wait: Duration::ZERO }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+impl Store for HttpStore {
+    fn get(&self, key: &str) -> Result<Option<Entry>, StoreError> {
+        check_key(key)?;
+        let answer: GetAnswer = self.call(read(GET), &GetRequest { key: key.to_owned() })?;
+        Ok(answer.entry.map(Entry::from))
+    }
+
+    fn compare_and_swap(
+        &self,
+        key: &str,
+        expect: Expect,
+        change: Change<'_>,
+    ) -> Result<Swap, StoreError> {
+        check_key(key)?;
+        let expect = match expect {
+            Expect::Absent => 0,
+            Expect::Version(version) => version,
+        };
+        let (value, lease) = match change {
+            Change::Put { value, lease } => {
+                check_value(value)?;
+                (Some(protocol::Blob(value.to_vec())), lease)
+            }
+            Change::Delete => (None, None),
+        };
+        let request = SwapRequest { key: key.to_owned(), expect, value, lease };
+        // A repeated swap would report a conflict with its own first copy.
+        let answer: SwapAnswer = self.call(write(SWAP, Repeat::Unsafe), &request)?;
+        Ok(answer.into())
+    }
+
+    fn list(&self, prefix: &str) -> Result<Vec<Listed>, StoreError> {
+        let request = ListRequest { prefix: prefix.to_owned() };
+        let answer: ListAnswer = self.call(read(LIST), &request)?;
+        Ok(answer.into())
+    }
+
+    fn watch(&self, key: &str, after: Version, timeout: Duration) -> Result<Watched, StoreError> {
+        check_key(key)?;
+        let call = Call { wait: timeout, ..read(WATCH) };
+        let request = WatchRequest { key: key.to_owned(), after, timeout_ms: millis(timeout) };
+        let answer: WatchAnswer = self.call(call, &request)?;
+        Ok(answer.into())
+    }
+
+    fn lease_grant(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
+        let request = GrantRequest { ttl_ms: millis(ttl) };
+        let call = write(LEASE_GRANT, Repeat::Unsafe);
+        let answer: LeaseAnswer = self.call(call, &request)?;
+        Ok(answer.lease)
+    }
+
+    fn lease_renew(&self, lease: LeaseId) -> Result<Renewal, StoreError> {
+        let call = write(LEASE_RENEW, Repeat::Safe);
+        let answer: LeaseAnswer = self.call(call, &LeaseRequest { lease })?;
+        Ok(answer.into())
+    }
+
+    fn lease_revoke(&self, lease: LeaseId) -> Result<(), StoreError> {
+        let call = write(LEASE_REVOKE, Repeat::Safe);
+        let _: LeaseAnswer = self.call(call, &LeaseRequest { lease })?;
+        Ok(())
+    }
+}
--- a/crates/fescuemux-store/src/lib.rs
+++ b/crates/fescuemux-store/src/lib.rs
@@ -1,1 +1,20 @@
-//! Placeholder
+//! The key-value store as the fleet sees it: the [`Store`] interface, its HTTP client, and the
+//! driver that keeps the configuration in it.
+//!
+//! All calls block; callers put them on their own thread. Must not know the daemon.
+
+mod calls;
+pub mod config_store;
+pub mod contract;
+mod error;
+mod http;
+pub mod protocol;
+mod store;
+
+pub use calls::{CallHook, CallKind};
+pub use error::{Effect, Failure, StoreError};
+pub use http::{HttpStore, HttpStoreSettings};
+pub use store::{
+    Change, Entry, Expect, LeaseId, Listed, MAX_KEY_BYTES, MAX_VALUE_BYTES, Renewal, Store, Swap,
+    Version, Watched,
+};
--- /dev/null
+++ b/crates/fescuemux-store/tests/contract.rs
@@ -0,0 +1,20 @@
+//! Guards against a store, stand-in or client that breaks a promise of the interface.
+
+use fescuemux_standins::store::{MemoryStore, StandInStore};
+use fescuemux_store::{HttpStore, HttpStoreSettings, contract};
+use std::sync::Arc;
+
+#[test]
+fn memory_store_keeps_contract() {
+    let store = MemoryStore::with_virtual_clock();
+    contract::check(&store, "contract", &|time| store.pass_time(time));
+}
+
+#[test]
+fn http_store_keeps_contract() {
+    let memory = Arc::new(MemoryStore::with_virtual_clock());
+    let served = StandInStore::serve("127.0.0.1:0", Arc::clone(&memory)).unwrap();
+    let client = HttpStore::new(HttpStoreSettings::new(vec![served.addr()])).unwrap();
+    contract::check(&client, "contract", &|time| memory.pass_time(time));
+    served.stop();
+}
--- /dev/null
+++ b/crates/fescuemux-wire/src/config.rs
@@ -0,0 +1,29 @@
+//! JSON types of the configuration: intents, plans, chunks and the head.
+//!
+//! Intents come from people, so unknown fields are refused. Stored records come from daemons
+//! that may be newer during a rolling upgrade, so unknown fields in them are ignored, and the
+//! format number tells a daemon when it must not write them back.
+
+mod chunk;
+mod chunk_set;
+mod digest;
+mod error;
+mod head;
+mod intent;
+mod item;
+mod plan;
+
+pub use chunk::{EncodedChunk, decode_chunk, encode_chunk};
+pub use chunk_set::ChunkSet;
+pub use digest::{format_plan_id, parse_plan_id};
+pub use error::ConfigError;
+pub use head::{decode_head, encode_head};
+pub use intent::{ChangeBody, ContentBody, IntentBody, decode_intent, encode_intent};
+pub use item::{CallerBody, FavorBody, RouteBody, ServiceBody};
+pub use plan::{
+    DifferenceBody, EditBody, FindingBody, FloorEffectBody, PlanBody, decode_plan,
+    decode_plan_index, encode_plan, encode_plan_index,
+};
+
+/// Format of the stored records that this version writes.
+pub const FORMAT: u32 = 1;
--- /dev/null
+++ b/crates/fescuemux-wire/src/config/digest.rs
@@ -0,0 +1,91 @@
+//! Text forms of digests, plan ids, parts and times.
+
+use super::ConfigError;
+use fescuemux_core::base::PlanId;
+use fescuemux_core::config::{BUCKETS, Digest, Part};
+use sha2::{Digest as _, Sha256};
+use std::fmt::Write as _;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Returns the name of a chunk.
+pub(super) fn digest_of(bytes: &[u8]) -> Digest {
+    Sha256::digest(bytes).into()
+}
+
+pub(super) fn format_digest(digest: &Digest) -> String {
+    let mut text = String::with_capacity(64);
+    for byte in digest {
+        let _ = write!(text, "{byte:02x}");
+    }
+    text
+}
+
+pub(super) fn parse_digest(text: &str) -> Option<Digest> {
+    let bytes = text.as_bytes();
+    if bytes.len() != 64 {
+        return None;
+    }
+    let mut digest = [0; 32];
+    for (place, pair) in digest.iter_mut().zip(bytes.chunks_exact(2)) {
+        *place = (hex_digit(pair[0])? << 4) | hex_digit(pair[1])?;
+    }
+    Some(digest)
+}
+
+/// Only lower case, so that a digest has one spelling.
+fn hex_digit(byte: u8) -> Option<u8> {
+    match byte {
+        b'0'..=b'9' => Some(byte - b'0'),
+        b'a'..=b'f' => Some(byte - b'a' + 10),
+        _ => None,
+    }
+}
+
+/// Returns the text form of a plan id, 32 hexadecimal digits.
+pub fn format_plan_id(plan: PlanId) -> String {
+    format!("{plan:032x}")
+}
+
+/// Parses the text form of a plan id.
+pub fn parse_plan_id(text: &str) -> Option<PlanId> {
+    let is_ok = text.len() == 32 && text.bytes().all(|b| hex_digit(b).is_some());
+    is_ok.then(|| PlanId::from_str_radix(text, 16).ok()).flatten()
+}
+
+pub(super) fn plan_id_of(path: &str, text: &str) -> Result<PlanId, ConfigError> {
+    parse_plan_id(text)
+        .ok_or_else(|| ConfigError::shape(path, "must be 32 lower-case hexadecimal digits"))
+}
+
+pub(super) fn format_part(part: Part) -> String {
+    match part {
+        Part::Services => "services".to_owned(),
+        Part::Routes(bucket) => format!("routes/{bucket}"),
+        Part::Callers(bucket) => format!("callers/{bucket}"),
+    }
+}
+
+pub(super) fn parse_part(text: &str) -> Option<Part> {
+    if text == "services" {
+        return Some(Part::Services);
+    }
+    let (kind, bucket) = text.split_once('/')?;
+    let number: u8 = bucket.parse().ok()?;
+    let part = match kind {
+        "routes" => Part::Routes(number),
+        "callers" => Part::Callers(number),
+        _ => return None,
+    };
+    (usize::from(number) < BUCKETS && format_part(part) == text).then_some(part)
+}
+
+pub(super) fn to_millis(time: SystemTime) -> u64 {
+    let since = time.duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
+pub(super) fn from_millis(path: &str, millis: u64) -> Result<SystemTime, ConfigError> {
+    UNIX_EPOCH
+        .checked_add(Duration::from_millis(millis))
+        .ok_or_else(|| ConfigError::shape(path, "time is out of range"))
+}
--- /dev/null
+++ b/crates/fescuemux-wire/src/config/head.rs
@@ -0,0 +1,119 @@
+//! The head in JSON.
+
+use super::digest::{
+    format_digest, format_part, format_plan_id, from_millis, parse_digest, parse_part, plan_id_of,
+    to_millis,
+};
+use super::error::{parse, write};
+use super::{ConfigError, FORMAT};
+use fescuemux_core::config::{Digest, HISTORY_LEN, Head, Names, Part, Record, check_author};
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+use std::collections::BTreeMap;
+
+/// Largest encoded head, the largest value of the store.
+const MAX_HEAD_BYTES: usize = 1_000_000;
+
+#[derive(Serialize, Deserialize)]
+struct HeadBody {
+    format: u32,
+    latest: RecordBody,
+    names: BTreeMap<String, String>,
+    history: Vec<RecordBody>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct RecordBody {
+    generation: u64,
+    plan: String,
+    author: SmolStr,
+    time_ms: u64,
+    replaced: BTreeMap<String, Option<String>>,
+}
+
+/// Encodes a head.
+pub fn encode_head(head: &Head) -> Vec<u8> {
+    let names = head.names.iter().map(|(part, n)| (format_part(part), format_digest(&n)));
+    write(&HeadBody {
+        format: FORMAT,
+        latest: RecordBody::from(&head.latest),
+        names: names.collect(),
+        history: head.history.iter().map(RecordBody::from).collect(),
+    })
+}
+
+/// Decodes a head. Unknown fields are ignored.
+///
+/// # Errors
+/// Fails when the bytes are not a head within bounds, or its generations have a gap.
+pub fn decode_head(bytes: &[u8]) -> Result<Head, ConfigError> {
+    let body: HeadBody = parse(bytes, MAX_HEAD_BYTES)?;
+    if body.history.len() > HISTORY_LEN {
+        return Err(ConfigError::shape("history", format!("more than {HISTORY_LEN} records")));
+    }
+    let mut names = Names::default();
+    for (part, name) in &body.names {
+        names.set(part_of(part)?, Some(digest_of_text(name)?));
+    }
+    let latest = Record::try_from(body.latest).map_err(|error| error.within("latest"))?;
+    let mut history = Vec::with_capacity(body.history.len());
+    let mut expected = latest.generation;
+    for (i, record) in body.history.into_iter().enumerate() {
+        let path = format!("history[{i}]");
+        let record = Record::try_from(record).map_err(|error| error.within(&path))?;
+        expected -= 1;
+        if record.generation != expected {
+            return Err(ConfigError::shape(path, "generations have a gap"));
+        }
+        history.push(record);
+    }
+    Ok(Head { latest, names, history })
+}
+
+fn part_of(text: &str) -> Result<Part, ConfigError> {
+    parse_part(text).ok_or_else(|| ConfigError::shape(text, "unknown part"))
+}
+
+fn digest_of_text(text: &str) -> Result<Digest, ConfigError> {
+    parse_digest(text).ok_or_else(|| ConfigError::shape("names", "not a digest"))
+}
+
+impl From<&Record> for RecordBody {
+    fn from(record: &Record) -> RecordBody {
+        let replaced = record
+            .replaced
+            .iter()
+            .map(|(part, name)| (format_part(*part), name.as_ref().map(format_digest)));
+        RecordBody {
+            generation: record.generation,
+            plan: format_plan_id(record.plan),
+            author: record.author.clone(),
+            time_ms: to_millis(record.time),
+            replaced: replaced.collect(),
+        }
+    }
+}
+
+impl TryFrom<RecordBody> for Record {
+    type Error = ConfigError;
+
+    fn try_from(body: RecordBody) -> Result<Record, ConfigError> {
+        if body.generation == 0 {
+            return Err(ConfigError::shape("generation", "must be above zero"));
+        }
+        check_author("author", &body.author)?;
+        let mut replaced = Vec::with_capacity(body.replaced.len());
+        for (part, name) in &body.replaced {
+            let name = name.as_deref().map(digest_of_text).transpose()?;
+            replaced.push((part_of(part)?, name));
+        }
+        replaced.sort_unstable_by_key(|(part, _)| *part);
+        Ok(Record {
+            generation: body.generation,
+            plan: plan_id_of("plan", &body.plan)?,
+            author: body.author,
+            time: from_millis("time_ms", body.time_ms)?,
+            replaced,
+        })
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-wire/src/config/intent.rs
@@ -0,0 +1,192 @@
+//! Intents in JSON.
+
+use super::ConfigError;
+use super::error::{parse, write};
+use super::item::{CallerBody, RouteBody, ServiceBody, Strict, check_all_known, convert_all};
+use fescuemux_core::config::{
+    Change, Config, FieldError, Intent, MAX_CHANGES, Subject, check_caller_id, check_name,
+};
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+/// Largest intent. The whole content at the largest scale has about 10 MB.
+const MAX_INTENT_BYTES: usize = 16 * 1024 * 1024;
+
+/// What an operator asks for.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum IntentBody {
+    /// Changes to the content in force.
+    Changes(Vec<ChangeBody>),
+    /// New content in place of the whole.
+    Content(ContentBody),
+    /// The content of an older generation.
+    ReturnTo(u64),
+}
+
+/// One change.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum ChangeBody {
+    /// Adds or replaces a service.
+    PutService(ServiceBody),
+    /// Removes a service.
+    RemoveService(SmolStr),
+    /// Adds or replaces a route.
+    PutRoute(RouteBody),
+    /// Removes a route.
+    RemoveRoute(SmolStr),
+    /// Adds or replaces the limit of a caller.
+    PutCaller(CallerBody),
+    /// Removes the limit of a caller.
+    RemoveCaller(SmolStr),
+}
+
+/// The whole content.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ContentBody {
+    /// All services.
+    pub services: Vec<ServiceBody>,
+    /// All routes.
+    pub routes: Vec<RouteBody>,
+    /// All caller limits.
+    pub callers: Vec<CallerBody>,
+}
+
+/// Encodes an intent.
+pub fn encode_intent(intent: &Intent) -> Vec<u8> {
+    write(&IntentBody::from(intent))
+}
+
+/// Decodes an intent.
+///
+/// # Errors
+/// Fails on unknown fields, values out of bounds and items that appear twice, with their place.
+pub fn decode_intent(bytes: &[u8]) -> Result<Intent, ConfigError> {
+    Intent::try_from(parse::<IntentBody>(bytes, MAX_INTENT_BYTES)?)
+}
+
+impl From<&Intent> for IntentBody {
+    fn from(intent: &Intent) -> IntentBody {
+        match intent {
+            Intent::Changes(changes) => {
+                IntentBody::Changes(changes.iter().map(ChangeBody::from).collect())
+            }
+            Intent::Content(content) => IntentBody::Content(ContentBody::from(&**content)),
+            Intent::ReturnTo(generation) => IntentBody::ReturnTo(*generation),
+        }
+    }
+}
+
+impl TryFrom<IntentBody> for Intent {
+    type Error = ConfigError;
+
+    fn try_from(body: IntentBody) -> Result<Intent, ConfigError> {
+        match body {
+            IntentBody::Changes(changes) => {
+                if changes.len() > MAX_CHANGES {
+                    let reason = format!("more than {MAX_CHANGES}; give the whole content");
+                    return Err(ConfigError::shape("changes", reason));
+                }
+                Ok(Intent::Changes(convert_all("changes", changes)?))
+            }
+            IntentBody::Content(content) => {
+                let config = Config::try_from(content).map_err(|e| e.within("content"))?;
+                Ok(Intent::Content(Box::new(config)))
+            }
+            IntentBody::ReturnTo(generation) => Ok(Intent::ReturnTo(generation)),
+        }
+    }
+}
+
+impl From<&Change> for ChangeBody {
+    fn from(change: &Change) -> ChangeBody {
+        match change {
+            Change::PutService(service) => ChangeBody::PutService(service.into()),
+            Change::RemoveService(id) => ChangeBody::RemoveService(id.clone()),
+            Change::PutRoute(route) => ChangeBody::PutRoute(route.into()),
+            Change::RemoveRoute(id) => ChangeBody::RemoveRoute(id.clone()),
+            Change::PutCaller(limit) => ChangeBody::PutCaller(limit.into()),
+            Change::RemoveCaller(id) => ChangeBody::RemoveCaller(id.clone()),
+        }
+    }
+}
+
+impl TryFrom<ChangeBody> for Change {
+    type Error = ConfigError;
+
+    fn try_from(body: ChangeBody) -> Result<Change, ConfigError> {
+        match body {
+            ChangeBody::PutService(b) => strict("put_service", b).map(Change::PutService),
+            ChangeBody::PutRoute(b) => strict("put_route", b).map(Change::PutRoute),
+            ChangeBody::PutCaller(b) => strict("put_caller", b).map(Change::PutCaller),
+            ChangeBody::RemoveService(id) => {
+                check_name("remove_service", &id)?;
+                Ok(Change::RemoveService(id))
+            }
+            ChangeBody::RemoveRoute(id) => {
+                check_name("remove_route", &id)?;
+                Ok(Change::RemoveRoute(id))
+            }
+            ChangeBody::RemoveCaller(id) => {
+                check_caller_id("remove_caller", &id)?;
+                Ok(Change::RemoveCaller(id))
+            }
+        }
+    }
+}
+
+fn strict<B, T>(path: &str, body: B) -> Result<T, ConfigError>
+where
+    B: Strict,
+    T: TryFrom<B, Error = ConfigError>,
+{
+    let known = body.check_known();
+    known.and_then(|()| T::try_from(body)).map_err(|error| error.within(path))
+}
+
+impl From<&Config> for ContentBody {
+    fn from(config: &Config) -> ContentBody {
+        ContentBody {
+            services: config.services.values().map(Into::into).collect(),
+            routes: config.routes.values().map(Into::into).collect(),
+            callers: config.callers.values().map(Into::into).collect(),
+        }
+    }
+}
+
+impl TryFrom<ContentBody> for Config {
+    type Error = ConfigError;
+
+    fn try_from(body: ContentBody) -> Result<Config, ConfigError> {
+        check_all_known("services", &body.services)?;
+        check_all_known("routes", &body.routes)?;
+        check_all_known("callers", &body.callers)?;
+        let services = convert_all("services", body.services)?;
+        let routes = convert_all("routes", body.routes)?;
+        let callers = convert_all("callers", body.callers)?;
+        let changes = services
+            .into_iter()
+            .map(Change::PutService)
+            .chain(routes.into_iter().map(Change::PutRoute))
+            .chain(callers.into_iter().map(Change::PutCaller));
+        let mut config = Config::default();
+        for change in changes {
+            if holds(&config, &change.subject()) {
+                let reason = format!("{} appears twice", change.subject());
+                return Err(FieldError::new("id", reason).into());
+            }
+            config.apply_change(&change);
+        }
+        Ok(config)
+    }
+}
+
+fn holds(config: &Config, subject: &Subject) -> bool {
+    match subject {
+        Subject::Service(id) => config.services.contains_key(id),
+        Subject::Route(id) => config.routes.contains_key(id),
+        Subject::Caller(id) => config.callers.contains_key(id),
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-wire/src/config/item.rs
@@ -0,0 +1,259 @@
+//! Services, routes and caller limits in JSON.
+
+use super::ConfigError;
+use fescuemux_core::base::Favor;
+use fescuemux_core::config::{CallerLimit, Route, Service};
+use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value};
+use smol_str::SmolStr;
+use std::time::Duration;
+
+/// A service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ServiceBody {
+    /// Name.
+    pub id: SmolStr,
+    /// Floor, in slots.
+    pub floor_slots: u32,
+    /// Weighting of the detection errors.
+    #[serde(default)]
+    pub favor: FavorBody,
+    /// Priority in overload; larger is served first.
+    #[serde(default = "default_priority")]
+    pub priority: u8,
+    /// Deadline of requests that bring none, in milliseconds.
+    #[serde(default = "default_deadline_ms")]
+    pub default_deadline_ms: u64,
+    /// Requests that may wait for each backend server.
+    #[serde(default = "default_queue_limit")]
+    pub queue_limit: u32,
+    /// Retries allowed for each 1,000 requests.
+    #[serde(default = "default_retry_permille")]
+    pub retry_permille: u32,
+    /// Fields that this version does not know.
+    #[serde(flatten)]
+    pub extra: Map<String, Value>,
+}
+
+/// Weighting of the detection errors.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum FavorBody {
+    /// See [`Favor::FewFalseEjections`].
+    #[default]
+    FewFalseEjections,
+    /// See [`Favor::FastDetection`].
+    FastDetection,
+}
+
+/// A route.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RouteBody {
+    /// Name.
+    pub id: SmolStr,
+    /// Method; every method if absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub method: Option<SmolStr>,
+    /// Host; every host if absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub host: Option<SmolStr>,
+    /// Start of the path.
+    pub path_prefix: SmolStr,
+    /// Service.
+    pub service: SmolStr,
+    /// Whether a request may run more than once. Required, because a wrong default would break
+    /// at-most-once execution.
+    pub idempotent: bool,
+    /// Deadline, in milliseconds; the service's if absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub deadline_ms: Option<u64>,
+    /// Fields that this version does not know.
+    #[serde(flatten)]
+    pub extra: Map<String, Value>,
+}
+
+/// The limit of a caller.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct CallerBody {
+    /// Name of the caller.
+    pub caller: SmolStr,
+    /// Requests per second.
+    pub rate_per_s: u32,
+    /// Requests that may arrive at once.
+    pub burst: u32,
+    /// Fields that this version does not know.
+    #[serde(flatten)]
+    pub extra: Map<String, Value>,
+}
+
+fn default_priority() -> u8 {
+    Service::new("").priority
+}
+
+fn default_deadline_ms() -> u64 {
+    millis(Service::new("").default_deadline)
+}
+
+fn default_queue_limit() -> u32 {
+    Service::new("").queue_limit
+}
+
+fn default_retry_permille() -> u32 {
+    Service::new("").retry_permille
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// An item whose unknown fields can be refused.
+pub(super) trait Strict {
+    /// Returns the fields that this version does not know.
+    fn extra(&self) -> &Map<String, Value>;
+
+    /// Refuses unknown fields.
+    fn check_known(&self) -> Result<(), ConfigError> {
+        match self.extra().keys().next() {
+            Some(field) => Err(ConfigError::shape(field.as_str(), "unknown field")),
+            None => Ok(()),
+        }
+    }
+}
+
+macro_rules! strict {
+    ($($body:ty),*) => {
+        $(impl Strict for $body {
+            fn extra(&self) -> &Map<String, Value> {
+                &self.extra
+            }
+        })*
+    };
+}
+
+strict!(ServiceBody, RouteBody, CallerBody);
+
+impl From<Favor> for FavorBody {
+    fn from(favor: Favor) -> FavorBody {
+        match favor {
+            Favor::FewFalseEjections => FavorBody::FewFalseEjections,
+            Favor::FastDetection => FavorBody::FastDetection,
+        }
+    }
+}
+
+impl From<FavorBody> for Favor {
+    fn from(body: FavorBody) -> Favor {
+        match body {
+            FavorBody::FewFalseEjections => Favor::FewFalseEjections,
+            FavorBody::FastDetection => Favor::FastDetection,
+        }
+    }
+}
+
+impl From<&Service> for ServiceBody {
+    fn from(service: &Service) -> ServiceBody {
+        ServiceBody {
+            id: service.id.clone(),
+            floor_slots: service.floor_slots,
+            favor: service.favor.into(),
+            priority: service.priority,
+            default_deadline_ms: millis(service.default_deadline),
+            queue_limit: service.queue_limit,
+            retry_permille: service.retry_permille,
+            extra: Map::new(),
+        }
+    }
+}
+
+impl TryFrom<ServiceBody> for Service {
+    type Error = ConfigError;
+
+    fn try_from(body: ServiceBody) -> Result<Service, ConfigError> {
+        let service = Service {
+            id: body.id,
+            floor_slots: body.floor_slots,
+            favor: body.favor.into(),
+            priority: body.priority,
+            default_deadline: Duration::from_millis(body.default_deadline_ms),
+            queue_limit: body.queue_limit,
+            retry_permille: body.retry_permille,
+        };
+        service.check()?;
+        Ok(service)
+    }
+}
+
+impl From<&Route> for RouteBody {
+    fn from(route: &Route) -> RouteBody {
+        RouteBody {
+            id: route.id.clone(),
+            method: route.method.clone(),
+            host: route.host.clone(),
+            path_prefix: route.path_prefix.clone(),
+            service: route.service.clone(),
+            idempotent: route.idempotent,
+            deadline_ms: route.deadline.map(millis),
+            extra: Map::new(),
+        }
+    }
+}
+
+impl TryFrom<RouteBody> for Route {
+    type Error = ConfigError;
+
+    fn try_from(body: RouteBody) -> Result<Route, ConfigError> {
+        let route = Route {
+            id: body.id,
+            method: body.method,
+            host: body.host,
+            path_prefix: body.path_prefix,
+            service: body.service,
+            idempotent: body.idempotent,
+            deadline: body.deadline_ms.map(Duration::from_millis),
+        };
+        route.check()?;
+        Ok(route)
+    }
+}
+
+impl From<&CallerLimit> for CallerBody {
+    fn from(limit: &CallerLimit) -> CallerBody {
+        CallerBody {
+            caller: limit.caller.clone(),
+            rate_per_s: limit.rate_per_s,
+            burst: limit.burst,
+            extra: Map::new(),
+        }
+    }
+}
+
+impl TryFrom<CallerBody> for CallerLimit {
+    type Error = ConfigError;
+
+    fn try_from(body: CallerBody) -> Result<CallerLimit, ConfigError> {
+        let limit =
+            CallerLimit { caller: body.caller, rate_per_s: body.rate_per_s, burst: body.burst };
+        limit.check()?;
+        Ok(limit)
+    }
+}
+
+/// Turns items of a list into core types; errors carry the path of the item.
+pub(super) fn convert_all<B, T>(list: &str, bodies: Vec<B>) -> Result<Vec<T>, ConfigError>
+where
+    T: TryFrom<B, Error = ConfigError>,
+{
+    bodies
+        .into_iter()
+        .enumerate()
+        .map(|(i, body)| T::try_from(body).map_err(|e| e.within(&format!("{list}[{i}]"))))
+        .collect()
+}
+
+/// Refuses unknown fields in the items of a list.
+pub(super) fn check_all_known<B: Strict>(list: &str, bodies: &[B]) -> Result<(), ConfigError> {
+    bodies
+        .iter()
+        .enumerate()
+        .try_for_each(|(i, b)| b.check_known().map_err(|e| e.within(&format!("{list}[{i}]"))))
+}
