--- a/crates/fescuemux-core/src/lib.rs
+++ b/crates/fescuemux-core/src/lib.rs
@@ -13,3 +13,4 @@
 pub mod detect;
 pub mod eject;
 pub mod member;
+pub mod config;
--- a/crates/fescuemux-standins/src/lib.rs
+++ b/crates/fescuemux-standins/src/lib.rs
@@ -3,3 +3,9 @@
 //! The crate must not know core decisions or the daemon.
 
 pub mod server;
+//! Stand-ins for the outside systems of the fleet, with switchable faults, for tests and
+//! measurements.
+//!
+//! Must not know core decisions or the daemon.
+
+pub mod store;
--- a/crates/fescuemux-wire/src/lib.rs
+++ b/crates/fescuemux-wire/src/lib.rs
@@ -18,3 +18,8 @@
 //! The crate must not know HTTP servers, nor decisions beyond the core types.
 
 pub mod member;
+//! Wire types of the fleet: messages, headers and stored records, with checks of what arrives.
+//!
+//! Must not know HTTP servers or decisions beyond core types.
+
+pub mod config;
