--- a/crates/fescuemux-core/src/dedup.rs
+++ b/crates/fescuemux-core/src/dedup.rs
@@ -14,7 +14,7 @@
 mod tests;
 
 pub use claim::{Claim, ClaimState, KeyOutcome, RegistryEntry};
-pub use home_fence::{FenceReason, HomeFence, Permission};
+pub use home_fence::{FenceReason, HomeFence, Permission, Since};
 pub use key_age::{KeyAge, MAX_CLOCK_SKEW, key_age};
 pub use key_registry::{KeyRegistry, RegistryConfig};
 pub use request_table::{RequestTable, Seen};
--- a/crates/fescuemux-core/src/dedup/home_fence.rs
+++ b/crates/fescuemux-core/src/dedup/home_fence.rs
@@ -1,87 +1,169 @@
 //! When a home may grant claims.
 
 use super::roster::{REMOVAL_SILENCE, Roster, SELF_FENCE};
-use crate::base::{HashMap, InstanceId};
-use std::time::Instant;
+use crate::base::{HashMap, InstanceId, ServiceId};
+use std::collections::VecDeque;
+use std::time::{Duration, Instant, SystemTime};
+
+/// Earlier rosters are kept for this long, a little more than the retention of keys: a home
+/// that has had a key for longer remembers everything that matters.
+const ROSTER_MEMORY: Duration = Duration::from_secs(660);
 
 /// Result of asking the fence for permission to grant a claim.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Permission {
-    /// The home may grant. `fresh` is set on the first permission after a change of the roster
-    /// or a start: the registry's history begins now.
+    /// The home may grant.
     Grant {
-        /// Whether the registry must restart its history.
-        fresh: bool,
+        /// Time since which this home has seen every claim of the key.
+        since: Since,
     },
     /// The home must refuse; nothing ran.
     Refuse(FenceReason),
 }
 
-/// Reason for refusing every claim.
+/// A point in time on both clocks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Since {
+    /// Monotonic time.
+    pub mono: Instant,
+    /// Wall-clock time.
+    pub wall: SystemTime,
+}
+
+/// Reason for refusing a claim.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FenceReason {
-    /// The instance is not in its roster.
-    NotMember,
+    /// The instance is not the home of the key.
+    NotHome,
     /// No majority of the roster answered within [`SELF_FENCE`].
     NoMajority,
     /// A peer has a newer roster.
     StaleRoster,
-    /// The instance became a home of further keys less than [`REMOVAL_SILENCE`] ago.
+    /// The key came to this home with a roster that has not settled yet.
     Waiting,
 }
 
 /// Decides at a home whether it may grant claims under its roster.
 ///
-/// Safety rests on intersecting majorities. A newer roster takes effect at its homes only after
-/// a majority of it has acknowledged it and [`REMOVAL_SILENCE`] has passed. A home with an older
-/// roster needs answers from a majority within [`SELF_FENCE`], and the two majorities share a
-/// member, which tells it of the newer roster in time. Rosters of neighbouring epochs differ by
-/// one instance, so their majorities intersect too.
+/// Safety rests on intersecting majorities. A roster settles [`REMOVAL_SILENCE`] after a
+/// majority of it has acknowledged it, and keys that move with it are granted only then. A home
+/// with an older roster needs answers from a majority within [`SELF_FENCE`]; the two majorities
+/// share a member, which tells it of the newer roster in time. Rosters of neighbouring epochs
+/// differ by one instance, so their majorities intersect too. Keys that stay where they are need
+/// no wait.
 #[derive(Debug, Default)]
 pub struct HomeFence {
     exchanges: HashMap<InstanceId, Exchange>,
-    acknowledged: Option<Acknowledged>,
-    granted_epoch: Option<u64>,
+    /// Times at which peers asked this instance.
+    asked: HashMap<InstanceId, Instant>,
+    /// Rosters of consecutive epochs, oldest first.
+    rosters: VecDeque<Held>,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Exchange {
     at: Instant,
     epoch: u64,
+    settled: bool,
 }
 
-/// Time at which a majority was known to have the epoch.
-#[derive(Clone, Copy, Debug)]
-struct Acknowledged {
-    epoch: u64,
-    at: Instant,
+#[derive(Debug)]
+struct Held {
+    roster: Roster,
+    adopted: Instant,
+    /// Time at which a majority was known to have the roster.
+    acknowledged: Option<Instant>,
+    settled: Option<Since>,
 }
 
 impl HomeFence {
+    /// Takes a roster. One that is not newer than the present one changes nothing.
+    ///
+    /// The first roster of a fleet has no predecessor and settles at once.
+    pub fn adopt(&mut self, now: Since, roster: Roster) {
+        let present = self.rosters.back().map_or(0, |held| held.roster.epoch);
+        if roster.epoch <= present {
+            return;
+        }
+        // What happened in an epoch that was skipped is unknown, so nothing earlier counts.
+        if roster.epoch != present + 1 {
+            self.rosters.clear();
+        }
+        let settled = (roster.epoch == 1).then_some(now);
+        self.rosters.push_back(Held { roster, adopted: now.mono, acknowledged: None, settled });
+    }
+
+    /// Returns the present roster.
+    pub fn roster(&self) -> Option<&Roster> {
+        self.rosters.back().map(|held| &held.roster)
+    }
+
+    /// Returns the epoch of the present roster, zero without one.
+    pub fn epoch(&self) -> u64 {
+        self.roster().map_or(0, |roster| roster.epoch)
+    }
+
+    /// Returns whether the present roster has settled.
+    pub fn is_settled(&self) -> bool {
+        self.rosters.back().is_some_and(|held| held.settled.is_some())
+    }
+
     /// Records a two-way exchange with a peer, whose request was sent at `sent` and whose answer
-    /// named `epoch`. The sending time counts, because the answer may have been delayed.
-    pub fn on_exchange(&mut self, peer: &InstanceId, sent: Instant, epoch: u64) {
-        self.exchanges.insert(peer.clone(), Exchange { at: sent, epoch });
+    /// named `epoch` and whether it has settled there. The sending time counts, because the
+    /// answer may have been delayed.
+    pub fn on_exchange(&mut self, peer: &InstanceId, sent: Instant, epoch: u64, settled: bool) {
+        self.exchanges.insert(peer.clone(), Exchange { at: sent, epoch, settled });
     }
 
-    /// Returns the time of the last exchange with a peer.
-    pub fn last_exchange(&self, peer: &InstanceId) -> Option<Instant> {
-        self.exchanges.get(peer).map(|exchange| exchange.at)
+    /// Records that a member of the roster asked this instance for an exchange.
+    pub fn on_asked(&mut self, peer: &InstanceId, at: Instant) {
+        if self.roster().is_some_and(|roster| roster.instances.contains(peer)) {
+            self.asked.insert(peer.clone(), at);
+        }
     }
 
-    /// Decides at `now`, which must be read right before the grant, after any wake-up.
-    ///
-    /// `bootstrap` states that this is the first roster ever, which has no predecessor to wait
-    /// for.
+    /// Returns the time of the last contact with a peer, whoever asked. A peer that was answered
+    /// may count that answer towards its majority, so both directions matter before silence is
+    /// attested.
+    pub fn last_contact(&self, peer: &InstanceId) -> Option<Instant> {
+        let exchanged = self.exchanges.get(peer).map(|exchange| exchange.at);
+        exchanged.max(self.asked.get(peer).copied())
+    }
+
+    /// Advances the settling of the present roster.
+    pub fn tick(&mut self, now: Since, own: &InstanceId) {
+        let Some(held) = self.rosters.back() else { return };
+        if held.settled.is_none() {
+            let epoch = held.roster.epoch;
+            let acknowledged = self.majority(own, &held.roster, |exchange| exchange.epoch == epoch);
+            let told = self.exchanges.values().any(|e| e.epoch == epoch && e.settled);
+            if let Some(held) = self.rosters.back_mut() {
+                held.settle(now, acknowledged, told);
+            }
+        }
+        let memory = |held: &Held| now.mono.saturating_duration_since(held.adopted);
+        while self.rosters.len() > 1
+            && self.rosters.get(1).is_some_and(|h| memory(h) > ROSTER_MEMORY)
+        {
+            self.rosters.pop_front();
+        }
+    }
+
+    /// Decides about a claim at `now`, which must be read right before the grant, after any
+    /// wake-up.
     pub fn permission(
-        &mut self,
+        &self,
         now: Instant,
         own: &InstanceId,
-        roster: &Roster,
-        bootstrap: bool,
+        service: &ServiceId,
+        key: &str,
     ) -> Permission {
-        if !roster.instances.contains(own) {
-            return Permission::Refuse(FenceReason::NotMember);
+        let Some(held) = self.rosters.back() else {
+            return Permission::Refuse(FenceReason::NotHome);
+        };
+        let roster = &held.roster;
+        if roster.home(service, key) != Some(own) {
+            return Permission::Refuse(FenceReason::NotHome);
         }
         if self.exchanges.values().any(|exchange| exchange.epoch > roster.epoch) {
             return Permission::Refuse(FenceReason::StaleRoster);
@@ -89,26 +171,21 @@
         if !self.majority(own, roster, |exchange| is_recent(now, exchange)) {
             return Permission::Refuse(FenceReason::NoMajority);
         }
-        if !self.waited(now, own, roster, bootstrap) {
-            return Permission::Refuse(FenceReason::Waiting);
+        match self.complete_since(own, service, key) {
+            Some(since) => Permission::Grant { since },
+            None => Permission::Refuse(FenceReason::Waiting),
         }
-        let fresh = self.granted_epoch != Some(roster.epoch);
-        self.granted_epoch = Some(roster.epoch);
-        Permission::Grant { fresh }
     }
 
-    /// Returns whether a majority acknowledged the roster at least [`REMOVAL_SILENCE`] ago.
-    fn waited(&mut self, now: Instant, own: &InstanceId, roster: &Roster, bootstrap: bool) -> bool {
-        if bootstrap {
-            return true;
-        }
-        let known = self.acknowledged.is_some_and(|ack| ack.epoch == roster.epoch);
-        if !known && self.majority(own, roster, |exchange| exchange.epoch == roster.epoch) {
-            self.acknowledged = Some(Acknowledged { epoch: roster.epoch, at: now });
-        }
-        self.acknowledged.is_some_and(|ack| {
-            ack.epoch == roster.epoch && now.saturating_duration_since(ack.at) >= REMOVAL_SILENCE
-        })
+    /// Returns the time at which the earliest roster settled that gave the key to this home and
+    /// from which on every roster did.
+    fn complete_since(&self, own: &InstanceId, service: &ServiceId, key: &str) -> Option<Since> {
+        self.rosters
+            .iter()
+            .rev()
+            .take_while(|held| held.roster.home(service, key) == Some(own))
+            .filter_map(|held| held.settled)
+            .last()
     }
 
     fn majority(
@@ -126,6 +203,20 @@
     }
 }
 
+impl Held {
+    fn settle(&mut self, now: Since, acknowledged: bool, told: bool) {
+        if acknowledged && self.acknowledged.is_none() {
+            self.acknowledged = Some(now.mono);
+        }
+        let waited = self
+            .acknowledged
+            .is_some_and(|at| now.mono.saturating_duration_since(at) >= REMOVAL_SILENCE);
+        if waited || told {
+            self.settled = Some(now);
+        }
+    }
+}
+
 fn is_recent(now: Instant, exchange: &Exchange) -> bool {
     now.saturating_duration_since(exchange.at) < SELF_FENCE
 }
--- a/crates/fescuemux-core/src/dedup/key_registry.rs
+++ b/crates/fescuemux-core/src/dedup/key_registry.rs
@@ -1,6 +1,7 @@
 //! Idempotency keys at their home.
 
 use super::claim::{Claim, ClaimState, KeyOutcome, RegistryEntry};
+use super::home_fence::Since;
 use super::key_age::{KeyAge, MAX_CLOCK_SKEW, key_age};
 use crate::base::{Cx, HashMap, RequestId, ServiceId};
 use std::collections::VecDeque;
@@ -25,28 +26,20 @@
 #[derive(Debug)]
 pub struct KeyRegistry {
     cfg: RegistryConfig,
-    /// Wall-clock time since which this registry has seen every claim for its keys.
-    complete_since: SystemTime,
-    /// The same time on the monotonic clock.
-    complete_since_mono: Instant,
+    started: Since,
     keys: HashMap<String, ClaimState>,
     /// Keys by time of their last change; an entry is skipped when the key changed since.
     expiry: VecDeque<(Instant, String)>,
 }
 
 impl KeyRegistry {
-    /// Returns an empty registry that knows nothing of the time before `wall`.
-    pub fn new(cfg: RegistryConfig, now: Instant, wall: SystemTime) -> KeyRegistry {
-        KeyRegistry {
-            cfg,
-            complete_since: wall,
-            complete_since_mono: now,
-            keys: HashMap::default(),
-            expiry: VecDeque::new(),
-        }
+    /// Returns an empty registry that knows nothing of the time before `started`.
+    pub fn new(cfg: RegistryConfig, started: Since) -> KeyRegistry {
+        KeyRegistry { cfg, started, keys: HashMap::default(), expiry: VecDeque::new() }
     }
 
-    /// Claims `key` of `service` for the request `holder`.
+    /// Claims `key` of `service` for the request `holder`. `home_since` is the time since which
+    /// this home has seen every claim of the key, if it did not start later.
     ///
     /// A repeated claim by the same holder is granted again while the claim is open, because the
     /// first grant may have been lost on its way.
@@ -54,6 +47,7 @@
         &mut self,
         cx: &Cx,
         wall: SystemTime,
+        home_since: Since,
         service: &ServiceId,
         key: &str,
         holder: RequestId,
@@ -66,7 +60,9 @@
             }
             return Claim::Duplicate { outcome: state.outcome };
         }
-        if let Some(refusal) = self.check_age(cx.now, wall, key) {
+        let later = home_since.mono > self.started.mono;
+        let since = if later { home_since } else { self.started };
+        if let Some(refusal) = self.check_age(cx.now, wall, since, key) {
             return refusal;
         }
         if self.keys.len() >= self.cfg.max_keys {
@@ -102,13 +98,6 @@
         }
     }
 
-    /// Declares that claims before `wall` may be missing, because the registry has become the
-    /// home of further keys. Entries it holds stay.
-    pub fn restart_history(&mut self, now: Instant, wall: SystemTime) {
-        self.complete_since = wall;
-        self.complete_since_mono = now;
-    }
-
     /// Exports all entries for a successor after a planned stop.
     pub fn export(&self, now: Instant) -> Vec<RegistryEntry> {
         self.keys
@@ -143,33 +132,25 @@
         self.keys.is_empty()
     }
 
-    /// Returns the wall-clock time since which the registry is complete.
-    pub fn complete_since(&self) -> SystemTime {
-        self.complete_since
-    }
-
-    fn check_age(&self, now: Instant, wall: SystemTime, key: &str) -> Option<Claim> {
+    fn check_age(&self, now: Instant, wall: SystemTime, since: Since, key: &str) -> Option<Claim> {
         match key_age(key) {
             KeyAge::CreatedAt(created) if created > wall + MAX_CLOCK_SKEW => {
                 Some(Claim::FromFuture)
             }
-            KeyAge::CreatedAt(created) if self.remembers(created, wall) => None,
+            KeyAge::CreatedAt(created) if self.remembers(created, wall, since) => None,
             KeyAge::CreatedAt(_) => Some(Claim::Unknown),
-            KeyAge::Opaque if self.age(now) >= self.cfg.retention => None,
+            KeyAge::Opaque if now.saturating_duration_since(since.mono) >= self.cfg.retention => {
+                None
+            }
             KeyAge::Opaque => Some(Claim::Unknown),
         }
     }
 
     /// Returns whether every claim of a key created at `created` is still in this registry: the
     /// key is younger than the registry and younger than the retention.
-    fn remembers(&self, created: SystemTime, wall: SystemTime) -> bool {
+    fn remembers(&self, created: SystemTime, wall: SystemTime, since: Since) -> bool {
         let age = wall.duration_since(created).unwrap_or_default();
-        created >= self.complete_since + MAX_CLOCK_SKEW
-            && age + MAX_CLOCK_SKEW <= self.cfg.retention
-    }
-
-    fn age(&self, now: Instant) -> Duration {
-        now.saturating_duration_since(self.complete_since_mono)
+        created >= since.wall + MAX_CLOCK_SKEW && age + MAX_CLOCK_SKEW <= self.cfg.retention
     }
 
     fn put(&mut self, id: String, state: ClaimState) {
--- a/crates/fescuemux-core/src/dedup/tests/home_fence.rs
+++ b/crates/fescuemux-core/src/dedup/tests/home_fence.rs
@@ -1,96 +1,198 @@
-use crate::base::InstanceId;
-use crate::dedup::{FenceReason, HomeFence, Permission, Roster};
-use std::time::{Duration, Instant};
+use crate::base::{InstanceId, ServiceId};
+use crate::dedup::{FenceReason, HomeFence, Permission, Roster, Since};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+const OWN: &str = "a";
+
+struct Clock {
+    start: Instant,
+}
+
+impl Clock {
+    fn at(&self, seconds: u64) -> Since {
+        let after = Duration::from_secs(seconds);
+        let wall: SystemTime = UNIX_EPOCH + Duration::from_secs(1_700_000_000) + after;
+        Since { mono: self.start + after, wall }
+    }
+}
+
+fn roster(epoch: u64, names: &[&str]) -> Roster {
+    Roster { epoch, instances: names.iter().map(InstanceId::new).collect() }
+}
+
+fn service() -> ServiceId {
+    ServiceId::new("order-desk")
+}
+
+/// Returns a key whose home is `home` under each of the rosters.
+fn key_with_homes(rosters: &[(&Roster, &str)]) -> String {
+    (0..100_000)
+        .map(|n| format!("key-{n}"))
+        .find(|key| rosters.iter().all(|(r, home)| r.home(&service(), key).unwrap() == home))
+        .unwrap()
+}
 
 struct Heard {
     peer: &'static str,
     /// Seconds after the start at which the request of the exchange was sent.
     at_s: u64,
     epoch: u64,
+    settled: bool,
 }
 
 struct FenceCase {
     guards_against: &'static str,
+    /// Epoch of the only roster.
+    epoch: u64,
     heard: Vec<Heard>,
     /// Seconds after the start at which permission is asked.
     asked_s: u64,
-    bootstrap: bool,
-    expected: Permission,
+    /// Seconds since which the home is complete, or the reason for refusing.
+    expected: Result<u64, FenceReason>,
 }
 
 fn check(case: FenceCase) {
-    let start = Instant::now();
-    let roster = Roster { epoch: 2, instances: ["a", "b", "c"].map(InstanceId::new).to_vec() };
+    let clock = Clock { start: Instant::now() };
+    let own = InstanceId::new(OWN);
+    let members = roster(case.epoch, &["a", "b", "c"]);
+    let key = key_with_homes(&[(&members, OWN)]);
     let mut fence = HomeFence::default();
-    let own = InstanceId::new("a");
+    fence.adopt(clock.at(0), members);
     for heard in &case.heard {
-        let sent = start + Duration::from_secs(heard.at_s);
-        fence.on_exchange(&InstanceId::new(heard.peer), sent, heard.epoch);
-        fence.permission(sent, &own, &roster, case.bootstrap);
+        let sent = clock.at(heard.at_s);
+        fence.on_exchange(&InstanceId::new(heard.peer), sent.mono, heard.epoch, heard.settled);
+        fence.tick(sent, &own);
     }
-    let asked = start + Duration::from_secs(case.asked_s);
-    let permission = fence.permission(asked, &own, &roster, case.bootstrap);
-    assert_eq!(permission, case.expected, "{}", case.guards_against);
+    let asked = clock.at(case.asked_s);
+    fence.tick(asked, &own);
+    let permission = fence.permission(asked.mono, &own, &service(), &key);
+    let expected = match case.expected {
+        Ok(seconds) => Permission::Grant { since: clock.at(seconds) },
+        Err(reason) => Permission::Refuse(reason),
+    };
+    assert_eq!(permission, expected, "{}", case.guards_against);
 }
 
 #[test]
 fn permission_needs_a_recent_majority_with_this_epoch() {
-    let b = |at_s, epoch| Heard { peer: "b", at_s, epoch };
+    let b = |at_s, epoch| Heard { peer: "b", at_s, epoch, settled: false };
     let cases = [
         FenceCase {
             guards_against: "a home cut off from all peers",
+            epoch: 1,
             heard: vec![],
             asked_s: 100,
-            bootstrap: true,
-            expected: Permission::Refuse(FenceReason::NoMajority),
+            expected: Err(FenceReason::NoMajority),
         },
         FenceCase {
             guards_against: "a home that was paused past the fence",
-            heard: vec![b(0, 2)],
+            epoch: 1,
+            heard: vec![b(0, 1)],
             asked_s: 20,
-            bootstrap: true,
-            expected: Permission::Refuse(FenceReason::NoMajority),
+            expected: Err(FenceReason::NoMajority),
         },
         FenceCase {
             guards_against: "a home that acts on an old roster",
+            epoch: 2,
             heard: vec![b(0, 3)],
             asked_s: 1,
-            bootstrap: true,
-            expected: Permission::Refuse(FenceReason::StaleRoster),
+            expected: Err(FenceReason::StaleRoster),
+        },
+        FenceCase {
+            guards_against: "making the first roster wait for a predecessor",
+            epoch: 1,
+            heard: vec![b(1, 1)],
+            asked_s: 2,
+            expected: Ok(0),
         },
         FenceCase {
             guards_against: "a new home that overlaps with the earlier one",
+            epoch: 2,
             heard: vec![b(0, 2), b(50, 2)],
             asked_s: 59,
-            bootstrap: false,
-            expected: Permission::Refuse(FenceReason::Waiting),
+            expected: Err(FenceReason::Waiting),
         },
         FenceCase {
             guards_against: "counting the wait from peers that still have the old roster",
+            epoch: 2,
             heard: vec![b(0, 1), b(50, 2)],
             asked_s: 61,
-            bootstrap: false,
-            expected: Permission::Refuse(FenceReason::Waiting),
+            expected: Err(FenceReason::Waiting),
         },
         FenceCase {
             guards_against: "a home that never starts",
+            epoch: 2,
             heard: vec![b(0, 2), b(50, 2)],
             asked_s: 60,
-            bootstrap: false,
-            expected: Permission::Grant { fresh: true },
+            expected: Ok(60),
+        },
+        FenceCase {
+            guards_against: "a restarted home that waits for a roster settled long ago",
+            epoch: 7,
+            heard: vec![Heard { peer: "c", at_s: 3, epoch: 7, settled: true }],
+            asked_s: 4,
+            expected: Ok(3),
         },
     ];
     cases.into_iter().for_each(check);
 }
 
+struct MoveCase {
+    guards_against: &'static str,
+    /// Homes of the key under epochs 1, 2 and so on.
+    homes: Vec<&'static str>,
+    /// Epochs that this home adopts.
+    adopted: Vec<u64>,
+    expected: Result<u64, FenceReason>,
+}
+
 #[test]
-fn history_restarts_once_per_epoch() {
-    let start = Instant::now();
-    let own = InstanceId::new("a");
-    let mut roster = Roster { epoch: 1, instances: vec![own.clone()] };
-    let mut fence = HomeFence::default();
-    assert_eq!(fence.permission(start, &own, &roster, true), Permission::Grant { fresh: true });
-    assert_eq!(fence.permission(start, &own, &roster, true), Permission::Grant { fresh: false });
-    roster.epoch = 2;
-    assert_eq!(fence.permission(start, &own, &roster, true), Permission::Grant { fresh: true });
+fn only_keys_that_moved_wait() {
+    let epochs = [
+        roster(1, &["a", "b", "c"]),
+        roster(2, &["a", "b", "c", "d"]),
+        roster(3, &["a", "b", "c", "d", "e"]),
+    ];
+    let cases = [
+        MoveCase {
+            guards_against: "refusing keys that stay while an instance joins",
+            homes: vec!["a", "a"],
+            adopted: vec![1, 2],
+            expected: Ok(0),
+        },
+        MoveCase {
+            guards_against: "a key that went away and is refused here for good",
+            homes: vec!["a", "d"],
+            adopted: vec![1, 2],
+            expected: Err(FenceReason::NotHome),
+        },
+        MoveCase {
+            guards_against: "trusting the past of a home that skipped an epoch",
+            homes: vec!["a", "a", "a"],
+            adopted: vec![1, 3],
+            expected: Err(FenceReason::Waiting),
+        },
+    ];
+    for case in cases {
+        let clock = Clock { start: Instant::now() };
+        let own = InstanceId::new(OWN);
+        let homes: Vec<(&Roster, &str)> = epochs.iter().zip(case.homes.clone()).collect();
+        let key = key_with_homes(&homes);
+        let mut fence = HomeFence::default();
+        for epoch in &case.adopted {
+            fence.adopt(clock.at(*epoch - 1), epochs[*epoch as usize - 1].clone());
+            fence.tick(clock.at(*epoch - 1), &own);
+        }
+        let epoch = *case.adopted.last().unwrap();
+        for peer in ["b", "c", "d"] {
+            fence.on_exchange(&InstanceId::new(peer), clock.at(3).mono, epoch, false);
+        }
+        fence.tick(clock.at(3), &own);
+        let permission = fence.permission(clock.at(4).mono, &own, &service(), &key);
+        let expected = match case.expected {
+            Ok(seconds) => Permission::Grant { since: clock.at(seconds) },
+            Err(reason) => Permission::Refuse(reason),
+        };
+        assert_eq!(permission, expected, "{}", case.guards_against);
+    }
 }
--- a/crates/fescuemux-core/src/dedup/tests/key_registry.rs
+++ b/crates/fescuemux-core/src/dedup/tests/key_registry.rs
@@ -1,5 +1,5 @@
 use crate::base::{Cx, ServiceId};
-use crate::dedup::{Claim, KeyOutcome, KeyRegistry, RegistryConfig};
+use crate::dedup::{Claim, KeyOutcome, KeyRegistry, RegistryConfig, Since};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use uuid::{Timestamp, Uuid};
 
@@ -14,6 +14,10 @@
     UNIX_EPOCH + START + after_start
 }
 
+fn since(now: Instant) -> Since {
+    Since { mono: now, wall: wall(Duration::ZERO) }
+}
+
 struct ClaimCase {
     guards_against: &'static str,
     /// Key creation relative to the start of the registry, in seconds; `None` for another format.
@@ -71,14 +75,14 @@
     ];
     for case in cases {
         let now = Instant::now();
-        let mut registry = KeyRegistry::new(RegistryConfig::default(), now, wall(Duration::ZERO));
+        let mut registry = KeyRegistry::new(RegistryConfig::default(), since(now));
         let claimed = Duration::from_secs(case.claimed_s);
         let key = match case.created_s {
             Some(s) => key_created(Duration::from_secs((START.as_secs() as i64 + s) as u64)),
             None => "order-17".to_owned(),
         };
         let cx = Cx::new(now + claimed, 1);
-        let claim = registry.claim(&cx, wall(claimed), &ServiceId::new("s"), &key, 1);
+        let claim = registry.claim(&cx, wall(claimed), since(now), &ServiceId::new("s"), &key, 1);
         assert_eq!(claim, case.expected, "{}", case.guards_against);
     }
 }
@@ -135,12 +139,12 @@
     ];
     for case in cases {
         let now = Instant::now();
-        let mut registry = KeyRegistry::new(RegistryConfig::default(), now, wall(Duration::ZERO));
+        let mut registry = KeyRegistry::new(RegistryConfig::default(), since(now));
         let cx = Cx::new(now + Duration::from_secs(5), 1);
         let at = wall(Duration::from_secs(5));
         let service = ServiceId::new("s");
         let key = key_created(START + Duration::from_secs(4));
-        assert_eq!(registry.claim(&cx, at, &service, &key, 1), Claim::Granted);
+        assert_eq!(registry.claim(&cx, at, since(now), &service, &key, 1), Claim::Granted);
         match case.first {
             First::Open => {}
             First::Ran => {
@@ -155,7 +159,7 @@
             }
         }
         assert_eq!(
-            registry.claim(&cx, at, &service, &key, 2),
+            registry.claim(&cx, at, since(now), &service, &key, 2),
             case.expected,
             "{}",
             case.guards_against
@@ -167,21 +171,24 @@
 fn full_registry_refuses_new_keys_and_keeps_old_ones() {
     let now = Instant::now();
     let cfg = RegistryConfig { max_keys: 2, ..RegistryConfig::default() };
-    let mut registry = KeyRegistry::new(cfg, now, wall(Duration::ZERO));
+    let mut registry = KeyRegistry::new(cfg, since(now));
     let at = wall(Duration::from_secs(5));
     let cx = Cx::new(now + Duration::from_secs(5), 1);
     let service = ServiceId::new("s");
     let keys: Vec<String> =
         (0..3).map(|n| key_created(START + Duration::from_millis(4_000 + n))).collect();
-    assert_eq!(registry.claim(&cx, at, &service, &keys[0], 1), Claim::Granted);
-    assert_eq!(registry.claim(&cx, at, &service, &keys[1], 2), Claim::Granted);
-    assert_eq!(registry.claim(&cx, at, &service, &keys[2], 3), Claim::Full);
+    assert_eq!(registry.claim(&cx, at, since(now), &service, &keys[0], 1), Claim::Granted);
+    assert_eq!(registry.claim(&cx, at, since(now), &service, &keys[1], 2), Claim::Granted);
+    assert_eq!(registry.claim(&cx, at, since(now), &service, &keys[2], 3), Claim::Full);
     let outcome = KeyOutcome::InProgress;
-    assert_eq!(registry.claim(&cx, at, &service, &keys[0], 4), Claim::Duplicate { outcome });
+    assert_eq!(
+        registry.claim(&cx, at, since(now), &service, &keys[0], 4),
+        Claim::Duplicate { outcome }
+    );
     let cx = Cx::new(now + Duration::from_secs(606), 1);
     let late = key_created(START + Duration::from_secs(605));
     assert_eq!(
-        registry.claim(&cx, wall(Duration::from_secs(606)), &service, &late, 5),
+        registry.claim(&cx, wall(Duration::from_secs(606)), since(now), &service, &late, 5),
         Claim::Granted,
         "expired keys make room"
     );
@@ -190,15 +197,15 @@
 #[test]
 fn successor_refuses_keys_of_the_predecessor() {
     let now = Instant::now();
-    let mut first = KeyRegistry::new(RegistryConfig::default(), now, wall(Duration::ZERO));
+    let mut first = KeyRegistry::new(RegistryConfig::default(), since(now));
     let cx = Cx::new(now + Duration::from_secs(5), 1);
     let service = ServiceId::new("s");
     let key = key_created(START + Duration::from_secs(4));
-    first.claim(&cx, wall(Duration::from_secs(5)), &service, &key, 1);
-    let mut successor = KeyRegistry::new(RegistryConfig::default(), now, wall(Duration::ZERO));
+    first.claim(&cx, wall(Duration::from_secs(5)), since(now), &service, &key, 1);
+    let mut successor = KeyRegistry::new(RegistryConfig::default(), since(now));
     successor.import(cx.now, first.export(cx.now));
     assert_eq!(
-        successor.claim(&cx, wall(Duration::from_secs(6)), &service, &key, 2),
+        successor.claim(&cx, wall(Duration::from_secs(6)), since(now), &service, &key, 2),
         Claim::Duplicate { outcome: KeyOutcome::InProgress }
     );
 }
--- a/crates/fescuemux-core/src/lib.rs
+++ b/crates/fescuemux-core/src/lib.rs
@@ -7,10 +7,10 @@
 
 pub mod admit;
 pub mod base;
+pub mod config;
 pub mod dedup;
-pub mod retry;
-pub mod route;
 pub mod detect;
 pub mod eject;
 pub mod member;
-pub mod config;
+pub mod retry;
+pub mod route;
--- /dev/null
+++ b/crates/fescuemux-daemon/src/daemon/report.rs
@@ -0,0 +1,8 @@
+//! Result of a stop.
+
+/// What a graceful stop could not finish.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StopReport {
+    /// Requests that were cut.
+    pub cut: u32,
+}
--- a/crates/fescuemux-daemon/src/guard/server.rs
+++ b/crates/fescuemux-daemon/src/guard/server.rs
@@ -6,7 +6,9 @@
 use super::refused::Refused;
 use super::snapshot::ServerSnapshot;
 use crate::decisions::Decisions;
-use fescuemux_core::admit::{DeadlineQueue, PermitId, Pushed, QueueConfig, Refusal, Slots, Waiting};
+use fescuemux_core::admit::{
+    DeadlineQueue, PermitId, Pushed, QueueConfig, Refusal, Slots, Waiting,
+};
 use fescuemux_core::base::{Cx, Favor, Phase, RequestId, ServerId, ServiceId};
 use fescuemux_core::detect::{Baseline, Detector, DetectorConfig, Observation, TrialOutcome};
 use fescuemux_core::eject::{
--- /dev/null
+++ b/crates/fescuemux-daemon/src/homes.rs
@@ -0,0 +1,252 @@
+//! Idempotency keys: claims at their homes, and the roster of homes.
+//!
+//! Must not know what a claimed request does.
+
+mod keeper;
+
+pub(crate) use keeper::RosterKeeper;
+
+use crate::decisions::Decisions;
+use crate::ingress::Directory;
+use crate::peers::PeerClients;
+use fescuemux_core::base::{Clock, InstanceId, RequestId, ServiceId};
+use fescuemux_core::dedup::{HomeFence, KeyRegistry, Permission, RegistryConfig, Roster, Since};
+use fescuemux_wire::roster::RosterRecord;
+use fescuemux_wire::rpc::{ClaimWire, Exchange, OutcomeWire};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Longest time for a claim at another instance.
+const CLAIM_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest time for an exchange.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Attempts to settle a claim at another instance. A claim that stays open makes resends of its
+/// key "may have run" until it expires.
+const SETTLE_ATTEMPTS: u32 = 5;
+/// Pause before the second attempt to settle; it doubles.
+const SETTLE_PAUSE: Duration = Duration::from_millis(100);
+
+/// Claims of idempotency keys.
+#[derive(Debug)]
+pub(crate) struct Homes {
+    own: InstanceId,
+    clock: Arc<dyn Clock>,
+    started: Instant,
+    fence: Decisions<HomeFence>,
+    registry: Decisions<KeyRegistry>,
+    directory: Arc<Directory>,
+    clients: Arc<PeerClients>,
+}
+
+impl Homes {
+    pub(crate) fn new(
+        own: InstanceId,
+        clock: Arc<dyn Clock>,
+        directory: Arc<Directory>,
+        clients: Arc<PeerClients>,
+    ) -> Arc<Homes> {
+        let started = Since { mono: clock.now(), wall: clock.wall() };
+        let registry = KeyRegistry::new(RegistryConfig::default(), started);
+        Arc::new(Homes {
+            own,
+            started: started.mono,
+            fence: Decisions::new(Arc::clone(&clock), 0, HomeFence::default()),
+            registry: Decisions::new(Arc::clone(&clock), 0, registry),
+            clock,
+            directory,
+            clients,
+        })
+    }
+
+    /// Claims a key at its home for the request `holder`.
+    pub(crate) async fn claim(
+        &self,
+        service: &ServiceId,
+        key: &str,
+        holder: RequestId,
+        deadline: Instant,
+    ) -> ClaimWire {
+        let (epoch, home) = self.fence.with(|_, fence| {
+            (fence.epoch(), fence.roster().and_then(|roster| roster.home(service, key)).cloned())
+        });
+        let Some(home) = home else { return ClaimWire::Refused };
+        if home == self.own {
+            return self.claim_here(epoch, service, key, holder);
+        }
+        let Some(peer) = self.directory.get(&home) else { return ClaimWire::Refused };
+        let Ok(client) = self.clients.get(peer.rpc).await else { return ClaimWire::Refused };
+        let limit = CLAIM_TIMEOUT.min(deadline.saturating_duration_since(Instant::now()));
+        let cx = PeerClients::context(limit);
+        let (of, named) = (service.to_string(), key.to_owned());
+        match client.claim(cx, epoch, of, named, holder).await {
+            Ok(claim) => claim,
+            Err(e) => {
+                tracing::debug!(%home, error = %e, "a claim got no answer");
+                self.clients.forget(peer.rpc);
+                // The claim may have been granted; nothing will run under it.
+                self.settle(service, key, holder, None);
+                ClaimWire::Refused
+            }
+        }
+    }
+
+    /// Claims a key at this home.
+    pub(crate) fn claim_here(
+        &self,
+        epoch: u64,
+        service: &ServiceId,
+        key: &str,
+        holder: RequestId,
+    ) -> ClaimWire {
+        let permission = self.fence.with(|cx, fence| {
+            if epoch != fence.epoch() {
+                return None;
+            }
+            Some(fence.permission(cx.now, &self.own, service, key))
+        });
+        let Some(Permission::Grant { since }) = permission else {
+            tracing::debug!(?permission, "refused a claim");
+            return ClaimWire::Refused;
+        };
+        let wall = self.clock.wall();
+        let claim = self
+            .registry
+            .with(|cx, registry| registry.claim(cx, wall, since, service, key, holder));
+        claim.into()
+    }
+
+    /// Settles a claim in the background; `None` releases it as not run.
+    pub(crate) fn settle(
+        &self,
+        service: &ServiceId,
+        key: &str,
+        holder: RequestId,
+        outcome: Option<OutcomeWire>,
+    ) {
+        let home = self.fence.with(|_, f| f.roster().and_then(|r| r.home(service, key)).cloned());
+        let Some(home) = home else { return };
+        if home == self.own {
+            self.settle_here(service, key, holder, outcome);
+            return;
+        }
+        let Some(peer) = self.directory.get(&home) else { return };
+        let clients = Arc::clone(&self.clients);
+        let (service, key) = (service.to_string(), key.to_owned());
+        tokio::spawn(async move {
+            let mut pause = SETTLE_PAUSE;
+            for _ in 0..SETTLE_ATTEMPTS {
+                if let Ok(client) = clients.get(peer.rpc).await {
+                    let cx = PeerClients::context(CLAIM_TIMEOUT);
+                    let settling = client.settle(cx, service.clone(), key.clone(), holder, outcome);
+                    if settling.await.is_ok() {
+                        return;
+                    }
+                    clients.forget(peer.rpc);
+                }
+                tokio::time::sleep(pause).await;
+                pause *= 2;
+            }
+            tracing::warn!(%home, "a claim could not be settled");
+        });
+    }
+
+    /// Settles a claim at this home.
+    pub(crate) fn settle_here(
+        &self,
+        service: &ServiceId,
+        key: &str,
+        holder: RequestId,
+        outcome: Option<OutcomeWire>,
+    ) {
+        self.registry.with(|cx, registry| match outcome {
+            Some(outcome) => registry.settle(cx, service, key, holder, outcome.into()),
+            None => registry.release(service, key, holder),
+        });
+    }
+
+    /// Answers an exchange of another instance.
+    pub(crate) fn answer_exchange(
+        &self,
+        from: &InstanceId,
+        epoch: u64,
+        about: Option<&InstanceId>,
+    ) -> Exchange {
+        tracing::trace!(%from, epoch, "exchange");
+        self.fence.with(|cx, fence| {
+            fence.on_asked(from, cx.now);
+            let last = about.and_then(|about| fence.last_contact(about)).unwrap_or(self.started);
+            let silence = cx.now.saturating_duration_since(last);
+            let newer = fence.roster().filter(|roster| roster.epoch > epoch);
+            Exchange {
+                instance: self.own.to_string(),
+                epoch: fence.epoch(),
+                settled: fence.is_settled(),
+                roster: newer.map(RosterRecord::from),
+                silence_ms: u64::try_from(silence.as_millis()).unwrap_or(u64::MAX),
+            }
+        })
+    }
+
+    /// Has an exchange with a peer. Returns its silence about `about`, if it answered.
+    pub(crate) async fn exchange(
+        &self,
+        peer: &InstanceId,
+        about: Option<&InstanceId>,
+    ) -> Option<Duration> {
+        let addr = self.directory.get(peer)?.rpc;
+        let epoch = self.fence.with(|_, fence| fence.epoch());
+        let sent = self.clock.now();
+        let client = self.clients.get(addr).await.ok()?;
+        let cx = PeerClients::context(EXCHANGE_TIMEOUT);
+        let (own, about) = (self.own.to_string(), about.map(ToString::to_string));
+        let Ok(answer) = client.exchange(cx, own, epoch, about).await else {
+            self.clients.forget(addr);
+            return None;
+        };
+        if answer.instance != peer.as_str() {
+            return None;
+        }
+        if let Some(Ok(roster)) = answer.roster.map(Roster::try_from) {
+            self.adopt(roster);
+        }
+        let (epoch, settled) = (answer.epoch, answer.settled);
+        self.fence.with(|_, fence| fence.on_exchange(peer, sent, epoch, settled));
+        Some(Duration::from_millis(answer.silence_ms))
+    }
+
+    /// Takes a roster that was read from the store or a peer.
+    pub(crate) fn adopt(&self, roster: Roster) {
+        let now = self.now();
+        self.fence.with(|_, fence| {
+            if roster.epoch > fence.epoch() {
+                tracing::info!(
+                    epoch = roster.epoch,
+                    members = roster.instances.len(),
+                    "roster of homes adopted"
+                );
+            }
+            fence.adopt(now, roster);
+        });
+    }
+
+    /// Advances the settling of the roster.
+    pub(crate) fn tick(&self) {
+        let now = self.now();
+        self.fence.with(|_, fence| fence.tick(now, &self.own));
+    }
+
+    /// Returns the present roster.
+    pub(crate) fn roster(&self) -> Option<Roster> {
+        self.fence.with(|_, fence| fence.roster().cloned())
+    }
+
+    /// Returns epoch, whether the roster has settled, and the number of keys held, for a dump.
+    pub(crate) fn summary(&self) -> (u64, bool, usize) {
+        let (epoch, settled) = self.fence.with(|_, fence| (fence.epoch(), fence.is_settled()));
+        (epoch, settled, self.registry.with(|_, registry| registry.len()))
+    }
+
+    fn now(&self) -> Since {
+        Since { mono: self.clock.now(), wall: self.clock.wall() }
+    }
+}
--- a/crates/fescuemux-daemon/src/http.rs
+++ b/crates/fescuemux-daemon/src/http.rs
@@ -16,7 +16,7 @@
 
 pub(crate) use body::{BodyError, HeldBody, OutBody, empty, full, gated, is_replayable};
 pub(crate) use limits::HttpLimits;
-pub(crate) use pool::{Answer, AnswerBody, Freshness, Pool, SendError};
+pub(crate) use pool::{Answer, Freshness, Pool, SendError};
 pub(crate) use pump::{PumpLimits, RelayedBody, collect, relay};
 pub(crate) use serve::{Listener, ServeOptions};
 pub(crate) use strip::{strip_connection_headers, strip_fleet_headers};
--- a/crates/fescuemux-daemon/src/ingress.rs
+++ b/crates/fescuemux-daemon/src/ingress.rs
@@ -61,7 +61,7 @@
     cx: IngressContext,
     pool: Arc<Pool>,
     homes: Arc<Homes>,
-    pub(crate) directory: Directory,
+    directory: Arc<Directory>,
     pub(crate) router: Decisions<Router>,
     callers: Decisions<CallerLimits>,
     ids: Decisions<()>,
@@ -76,6 +76,7 @@
         router: RouterConfig,
         pool: Arc<Pool>,
         homes: Arc<Homes>,
+        directory: Arc<Directory>,
     ) -> Arc<Ingress> {
         let clock = || Arc::clone(&cx.clock);
         let limits = CallerLimitsConfig { unknown: UNLIMITED, ..CallerLimitsConfig::default() };
@@ -85,7 +86,7 @@
             callers: Decisions::new(clock(), cx.seed.wrapping_add(1), callers),
             ids: Decisions::new(clock(), cx.seed.wrapping_add(2), ()),
             under_way: Arc::new(Semaphore::new(cx.in_flight)),
-            directory: Directory::default(),
+            directory,
             services: RwLock::default(),
             effective: RwLock::default(),
             pool,
@@ -180,6 +181,17 @@
         parts
     }
 
+    /// Returns the number of caller requests under way.
+    pub(crate) fn under_way(&self) -> u32 {
+        let taken = self.cx.in_flight.saturating_sub(self.under_way.available_permits());
+        u32::try_from(taken).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the directory of instances.
+    pub(crate) fn directory(&self) -> &Directory {
+        &self.directory
+    }
+
     /// Returns the name of the limit that applies to a caller.
     fn caller_or_other(effective: &Effective, caller: CallerId) -> CallerId {
         if effective.config.callers.contains_key(&caller) { caller } else { OTHER_CALLERS.into() }
--- a/crates/fescuemux-daemon/src/ingress/attempt.rs
+++ b/crates/fescuemux-daemon/src/ingress/attempt.rs
@@ -15,9 +15,7 @@
     Answered, Choice, EndpointHealth, RequestKind, RouteQuery, ServerLoad,
 };
 use fescuemux_wire::headers;
-use fescuemux_wire::hop::{
-    HopAnswer, HopHealth, HopKind, HopRequest, sign_request, verify_answer,
-};
+use fescuemux_wire::hop::{HopAnswer, HopHealth, HopKind, HopRequest, sign_request, verify_answer};
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri, Version, header};
 use http_body_util::BodyExt;
 use hyper::body::Body;
--- a/crates/fescuemux-daemon/src/ingress/incoming.rs
+++ b/crates/fescuemux-daemon/src/ingress/incoming.rs
@@ -94,8 +94,9 @@
 }
 
 fn name_of(map: &HeaderMap, name: &'static str) -> Result<Option<String>, Failure> {
-    let malformed =
-        || Failure::bad_request(format!("header `{name}` must be 1 to 128 visible ASCII bytes, once"));
+    let malformed = || {
+        Failure::bad_request(format!("header `{name}` must be 1 to 128 visible ASCII bytes, once"))
+    };
     let Some(text) = single(map, name).map_err(|()| malformed())? else { return Ok(None) };
     let visible = text.bytes().all(|byte| byte.is_ascii_graphic());
     let fits = (1..=MAX_NAME_BYTES).contains(&text.len());
--- a/crates/fescuemux-daemon/src/lib.rs
+++ b/crates/fescuemux-daemon/src/lib.rs
@@ -1,5 +1,21 @@
 //! The daemon: edges that own sockets, threads and the clock, and drive the decisions of
 //! `fescuemux-core`.
 
+mod clock;
+mod config_sync;
+mod daemon;
+mod decisions;
+mod guard;
+mod homes;
 mod http;
+mod ingress;
+mod ledger;
+pub mod logging;
+mod metrics;
+mod operators;
+mod peers;
 mod stop;
+
+pub use clock::SystemClock;
+pub use daemon::{Addresses, Daemon, StopReport};
+pub use operators::SetLogLevel;
--- a/crates/fescuemux-daemon/src/main.rs
+++ b/crates/fescuemux-daemon/src/main.rs
@@ -1,2 +1,78 @@
-//! x
-fn main() {}
+//! The process beside each backend server instance.
+
+use anyhow::Context;
+use clap::Parser;
+use fescuemux_daemon::{Daemon, logging};
+use fescuemux_settings::Settings;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Exit code when requests were cut by the stop.
+const EXIT_CUT: u8 = 3;
+
+/// Proxy daemon of the fescuemux fleet.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct Args {
+    /// Settings file, JSON with comments.
+    #[arg(long, value_name = "FILE")]
+    config: PathBuf,
+}
+
+fn main() -> ExitCode {
+    match run(&Args::parse()) {
+        Ok(code) => code,
+        Err(e) => {
+            eprintln!("fescuemuxd: {e:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(args: &Args) -> anyhow::Result<ExitCode> {
+    let settings = Settings::load(&args.config)?;
+    let set_log_level = logging::init(&settings.log)?;
+    let signals = count_signals()?;
+    let daemon = Daemon::start(&settings, set_log_level)?;
+    while signals.load(Ordering::Relaxed) == 0 {
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    let report = daemon.stop(|| signals.load(Ordering::Relaxed) > 1);
+    if report.cut > 0 {
+        eprintln!("fescuemuxd: {} requests were cut", report.cut);
+        return Ok(ExitCode::from(EXIT_CUT));
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Counts the signals that ask for a stop: the first starts a graceful one, a second ends it.
+fn count_signals() -> anyhow::Result<Arc<AtomicU32>> {
+    let count = Arc::new(AtomicU32::new(0));
+    let counted = Arc::clone(&count);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    std::thread::Builder::new()
+        .name("signals".to_owned())
+        .spawn(move || runtime.block_on(receive_signals(&counted)))
+        .context("cannot start the thread for signals")?;
+    Ok(count)
+}
+
+async fn receive_signals(count: &AtomicU32) {
+    let (Ok(mut term), Ok(mut int)) =
+        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
+    else {
+        tracing::error!("signals cannot be received");
+        return;
+    };
+    loop {
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = int.recv() => {}
+        }
+        count.fetch_add(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-daemon/src/operators/answers.rs
@@ -0,0 +1,19 @@
+//! Forms of answers.
+
+use rouille::Response;
+use serde::Serialize;
+
+#[derive(Serialize)]
+struct ErrorBody<'a> {
+    error: &'a str,
+}
+
+/// Returns a JSON answer.
+pub(super) fn json(value: &impl Serialize) -> Response {
+    Response::json(value)
+}
+
+/// Returns an error with a text that says what to do.
+pub(super) fn error(status: u16, text: &str) -> Response {
+    Response::json(&ErrorBody { error: text }).with_status_code(status)
+}
--- /dev/null
+++ b/crates/fescuemux-daemon/src/operators/plans.rs
@@ -0,0 +1,152 @@
+//! Plans, confirms, content and history of the configuration.
+
+use super::OperatorContext;
+use super::answers::{error, json};
+use fescuemux_core::base::Cx;
+use fescuemux_core::config::{CapacityReport, Intent, Outcome, Reason};
+use fescuemux_core::member::MemberState;
+use fescuemux_store::config_store::{ConfigStoreError, Confirmation};
+use fescuemux_wire::config::{
+    decode_intent, encode_intent, encode_plan, format_plan_id, parse_plan_id,
+};
+use rand::RngCore;
+use rouille::{Request, Response};
+use serde::Serialize;
+use std::io::Read;
+use std::time::UNIX_EPOCH;
+
+/// Largest intent in bytes.
+const MAX_INTENT_BYTES: u64 = 8 << 20;
+
+#[derive(Serialize)]
+struct RecordBody {
+    generation: u64,
+    plan: String,
+    author: String,
+    time_ms: u64,
+}
+
+#[derive(Serialize)]
+#[serde(tag = "result", rename_all = "snake_case")]
+enum ConfirmBody {
+    Confirmed { plan: String, generation: u64 },
+    NotConfirmed { plan: String, reason: String, since: Vec<String>, overlap: Vec<String> },
+    Unknown { plan: String, next: String },
+}
+
+/// Makes a plan.
+pub(super) fn propose(cx: &OperatorContext, req: &Request, operator: &str) -> Response {
+    let Some(body) = req.data() else { return error(400, "send the intent as the body") };
+    let mut content = Vec::new();
+    if body.take(MAX_INTENT_BYTES + 1).read_to_end(&mut content).is_err() {
+        return error(400, "the intent did not arrive whole");
+    }
+    if content.len() as u64 > MAX_INTENT_BYTES {
+        return error(413, "an intent has at most 8 MiB");
+    }
+    let intent = match decode_intent(&content) {
+        Ok(intent) => intent,
+        Err(e) => return error(400, &e.to_string()),
+    };
+    let mut decision = Cx::new(cx.clock.now(), rand::rng().next_u64());
+    let capacity = capacity(cx);
+    match cx.store.propose(&mut decision, &intent, &capacity, operator.into()) {
+        Ok(plan) => plan_answer(&plan),
+        Err(e) => store_error(&e),
+    }
+}
+
+/// Returns a stored plan.
+pub(super) fn show(cx: &OperatorContext, id: &str) -> Response {
+    let Some(plan) = parse_plan_id(id) else { return error(400, "a plan id has 32 hex digits") };
+    match cx.store.stored_plan(plan) {
+        Ok(Some(plan)) => plan_answer(&plan),
+        Ok(None) => error(404, "no such plan; plans are kept for an hour"),
+        Err(e) => store_error(&e),
+    }
+}
+
+/// Confirms a stored plan.
+pub(super) fn confirm(cx: &OperatorContext, id: &str, operator: &str) -> Response {
+    let Some(plan) = parse_plan_id(id) else { return error(400, "a plan id has 32 hex digits") };
+    let Confirmation { outcome, stale, .. } =
+        match cx.store.confirm(plan, operator.into(), cx.clock.wall()) {
+            Ok(confirmation) => confirmation,
+            Err(e) => return store_error(&e),
+        };
+    let plan = format_plan_id(plan);
+    match outcome {
+        Outcome::Confirmed(generation) => json(&ConfirmBody::Confirmed { plan, generation }),
+        Outcome::NotConfirmed(reason) => {
+            let reason = match reason {
+                Reason::Stale(generation) => {
+                    format!("generation {generation} is in force; make a new plan on it")
+                }
+                Reason::Refused => "the plan has refusals".to_owned(),
+            };
+            let (since, overlap) = stale.map_or_else(Default::default, |stale| {
+                let since = stale.since.unwrap_or_default();
+                let since = since.iter().map(|d| format!("{:?}", d.subject())).collect();
+                (since, stale.overlap.iter().map(|subject| format!("{subject:?}")).collect())
+            });
+            json(&ConfirmBody::NotConfirmed { plan, reason, since, overlap }).with_status_code(409)
+        }
+        Outcome::Unknown { reason, .. } => {
+            let next = format!("{reason:?}; ask again with the same plan id, which is harmless");
+            json(&ConfirmBody::Unknown { plan, next }).with_status_code(503)
+        }
+    }
+}
+
+/// Returns the content in force, in the form of an intent that would set it.
+pub(super) fn config(cx: &OperatorContext) -> Response {
+    let Some(effective) = cx.ingress.effective() else {
+        return error(404, "no configuration is in force yet");
+    };
+    let intent = Intent::Content(Box::new(effective.config.clone()));
+    Response::from_data("application/json", encode_intent(&intent))
+}
+
+/// Returns the known generations, newest first.
+pub(super) fn history(cx: &OperatorContext) -> Response {
+    let records = match cx.store.history() {
+        Ok(records) => records,
+        Err(e) => return store_error(&e),
+    };
+    let records: Vec<RecordBody> = records
+        .into_iter()
+        .map(|record| RecordBody {
+            generation: record.generation,
+            plan: format_plan_id(record.plan),
+            author: record.author.to_string(),
+            time_ms: record.time.duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64,
+        })
+        .collect();
+    json(&records)
+}
+
+fn plan_answer(plan: &fescuemux_core::config::Plan) -> Response {
+    Response::from_data("application/json", encode_plan(plan))
+}
+
+/// Returns the slots of all live servers by service.
+fn capacity(cx: &OperatorContext) -> CapacityReport {
+    let mut report = CapacityReport::default();
+    for record in cx.members.records() {
+        if record.state == MemberState::Dead {
+            continue;
+        }
+        for server in &record.servers {
+            *report.slots.entry(server.service.clone()).or_default() += u32::from(server.slots);
+        }
+    }
+    report
+}
+
+fn store_error(e: &ConfigStoreError) -> Response {
+    match e {
+        ConfigStoreError::Store(_) => error(503, &format!("{e}; nothing changed, try again later")),
+        ConfigStoreError::Record(_) => error(500, &e.to_string()),
+        ConfigStoreError::Plan(_) | ConfigStoreError::Mismatch(_) => error(400, &e.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-daemon/src/peers.rs
@@ -0,0 +1,11 @@
+//! Remote procedures between daemons: connections, the server, and the membership driver.
+//!
+//! Must not know how callers' requests are answered.
+
+mod clients;
+mod members;
+mod server;
+
+pub(crate) use clients::PeerClients;
+pub(crate) use members::{Members, MembersContext};
+pub(crate) use server::{PeerServer, serve_peers};
--- /dev/null
+++ b/crates/fescuemux-daemon/src/peers/clients.rs
@@ -0,0 +1,97 @@
+//! Client connections to other daemons.
+
+use fescuemux_core::base::HashMap;
+use fescuemux_wire::auth::KeyRing;
+use fescuemux_wire::rpc::{PeerClient, connect_transport};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+use tarpc::client::Config;
+use tarpc::context::{self, Context};
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Longest time to open a connection, with its handshake.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Connections kept open. A probe each second to a random member reuses few of them, so more
+/// would only cost memory.
+const MAX_CLIENTS: usize = 32;
+
+/// Failure to open a connection; nothing was called.
+#[derive(Clone, Debug, Error)]
+#[error("cannot connect to {addr}: {reason}")]
+pub(crate) struct ConnectError {
+    addr: SocketAddr,
+    reason: String,
+}
+
+/// Pool of client connections by address.
+#[derive(Debug)]
+pub(crate) struct PeerClients {
+    keys: KeyRing,
+    open: Mutex<HashMap<SocketAddr, Open>>,
+}
+
+#[derive(Debug)]
+struct Open {
+    client: PeerClient,
+    used: Instant,
+}
+
+impl PeerClients {
+    pub(crate) fn new(keys: KeyRing) -> Arc<PeerClients> {
+        Arc::new(PeerClients { keys, open: Mutex::default() })
+    }
+
+    /// Returns the context of a call that must end within `limit`.
+    pub(crate) fn context(limit: Duration) -> Context {
+        let mut cx = context::current();
+        cx.deadline = Instant::now() + limit;
+        cx
+    }
+
+    /// Returns a connection to `addr`, opening one if needed.
+    pub(crate) async fn get(&self, addr: SocketAddr) -> Result<PeerClient, ConnectError> {
+        if let Some(client) = self.reuse(addr) {
+            return Ok(client);
+        }
+        let failed = |reason: String| ConnectError { addr, reason };
+        let client = match timeout(CONNECT_TIMEOUT, self.connect(addr)).await {
+            Ok(connected) => connected.map_err(failed)?,
+            Err(_) => return Err(failed("timed out".to_owned())),
+        };
+        self.keep(addr, client.clone());
+        Ok(client)
+    }
+
+    /// Forgets the connection to `addr` after a failed call.
+    pub(crate) fn forget(&self, addr: SocketAddr) {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner).remove(&addr);
+    }
+
+    async fn connect(&self, addr: SocketAddr) -> Result<PeerClient, String> {
+        let stream = TcpStream::connect(addr).await.map_err(|e| e.to_string())?;
+        stream.set_nodelay(true).map_err(|e| e.to_string())?;
+        let transport = connect_transport(stream, &self.keys).await.map_err(|e| e.to_string())?;
+        Ok(PeerClient::new(Config::default(), transport).spawn())
+    }
+
+    fn reuse(&self, addr: SocketAddr) -> Option<PeerClient> {
+        let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        let entry = open.get_mut(&addr)?;
+        entry.used = Instant::now();
+        Some(entry.client.clone())
+    }
+
+    fn keep(&self, addr: SocketAddr, client: PeerClient) {
+        let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        if open.len() >= MAX_CLIENTS {
+            let oldest = open.iter().min_by_key(|(_, entry)| entry.used).map(|(addr, _)| *addr);
+            if let Some(oldest) = oldest {
+                open.remove(&oldest);
+            }
+        }
+        open.insert(addr, Open { client, used: Instant::now() });
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-daemon/src/peers/server.rs
@@ -0,0 +1,126 @@
+//! The procedures that this daemon serves.
+
+use super::members::Members;
+use crate::config_sync::ConfigState;
+use crate::homes::Homes;
+use crate::stop::{StopPhase, StopSignal};
+use fescuemux_core::base::InstanceId;
+use fescuemux_wire::auth::KeyRing;
+use fescuemux_wire::rpc::{
+    ClaimWire, ConfigAnswer, ConfigQuery, Exchange, OutcomeWire, Peer, accept_transport,
+};
+use futures::{StreamExt, future};
+use std::sync::Arc;
+use std::time::Duration;
+use tarpc::context::Context;
+use tarpc::server::{BaseChannel, Channel};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio::time::timeout;
+
+/// Longest time for the handshake of a connection.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Most open connections: two for each instance at the target.
+const MAX_CONNECTIONS: usize = 1_080;
+
+/// Serves calls of other daemons.
+#[derive(Clone, Debug)]
+pub(crate) struct PeerServer {
+    pub(crate) members: Arc<Members>,
+    pub(crate) config: Arc<ConfigState>,
+    pub(crate) homes: Arc<Homes>,
+}
+
+impl Peer for PeerServer {
+    async fn deliver(self, _: Context, from: String, message: Vec<u8>) {
+        self.members.receive(from.into(), &message);
+    }
+
+    async fn config(self, _: Context, query: ConfigQuery) -> ConfigAnswer {
+        self.config.answer(&query)
+    }
+
+    async fn exchange(
+        self,
+        _: Context,
+        from: String,
+        epoch: u64,
+        about: Option<String>,
+    ) -> Exchange {
+        let about = about.map(InstanceId::from);
+        self.homes.answer_exchange(&from.into(), epoch, about.as_ref())
+    }
+
+    async fn claim(
+        self,
+        _: Context,
+        epoch: u64,
+        service: String,
+        key: String,
+        holder: u128,
+    ) -> ClaimWire {
+        self.homes.claim_here(epoch, &service.into(), &key, holder)
+    }
+
+    async fn settle(
+        self,
+        _: Context,
+        service: String,
+        key: String,
+        holder: u128,
+        outcome: Option<OutcomeWire>,
+    ) {
+        self.homes.settle_here(&service.into(), &key, holder, outcome);
+    }
+}
+
+/// Accepts connections of other daemons until the daemon stops.
+pub(crate) async fn serve_peers(
+    listener: TcpListener,
+    keys: KeyRing,
+    server: PeerServer,
+    mut stop: StopSignal,
+) {
+    let connections = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.reached(StopPhase::Cut) => return,
+        };
+        let Ok((stream, addr)) = accepted else {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            continue;
+        };
+        let Ok(permit) = Arc::clone(&connections).try_acquire_owned() else {
+            tracing::warn!(%addr, "too many connections of daemons");
+            continue;
+        };
+        let (keys, server) = (keys.clone(), server.clone());
+        tokio::spawn(async move {
+            serve_connection(stream, &keys, server).await;
+            drop(permit);
+        });
+    }
+}
+
+async fn serve_connection(stream: TcpStream, keys: &KeyRing, server: PeerServer) {
+    let _ = stream.set_nodelay(true);
+    let transport = match timeout(HANDSHAKE_TIMEOUT, accept_transport(stream, keys)).await {
+        Ok(Ok(transport)) => transport,
+        Ok(Err(e)) => {
+            tracing::warn!(error = %e, "refused a connection of a daemon");
+            return;
+        }
+        Err(_) => {
+            tracing::warn!("a handshake did not end in time");
+            return;
+        }
+    };
+    let requests = BaseChannel::with_defaults(transport).execute(server.serve());
+    requests
+        .for_each(|answering| {
+            tokio::spawn(answering);
+            future::ready(())
+        })
+        .await;
+}
--- /dev/null
+++ b/crates/fescuemux-wire/src/roster.rs
@@ -0,0 +1,53 @@
+//! JSON form of the roster of homes, stored under [`ROSTER_KEY`].
+
+use fescuemux_core::base::InstanceId;
+use fescuemux_core::dedup::{MAX_HOMES, Roster};
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// Key of the roster in the store.
+pub const ROSTER_KEY: &str = "roster";
+
+/// Roster as stored and sent.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RosterRecord {
+    /// Epoch, at least 1.
+    pub epoch: u64,
+    /// Members in the order of joining.
+    pub instances: Vec<InstanceId>,
+}
+
+/// Reason for refusing a record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum RosterError {
+    /// The epoch is zero.
+    #[error("the epoch of a roster starts at 1")]
+    Epoch,
+    /// There are no members, too many, or one stands twice.
+    #[error("a roster has 1 to {MAX_HOMES} different members")]
+    Members,
+}
+
+impl From<&Roster> for RosterRecord {
+    fn from(roster: &Roster) -> RosterRecord {
+        RosterRecord { epoch: roster.epoch, instances: roster.instances.clone() }
+    }
+}
+
+impl TryFrom<RosterRecord> for Roster {
+    type Error = RosterError;
+
+    fn try_from(record: RosterRecord) -> Result<Roster, RosterError> {
+        if record.epoch == 0 {
+            return Err(RosterError::Epoch);
+        }
+        let mut names: Vec<&InstanceId> = record.instances.iter().collect();
+        names.sort_unstable();
+        names.dedup();
+        let distinct = names.len() == record.instances.len();
+        if !distinct || !(1..=MAX_HOMES).contains(&names.len()) {
+            return Err(RosterError::Members);
+        }
+        Ok(Roster { epoch: record.epoch, instances: record.instances })
+    }
+}
--- a/crates/fescuemux-wire/src/rpc/service.rs
+++ b/crates/fescuemux-wire/src/rpc/service.rs
@@ -1,6 +1,7 @@
 //! The procedures that daemons call on each other.
 
 use super::claim::{ClaimWire, OutcomeWire};
+use crate::roster::RosterRecord;
 use serde::{Deserialize, Serialize};
 
 /// Answer to a roster exchange.
@@ -10,11 +11,13 @@
     pub instance: String,
     /// Epoch of the roster that it has.
     pub epoch: u64,
-    /// Time since its last exchange with the instance asked about, in milliseconds; `None` when
-    /// there was none since it started.
-    pub silence_ms: Option<u64>,
-    /// Time since it started, in milliseconds.
-    pub uptime_ms: u64,
+    /// Whether that roster has settled there.
+    pub settled: bool,
+    /// The roster, when the asking instance has an older one.
+    pub roster: Option<RosterRecord>,
+    /// Time since its last exchange with the instance asked about, or since its start when there
+    /// was none, in milliseconds.
+    pub silence_ms: u64,
 }
 
 /// Question for configuration content.
@@ -23,7 +26,7 @@
     /// Generation that the asking daemon has in force.
     pub generation: u64,
     /// Names of chunks that it lacks; empty to ask for the head alone.
-    pub chunks: Vec<String>,
+    pub chunks: Vec<[u8; 32]>,
 }
 
 /// Configuration content.
@@ -32,13 +35,13 @@
     /// Encoded head, absent when the answering daemon has nothing newer.
     pub head: Option<Vec<u8>>,
     /// Encoded chunks by name. Chunks that do not fit in one answer are left out and asked again.
-    pub chunks: Vec<(String, Vec<u8>)>,
+    pub chunks: Vec<([u8; 32], Vec<u8>)>,
 }
 
 /// Procedures of a daemon.
 #[tarpc::service]
 pub trait Peer {
-    /// Delivers an encoded membership message and returns the messages that answer it.
+    /// Delivers an encoded membership message.
     async fn deliver(from: String, message: Vec<u8>);
     /// Returns configuration content newer than the caller's.
     async fn config(query: ConfigQuery) -> ConfigAnswer;
