--- /dev/null
+++ b/crates/fescuemux-cli/src/load/collector.rs
@@ -0,0 +1,70 @@
+//! Collects the outcomes of a run and shows its progress.
+
+use super::args::Args;
+use super::outcome::Outcome;
+use super::report::{Added, Report};
+use super::totals::Totals;
+use flume::{Receiver, RecvTimeoutError};
+use std::time::{Duration, Instant};
+
+/// Time between progress lines.
+const PROGRESS: Duration = Duration::from_secs(2);
+
+/// Collects the outcomes of a run.
+#[derive(Debug)]
+pub(crate) struct Collector<'a> {
+    args: &'a Args,
+    totals: Vec<Totals>,
+}
+
+impl Collector<'_> {
+    pub(crate) fn new(args: &Args) -> Collector<'_> {
+        let totals = args
+            .targets
+            .iter()
+            .map(|t| Totals::new(&t.name, args.warm_up, args.duration, args.require_checks))
+            .collect();
+        Collector { args, totals }
+    }
+
+    /// Counts all outcomes until the last sender is gone.
+    pub(crate) fn collect(mut self, rx: &Receiver<Outcome>) -> Report {
+        let start = Instant::now();
+        let mut next = start + PROGRESS;
+        loop {
+            match rx.recv_deadline(next) {
+                Ok(outcome) => self.totals[outcome.target].record(outcome),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return self.report(),
+            }
+            if Instant::now() >= next {
+                let states: Vec<String> = self.totals.iter().map(Totals::progress).collect();
+                eprintln!("{:.0} s: {}", start.elapsed().as_secs_f64(), states.join("; "));
+                next += PROGRESS;
+            }
+        }
+    }
+
+    fn report(self) -> Report {
+        let args = self.args;
+        let targets: Vec<_> = self.totals.iter().map(Totals::report).collect();
+        let added = match targets.split_first() {
+            Some((first, others)) => others.iter().map(|t| Added::new(first, t)).collect(),
+            None => Vec::new(),
+        };
+        Report {
+            rate: args.rate,
+            duration_s: args.duration.as_secs_f64(),
+            warm_up_s: args.warm_up.as_secs_f64(),
+            schedule: args.schedule,
+            seed: args.seed,
+            method: args.method.to_string(),
+            path: args.path.clone(),
+            body_bytes: args.body_bytes,
+            answer_bytes: args.answer_bytes,
+            connections: args.connections,
+            targets,
+            added,
+        }
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-cli/src/load/pool.rs
@@ -0,0 +1,84 @@
+//! Connections to one target.
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Mutex, MutexGuard};
+use tokio::net::TcpStream;
+use tokio::sync::{Semaphore, SemaphorePermit};
+
+/// Sending side of a connection.
+pub(crate) type Sender = SendRequest<Full<Bytes>>;
+
+/// Bounded number of connections to the addresses of one target. Idle ones are reused, the
+/// most recently used first.
+#[derive(Debug)]
+pub(crate) struct Pool {
+    addresses: Vec<SocketAddr>,
+    idle: Vec<Mutex<Vec<Sender>>>,
+    permits: Semaphore,
+    next: AtomicUsize,
+}
+
+/// Permission to use one connection to the address with this index.
+#[derive(Debug)]
+pub(crate) struct Slot<'a> {
+    pool: &'a Pool,
+    index: usize,
+    _permit: SemaphorePermit<'a>,
+}
+
+impl Pool {
+    pub(crate) fn new(addresses: Vec<SocketAddr>, connections: usize) -> Pool {
+        let idle = addresses.iter().map(|_| Mutex::new(Vec::new())).collect();
+        Pool { addresses, idle, permits: Semaphore::new(connections), next: AtomicUsize::new(0) }
+    }
+
+    /// Waits in order of arrival until a connection may be used.
+    pub(crate) async fn slot(&self) -> Option<Slot<'_>> {
+        let permit = self.permits.acquire().await.ok()?;
+        let index = self.next.fetch_add(1, Ordering::Relaxed) % self.addresses.len();
+        Some(Slot { pool: self, index, _permit: permit })
+    }
+}
+
+impl Slot<'_> {
+    pub(crate) fn addr(&self) -> SocketAddr {
+        self.pool.addresses[self.index]
+    }
+
+    /// Takes an idle connection.
+    pub(crate) fn reuse(&self) -> Option<Sender> {
+        let mut idle = self.idle();
+        while let Some(sender) = idle.pop() {
+            if sender.is_ready() {
+                return Some(sender);
+            }
+        }
+        None
+    }
+
+    /// Opens a connection.
+    pub(crate) async fn open(&self) -> anyhow::Result<Sender> {
+        let stream = TcpStream::connect(self.addr()).await?;
+        stream.set_nodelay(true)?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        // The connection ends with its sender; its errors also reach the request.
+        tokio::spawn(connection);
+        Ok(sender)
+    }
+
+    /// Returns a connection after its answer was read to the end.
+    pub(crate) fn put_back(self, sender: Sender) {
+        if !sender.is_closed() {
+            self.idle().push(sender);
+        }
+    }
+
+    fn idle(&self) -> MutexGuard<'_, Vec<Sender>> {
+        self.pool.idle[self.index].lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+}
