--- a/crates/fescuemux-cli/src/load/plot.rs
+++ b/crates/fescuemux-cli/src/load/plot.rs
@@ -2,7 +2,7 @@
 
 use super::report::{Report, TargetReport};
 use anyhow::anyhow;
-use plotters::chart::{ChartBuilder, ChartContext, LabelAreaPosition};
+use plotters::chart::{ChartBuilder, ChartContext, LabelAreaPosition, SeriesLabelPosition};
 use plotters::coord::Shift;
 use plotters::coord::combinators::IntoLogRange;
 use plotters::coord::ranged1d::{AsRangedCoord, Ranged, ValueFormatter};
@@ -67,7 +67,10 @@
     let lines: Vec<Line> = report.targets.iter().enumerate().map(line).collect();
     let title = format!("Latency by quantile, {} requests/s to each target", report.rate);
     let end = largest(&lines, |point| point.0).max(10.0);
-    chart(area, &title, (1.0..end).log_scale(), "quantile", &|x| quantile(*x), &lines)
+    let x = (1.0..end).log_scale();
+    // Latency grows with the quantile, so the lower right corner is free.
+    let legend = SeriesLabelPosition::LowerRight;
+    chart(area, &title, x, "quantile", &|x| quantile(*x), &lines, legend)
 }
 
 /// Draws the median as a thin line and the 99th percentile as a thick one.
@@ -85,7 +88,8 @@
     }
     let end = largest(&lines, |point| point.0).max(0.1);
     let seconds = |x: &f64| format!("{x:.1}");
-    chart(area, "Latency over time", 0.0..end, "s", &seconds, &lines)
+    let legend = SeriesLabelPosition::UpperLeft;
+    chart(area, "Latency over time", 0.0..end, "s", &seconds, &lines, legend)
 }
 
 fn chart<X>(
@@ -95,6 +99,7 @@
     x_title: &str,
     x_label: &dyn Fn(&f64) -> String,
     lines: &[Line],
+    legend: SeriesLabelPosition,
 ) -> Result<(), String>
 where
     X: AsRangedCoord<Value = f64>,
@@ -126,7 +131,7 @@
         .background_style(WHITE.mix(0.8))
         .border_style(BLACK)
         .label_font((FONT, 14))
-        .position(plotters::chart::SeriesLabelPosition::UpperLeft)
+        .position(legend)
         .draw()
         .map_err(text)
 }
