--- /dev/null
+++ b/crates/fescuemux-measure/examples/retry_storm.rs
@@ -0,0 +1,20 @@
+//! Prints the retry storm measurements: `cargo run --release -p fescuemux-measure --example
+//! retry_storm [seeds]`.
+
+use fescuemux_measure::overload::{Fault, report, storm};
+
+fn main() -> anyhow::Result<()> {
+    let seeds: u64 = std::env::args().nth(1).map_or(Ok(3), |text| text.parse())?;
+    let mut outages = vec![];
+    let mut halves = vec![];
+    for size in storm::SIZES {
+        for policy in storm::POLICIES {
+            outages.extend((1..=seeds).map(|seed| storm::outage(size, policy, seed)));
+            for fault in [Fault::HalfDown, Fault::HalfSpeed] {
+                halves.extend((1..=seeds).map(|seed| storm::half(size, fault, policy, seed)));
+            }
+        }
+    }
+    report::print("total outage, 60 s", &outages)?;
+    report::print("half capacity at twice the load, 30 s, then whole capacity", &halves)
+}
--- /dev/null
+++ b/crates/fescuemux-measure/src/overload.rs
@@ -0,0 +1,22 @@
+//! Overload and routing: the real parts of ingresses and guards in a queueing model of one
+//! service, on a virtual clock.
+//!
+//! Must not know sockets or the daemon.
+
+mod events;
+mod guard;
+mod ingress;
+pub mod report;
+pub mod route_cost;
+pub mod routing;
+mod setup;
+mod stats;
+pub mod storm;
+mod world;
+
+pub use setup::{Fault, Phase, Policy, QueuePolicy, RetryPolicy, RoutePolicy, Setup};
+pub use stats::{Second, Stats};
+pub use world::run;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/fescuemux-measure/src/overload/guard.rs
@@ -0,0 +1,105 @@
+//! A guard with its backend server.
+
+use crate::overload::setup::QueuePolicy;
+use fescuemux_core::admit::{DeadlineQueue, PermitId, Pushed, QueueConfig, Slots, Waiting};
+use fescuemux_core::base::Cx;
+use fescuemux_core::route::ServerLoad;
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+#[derive(Debug)]
+pub(super) enum Queue {
+    Deadline(DeadlineQueue<usize>),
+    Fifo(VecDeque<usize>),
+}
+
+#[derive(Debug)]
+pub(super) struct Guard {
+    pub(super) dead: bool,
+    pub(super) down: bool,
+    slots: Slots<()>,
+    queue: Queue,
+}
+
+/// What the guard did with attempts; each names attempts by number.
+#[derive(Debug, Default)]
+pub(super) struct Outcome {
+    pub(super) started: Vec<(usize, PermitId)>,
+    pub(super) refused: Vec<usize>,
+}
+
+impl Guard {
+    pub(super) fn new(slots: u32, policy: QueuePolicy, service_time: Duration) -> Guard {
+        let cfg = QueueConfig { initial_service_time: service_time, ..QueueConfig::default() };
+        let queue = match policy {
+            QueuePolicy::Deadline => Queue::Deadline(DeadlineQueue::new(cfg)),
+            QueuePolicy::Fifo => Queue::Fifo(VecDeque::new()),
+        };
+        Guard { dead: false, down: false, slots: Slots::new(slots), queue }
+    }
+
+    pub(super) fn load(&self) -> ServerLoad {
+        let queued = match &self.queue {
+            Queue::Deadline(queue) => queue.len(),
+            Queue::Fifo(queue) => queue.len(),
+        };
+        let (busy, slots) = (self.slots.busy(), self.slots.limit());
+        ServerLoad { busy, slots, queued: queued as u32 }
+    }
+
+    /// Admits, queues or refuses an attempt.
+    pub(super) fn arrive(
+        &mut self,
+        cx: &mut Cx,
+        attempt: usize,
+        caller: usize,
+        deadline: Instant,
+    ) -> Outcome {
+        let mut outcome = Outcome::default();
+        if self.down {
+            outcome.refused.push(attempt);
+            return outcome;
+        }
+        match &mut self.queue {
+            Queue::Fifo(queue) => queue.push_back(attempt),
+            Queue::Deadline(queue) => {
+                let (id, caller) = (attempt as u128, format!("c{caller}").into());
+                let waiting = Waiting { id, caller, priority: 0, cost: 1, deadline, item: attempt };
+                match queue.push(cx, self.slots.limit(), waiting) {
+                    Ok(Pushed::Queued) => {}
+                    Ok(Pushed::Displaced(other)) => outcome.refused.push(other.item),
+                    Err(refused) => outcome.refused.push(refused.waiting.item),
+                }
+            }
+        }
+        self.start(cx, &mut outcome);
+        outcome
+    }
+
+    /// Ends the work of a permit and starts the next.
+    pub(super) fn finish(&mut self, cx: &mut Cx, permit: PermitId, time: Duration) -> Outcome {
+        self.slots.finish(permit);
+        if let Queue::Deadline(queue) = &mut self.queue {
+            queue.on_service_time(time);
+        }
+        let mut outcome = Outcome::default();
+        self.start(cx, &mut outcome);
+        outcome
+    }
+
+    fn start(&mut self, cx: &mut Cx, outcome: &mut Outcome) {
+        while self.slots.free() > 0 {
+            let mut expired = vec![];
+            let next = match &mut self.queue {
+                Queue::Deadline(queue) => queue.pop(cx, &mut expired).map(|w| w.item),
+                Queue::Fifo(queue) => queue.pop_front(),
+            };
+            outcome.refused.extend(expired.iter().map(|w| w.item));
+            let Some(attempt) = next else {
+                return;
+            };
+            let permit = self.slots.admit(());
+            outcome.started.extend(permit.map(|permit| (attempt, permit)));
+        }
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-measure/src/overload/route_cost.rs
@@ -0,0 +1,82 @@
+//! Cost of a routing decision at the size of the target and below.
+
+use fescuemux_core::base::{Cx, HashMap, Phase, RouteId, ServiceId, Verdict};
+use fescuemux_core::route::{
+    Answered, Endpoint, EndpointHealth, RouteQuery, Router, RouterConfig, ServerLoad,
+};
+use rand::Rng;
+use std::time::{Duration, Instant};
+
+/// Size of the tables.
+#[derive(Clone, Copy, Debug)]
+pub struct Tables {
+    /// Backend servers in total.
+    pub servers: usize,
+    /// Services that the servers are divided between.
+    pub services: usize,
+    /// Routes that lead to the services.
+    pub routes: usize,
+}
+
+/// Tables of one ingress.
+#[derive(Debug)]
+pub struct Ingress {
+    cx: Cx,
+    router: Router,
+    routes: HashMap<RouteId, ServiceId>,
+    names: Vec<RouteId>,
+}
+
+impl Ingress {
+    /// Builds the tables.
+    pub fn new(tables: Tables, seed: u64) -> Ingress {
+        const DOMAINS: usize = 7;
+        let mut cx = Cx::new(Instant::now(), seed);
+        let cfg = RouterConfig::new("instance-0".into(), "domain-0".into(), "region-0".into());
+        let mut router = Router::new(cfg);
+        for server in 0..tables.servers {
+            let domain = (server / tables.services) % DOMAINS;
+            let endpoint = Endpoint {
+                server: format!("server-{server:05}").into(),
+                service: format!("service-{:03}", server % tables.services).into(),
+                instance: format!("instance-{:03}", server / 8).into(),
+                domain: format!("domain-{domain}").into(),
+                region: format!("region-{}", domain / 4).into(),
+                slots: 4,
+                phase: Phase::Ready,
+                incarnation: 1,
+                health: EndpointHealth::Serving,
+            };
+            router.upsert(&mut cx, endpoint);
+        }
+        let names: Vec<RouteId> =
+            (0..tables.routes).map(|r| format!("route-{r:05}").into()).collect();
+        let service = |r: usize| format!("service-{:03}", r % tables.services).into();
+        let routes = names.iter().enumerate().map(|(r, name)| (name.clone(), service(r)));
+        Ingress { cx, router, routes: routes.collect(), names }
+    }
+
+    /// Finds the route, chooses a server, sends and learns from the answer, `n` times.
+    /// Returns the number of decisions that found a server.
+    pub fn decide(&mut self, n: usize) -> usize {
+        (0..n).filter(|_| self.decide_once().is_some()).count()
+    }
+
+    fn decide_once(&mut self) -> Option<()> {
+        // 90 requests/s.
+        self.cx.now += Duration::from_micros(11_111);
+        let name = &self.names[self.cx.rng.random_range(0..self.names.len())];
+        let service = self.routes.get(name)?;
+        let choice = self.router.choose(&mut self.cx, &RouteQuery::first(service, true))?;
+        self.router.on_sent(&mut self.cx, &choice);
+        let busy = self.cx.rng.random_range(0..=4);
+        let answered = Answered {
+            verdict: Verdict::Ran,
+            latency: Duration::from_millis(25),
+            load: Some(ServerLoad { busy, slots: 4, queued: 0 }),
+            health: Some(EndpointHealth::Serving),
+        };
+        self.router.on_answer(&mut self.cx, &choice.server, answered);
+        Some(())
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-measure/src/overload/routing.rs
@@ -0,0 +1,87 @@
+//! Routing quality: time that requests wait for a slot under each way of routing.
+
+use crate::overload::{Fault, Phase, Policy, RoutePolicy, Setup, run};
+use serde::Serialize;
+use std::time::Duration;
+
+/// Ways of routing that are compared, with the same queues and retries.
+pub const POLICIES: [Policy; 3] = [
+    Policy { name: "router", ..Policy::PARTS },
+    Policy { name: "random", route: RoutePolicy::Random, ..Policy::PARTS },
+    Policy { name: "round robin", route: RoutePolicy::RoundRobin, ..Policy::PARTS },
+];
+
+/// Size of the fleet as one service sees it.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    /// Name in reports.
+    pub name: &'static str,
+    /// Number of ingresses.
+    pub ingresses: usize,
+    /// Number of backend servers.
+    pub servers: usize,
+    /// Number of failure domains.
+    pub domains: usize,
+    /// Requests per second of the service.
+    pub rate: f64,
+}
+
+/// A service of a current user, and one of the target: 4,400 servers and 49,000 requests/s
+/// over 75 services.
+pub const SIZES: [Size; 2] = [
+    Size { name: "current", ingresses: 10, servers: 10, domains: 3, rate: 1_000.0 },
+    Size { name: "target", ingresses: 540, servers: 59, domains: 7, rate: 653.0 },
+];
+
+/// Result of one run.
+#[derive(Clone, Debug, Serialize)]
+pub struct Row {
+    /// Size of the fleet.
+    pub size: &'static str,
+    /// Offered load as a share of the capacity.
+    pub load: f64,
+    /// Way of routing.
+    pub policy: &'static str,
+    /// Seed.
+    pub seed: u64,
+    /// Median wait for a slot in milliseconds.
+    pub wait_p50_ms: f64,
+    /// 99th percentile of the wait for a slot in milliseconds.
+    pub wait_p99_ms: f64,
+    /// Same, as a multiple of the mean service time.
+    pub wait_p99_service_times: f64,
+    /// Share of requests answered in time.
+    pub goodput: f64,
+}
+
+/// Runs one minute at `load`, a share of the capacity.
+pub fn measure(size: Size, load: f64, policy: Policy, seed: u64) -> Row {
+    const SLOTS: u32 = 4;
+    let slots = size.servers as f64 * f64::from(SLOTS);
+    let service_time = Duration::from_secs_f64(load * slots / size.rate);
+    let length = Duration::from_secs(60);
+    let setup = Setup {
+        ingresses: size.ingresses,
+        servers: size.servers,
+        domains: size.domains,
+        slots: SLOTS,
+        service_time,
+        // Long enough that waiting and not refusing shows the quality of routing.
+        deadline: service_time * 40,
+        phases: vec![Phase { length, fault: Fault::None, rate: size.rate }],
+        policy,
+        seed,
+    };
+    let stats = run(&setup);
+    let millis = |quantile| stats.wait.value_at_quantile(quantile) as f64 / 1e3;
+    Row {
+        size: size.name,
+        load,
+        policy: policy.name,
+        seed,
+        wait_p50_ms: millis(0.5),
+        wait_p99_ms: millis(0.99),
+        wait_p99_service_times: millis(0.99) / 1e3 / service_time.as_secs_f64(),
+        goodput: stats.sum(0..60).goodput(),
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-measure/src/overload/storm.rs
@@ -0,0 +1,165 @@
+//! Retry storms: a total outage, and half of the capacity at twice the load.
+
+use crate::overload::{Fault, Phase, Policy, QueuePolicy, RetryPolicy, RoutePolicy, Setup, run};
+use serde::Serialize;
+use std::time::Duration;
+
+/// Share of requests in time from which the service counts as recovered.
+const RECOVERED: f64 = 0.95;
+
+/// Ordinary load as a share of the capacity; twice of it is just below the whole capacity.
+const ORDINARY_LOAD: f64 = 0.45;
+
+/// Policies that are compared.
+pub const POLICIES: [Policy; 4] = [
+    Policy::PARTS,
+    Policy { name: "naive retries, deadline queue", retry: RetryPolicy::Naive, ..Policy::PARTS },
+    Policy { name: "budget, FIFO queue", queue: QueuePolicy::Fifo, ..Policy::PARTS },
+    Policy {
+        name: "naive retries, FIFO queue, random",
+        route: RoutePolicy::Random,
+        retry: RetryPolicy::Naive,
+        queue: QueuePolicy::Fifo,
+    },
+];
+
+/// Size of the fleet as one service sees it.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    /// Name in reports.
+    pub name: &'static str,
+    /// Number of ingresses.
+    pub ingresses: usize,
+    /// Number of backend servers, each with four slots.
+    pub servers: usize,
+    /// Number of failure domains.
+    pub domains: usize,
+    /// Mean service time.
+    pub service_time: Duration,
+}
+
+/// A service of a current user, and one of the target with 1.2 requests/s at each ingress.
+pub const SIZES: [Size; 2] = [
+    Size {
+        name: "current",
+        ingresses: 10,
+        servers: 10,
+        domains: 3,
+        service_time: Duration::from_millis(25),
+    },
+    Size {
+        name: "target",
+        ingresses: 540,
+        servers: 59,
+        domains: 7,
+        service_time: Duration::from_millis(160),
+    },
+];
+
+/// Result of a total outage.
+#[derive(Clone, Debug, Serialize)]
+pub struct OutageRow {
+    /// Size of the fleet.
+    pub size: &'static str,
+    /// Policy.
+    pub policy: &'static str,
+    /// Seed.
+    pub seed: u64,
+    /// Requests in the outage.
+    pub requests: u64,
+    /// Attempts per request in the outage.
+    pub amplification: f64,
+    /// Highest attempts per request in one second of the outage.
+    pub worst_second: f64,
+}
+
+/// Result of a time with half of the capacity.
+#[derive(Clone, Debug, Serialize)]
+pub struct HalfRow {
+    /// Size of the fleet.
+    pub size: &'static str,
+    /// How the capacity is lost.
+    pub fault: &'static str,
+    /// Policy.
+    pub policy: &'static str,
+    /// Seed.
+    pub seed: u64,
+    /// Share of requests in time while half of the capacity is gone.
+    pub goodput_in_fault: f64,
+    /// Attempts per request while half of the capacity is gone.
+    pub amplification: f64,
+    /// Seconds from the return of the capacity until the goodput of every later second stays
+    /// at 95%.
+    pub recovery_s: Option<usize>,
+    /// Attempts started after the deadline of their caller.
+    pub wasted: u64,
+}
+
+fn setup(size: Size, policy: Policy, seed: u64) -> Setup {
+    Setup {
+        ingresses: size.ingresses,
+        servers: size.servers,
+        domains: size.domains,
+        slots: 4,
+        service_time: size.service_time,
+        deadline: Duration::from_secs(1),
+        phases: vec![],
+        policy,
+        seed,
+    }
+}
+
+/// Runs a total outage of 60 s.
+pub fn outage(size: Size, policy: Policy, seed: u64) -> OutageRow {
+    const BEFORE: usize = 30;
+    const OUTAGE: usize = 60;
+    let mut setup = setup(size, policy, seed);
+    let rate = setup.capacity() * ORDINARY_LOAD;
+    setup.phases = vec![phase(BEFORE, Fault::None, rate), phase(OUTAGE, Fault::AllDown, rate)];
+    let stats = run(&setup);
+    let seconds = BEFORE..BEFORE + OUTAGE;
+    let sum = stats.sum(seconds.clone());
+    let worst = stats.seconds[seconds].iter().map(|s| s.amplification()).fold(0.0, f64::max);
+    OutageRow {
+        size: size.name,
+        policy: policy.name,
+        seed,
+        requests: sum.requests,
+        amplification: sum.amplification(),
+        worst_second: worst,
+    }
+}
+
+/// Runs 30 s with half of the capacity and twice the load, then the whole capacity with the
+/// same load.
+pub fn half(size: Size, fault: Fault, policy: Policy, seed: u64) -> HalfRow {
+    const BEFORE: usize = 20;
+    const FAULT: usize = 30;
+    const AFTER: usize = 60;
+    let mut setup = setup(size, policy, seed);
+    let ordinary = setup.capacity() * ORDINARY_LOAD;
+    setup.phases = vec![
+        phase(BEFORE, Fault::None, ordinary),
+        phase(FAULT, fault, 2.0 * ordinary),
+        phase(AFTER, Fault::None, 2.0 * ordinary),
+    ];
+    let stats = run(&setup);
+    let in_fault = stats.sum(BEFORE..BEFORE + FAULT);
+    let after = &stats.seconds[BEFORE + FAULT..BEFORE + FAULT + AFTER];
+    let last_bad = after.iter().rposition(|s| s.goodput() < RECOVERED);
+    let recovery = last_bad.map_or(0, |at| at + 1);
+    HalfRow {
+        size: size.name,
+        fault: if fault == Fault::HalfDown { "half down" } else { "half speed" },
+        policy: policy.name,
+        seed,
+        goodput_in_fault: in_fault.goodput(),
+        amplification: in_fault.amplification(),
+        recovery_s: (recovery < AFTER).then_some(recovery),
+        wasted: stats.wasted,
+    }
+}
+
+fn phase(seconds: usize, fault: Fault, rate: f64) -> Phase {
+    Phase { length: Duration::from_secs(seconds as u64), fault, rate }
+}
--- /dev/null
+++ b/crates/fescuemux-measure/src/overload/world.rs
@@ -0,0 +1,296 @@
+//! The queueing model: callers, ingresses, guards and backend servers on a virtual clock.
+
+use crate::overload::events::{Event, Events, Reply};
+use crate::overload::guard::{Guard, Outcome};
+use crate::overload::ingress::{Ingress, server_name};
+use crate::overload::setup::{Fault, QueuePolicy, RetryPolicy, Setup};
+use crate::overload::stats::Stats;
+use fescuemux_core::admit::PermitId;
+use fescuemux_core::base::{Cx, ServerId, Verdict};
+use fescuemux_core::route::ServerLoad;
+use rand::Rng;
+use std::time::{Duration, Instant};
+
+/// One-way latency between an ingress and a guard.
+const HOP: Duration = Duration::from_millis(1);
+
+#[derive(Debug)]
+struct Request {
+    ingress: usize,
+    arrived: Duration,
+    attempts: u32,
+    tried: Vec<ServerId>,
+    done: bool,
+}
+
+#[derive(Debug)]
+struct Attempt {
+    request: usize,
+    server: usize,
+    sent: Duration,
+    /// True until the ingress got an answer or gave up on it.
+    open: bool,
+    permit: PermitId,
+    started: Duration,
+    load: ServerLoad,
+}
+
+struct World<'a> {
+    setup: &'a Setup,
+    cx: Cx,
+    start: Instant,
+    now: Duration,
+    events: Events,
+    ingresses: Vec<Ingress>,
+    guards: Vec<Guard>,
+    requests: Vec<Request>,
+    attempts: Vec<Attempt>,
+    slowness: f64,
+    rate: f64,
+    end: Duration,
+    stats: Stats,
+}
+
+/// Runs a setup to its end.
+pub fn run(setup: &Setup) -> Stats {
+    let mut world = World::new(setup);
+    while let Some((at, event)) = world.events.pop() {
+        if at >= world.end + setup.deadline {
+            break;
+        }
+        world.now = at;
+        world.cx.now = world.start + at;
+        world.handle(event);
+    }
+    world.stats
+}
+
+impl<'a> World<'a> {
+    fn new(setup: &'a Setup) -> World<'a> {
+        let start = Instant::now();
+        let mut cx = Cx::new(start, setup.seed);
+        let ingresses = (0..setup.ingresses).map(|n| Ingress::new(&mut cx, setup, n)).collect();
+        let guard = |_| Guard::new(setup.slots, setup.policy.queue, setup.service_time);
+        let mut events = Events::default();
+        let mut at = Duration::ZERO;
+        for (number, phase) in setup.phases.iter().enumerate() {
+            events.push(at, Event::Phase(number));
+            at += phase.length;
+        }
+        events.push(Duration::ZERO, Event::Arrive);
+        World {
+            setup,
+            cx,
+            start,
+            now: Duration::ZERO,
+            events,
+            ingresses,
+            guards: (0..setup.servers).map(guard).collect(),
+            requests: vec![],
+            attempts: vec![],
+            slowness: 1.0,
+            rate: 1.0,
+            end: at,
+            stats: Stats::default(),
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive => self.arrive(),
+            Event::Phase(number) => self.phase(number),
+            Event::AtGuard(attempt) => self.at_guard(attempt),
+            Event::Done(attempt) => self.done(attempt),
+            Event::Answer(attempt, reply) => self.answer(attempt, reply),
+            Event::Retry(request) => self.send(request),
+            Event::Timeout(attempt) => self.timeout(attempt),
+            Event::Deadline(request) => self.deadline(request),
+        }
+    }
+
+    fn phase(&mut self, number: usize) {
+        let phase = self.setup.phases[number];
+        self.rate = phase.rate;
+        self.slowness = if phase.fault == Fault::HalfSpeed { 2.0 } else { 1.0 };
+        for (server, guard) in self.guards.iter_mut().enumerate() {
+            guard.down = phase.fault == Fault::AllDown;
+            guard.dead = phase.fault == Fault::HalfDown && server % 2 == 0;
+        }
+    }
+
+    fn arrive(&mut self) {
+        if self.now >= self.end {
+            return;
+        }
+        let gap = self.exponential(1.0 / self.rate);
+        self.events.push(self.now + gap, Event::Arrive);
+        let ingress = self.cx.rng.random_range(0..self.ingresses.len());
+        let request = self.requests.len();
+        let arrived = self.now;
+        self.requests.push(Request { ingress, arrived, attempts: 0, tried: vec![], done: false });
+        self.stats.second(arrived).requests += 1;
+        self.ingresses[ingress].on_request(&mut self.cx);
+        self.events.push(self.now + self.setup.deadline, Event::Deadline(request));
+        self.send(request);
+    }
+
+    fn send(&mut self, number: usize) {
+        let request = &mut self.requests[number];
+        if request.done {
+            return;
+        }
+        let Some(server) = self.ingresses[request.ingress].pick(&mut self.cx, &request.tried)
+        else {
+            request.done = true;
+            return;
+        };
+        request.attempts += 1;
+        request.tried.push(server_name(server));
+        let arrived = request.arrived;
+        self.stats.second(arrived).sends += 1;
+        let attempt = self.attempts.len();
+        self.attempts.push(Attempt {
+            request: number,
+            server,
+            sent: self.now,
+            open: true,
+            permit: 0,
+            started: Duration::ZERO,
+            load: ServerLoad { busy: 0, slots: self.setup.slots, queued: 0 },
+        });
+        self.events.push(self.now + HOP, Event::AtGuard(attempt));
+        if self.setup.policy.retry == RetryPolicy::Naive {
+            self.events.push(self.now + self.setup.deadline / 4, Event::Timeout(attempt));
+        }
+    }
+
+    fn at_guard(&mut self, number: usize) {
+        let attempt = &self.attempts[number];
+        let request = &self.requests[attempt.request];
+        let guard = &mut self.guards[attempt.server];
+        if guard.dead {
+            self.events.push(self.now + HOP, Event::Answer(number, Reply::NoConnection));
+            return;
+        }
+        let server = attempt.server;
+        // The answer needs a hop as well.
+        let deadline = self.start + request.arrived + self.setup.deadline - HOP;
+        let outcome = guard.arrive(&mut self.cx, number, request.ingress, deadline);
+        self.apply(server, outcome);
+    }
+
+    fn done(&mut self, number: usize) {
+        let attempt = &self.attempts[number];
+        let (server, permit) = (attempt.server, attempt.permit);
+        let time = self.now - attempt.started;
+        let outcome = self.guards[server].finish(&mut self.cx, permit, time);
+        self.reply(number, Reply::Ran);
+        self.apply(server, outcome);
+    }
+
+    fn apply(&mut self, server: usize, outcome: Outcome) {
+        for attempt in outcome.refused {
+            self.stats.refused += 1;
+            self.reply(attempt, Reply::NotRun);
+        }
+        for (number, permit) in outcome.started {
+            self.start_work(server, number, permit);
+        }
+    }
+
+    fn start_work(&mut self, server: usize, number: usize, permit: PermitId) {
+        let mean = self.setup.service_time.as_secs_f64() * self.slowness;
+        let mut time = self.exponential(mean);
+        let attempt = &mut self.attempts[number];
+        let arrived = self.requests[attempt.request].arrived;
+        let deadline = arrived + self.setup.deadline;
+        attempt.permit = permit;
+        attempt.started = self.now;
+        debug_assert_eq!(attempt.server, server);
+        let hops = HOP * self.requests[attempt.request].attempts;
+        let wait = (self.now - arrived).saturating_sub(hops);
+        self.stats.wait.saturating_record(wait.as_micros() as u64);
+        if self.now >= deadline {
+            self.stats.wasted += 1;
+        }
+        // Backend servers accept deadlines, which the plain queue does not pass on.
+        if self.setup.policy.queue == QueuePolicy::Deadline {
+            time = time.min(deadline.saturating_sub(self.now));
+        }
+        self.events.push(self.now + time, Event::Done(number));
+    }
+
+    fn reply(&mut self, number: usize, reply: Reply) {
+        let attempt = &mut self.attempts[number];
+        attempt.load = self.guards[attempt.server].load();
+        self.events.push(self.now + HOP, Event::Answer(number, reply));
+    }
+
+    fn answer(&mut self, number: usize, reply: Reply) {
+        let attempt = &mut self.attempts[number];
+        if !attempt.open {
+            return;
+        }
+        attempt.open = false;
+        let (request, server, load) = (attempt.request, attempt.server, attempt.load);
+        let latency = self.now - attempt.sent;
+        let ingress = &mut self.ingresses[self.requests[request].ingress];
+        let cx = &mut self.cx;
+        match reply {
+            Reply::Ran => ingress.on_answer(cx, server, Verdict::Ran, latency, load),
+            Reply::NotRun => ingress.on_answer(cx, server, Verdict::NotRun, latency, load),
+            Reply::NoConnection => ingress.on_no_connection(cx, server),
+        }
+        match reply {
+            Reply::Ran => self.finish(request),
+            Reply::NotRun | Reply::NoConnection => self.retry(request),
+        }
+    }
+
+    fn finish(&mut self, number: usize) {
+        let request = &mut self.requests[number];
+        if request.done {
+            return;
+        }
+        request.done = true;
+        let arrived = request.arrived;
+        if self.now < arrived + self.setup.deadline {
+            self.stats.second(arrived).good += 1;
+        }
+    }
+
+    fn retry(&mut self, number: usize) {
+        let request = &mut self.requests[number];
+        if request.done {
+            return;
+        }
+        let deadline = self.start + request.arrived + self.setup.deadline;
+        let ingress = &mut self.ingresses[request.ingress];
+        match ingress.retry(&mut self.cx, request.attempts, deadline) {
+            Some(after) => self.events.push(self.now + after, Event::Retry(number)),
+            None => request.done = true,
+        }
+    }
+
+    /// A naive ingress sends again and leaves the earlier attempt in the server's queue.
+    fn timeout(&mut self, number: usize) {
+        let attempt = &mut self.attempts[number];
+        if !attempt.open {
+            return;
+        }
+        attempt.open = false;
+        let (request, server) = (attempt.request, attempt.server);
+        let ingress = self.requests[request].ingress;
+        self.ingresses[ingress].on_canceled(&mut self.cx, server);
+        self.retry(request);
+    }
+
+    fn deadline(&mut self, number: usize) {
+        self.requests[number].done = true;
+    }
+
+    fn exponential(&mut self, mean: f64) -> Duration {
+        let uniform: f64 = self.cx.rng.random_range(f64::MIN_POSITIVE..1.0);
+        Duration::from_secs_f64(-uniform.ln() * mean)
+    }
+}
