core: keep the reserve of the retry budget within the 10% bound

Cause: with 540 ingresses the reserves of one retry each lifted amplification in a total outage of 60 s above the goal of 1.1. Conclusion: requests earn 8%, the rest pays for the reserve; a retry needs a whole one saved up, so the balance never goes below zero.

--- a/crates/fescuemux-core/src/retry/budget.rs
+++ b/crates/fescuemux-core/src/retry/budget.rs
@@ -8,11 +8,11 @@
 /// Settings of a [`RetryBudget`].
 #[derive(Clone, Debug)]
 pub struct RetryConfig {
-    /// Retries and hedges earned by each request.
+    /// Bound of retries and hedges, as a share of requests.
     pub ratio: f64,
     /// Retries a second that a quiet service earns at least.
     pub floor_rate: f64,
-    /// Most retries that can be saved up.
+    /// Retries that can be saved up at least; a busy service saves up those of one second.
     pub reserve: f64,
     /// Most attempts of one request.
     pub max_attempts: u32,
@@ -32,22 +32,38 @@
     }
 }
 
+/// Share of the ratio that each request earns. The rest pays for the reserve: with 540
+/// ingresses of 1.2 requests/s each, a reserve of one retry is 1.4% of a minute's requests.
+const EARNED: f64 = 0.8;
+
 /// Window over which the floor rate is compared with the retries earned by requests.
-const FLOOR_WINDOW: Duration = Duration::from_secs(10);
+const WINDOW: Duration = Duration::from_secs(10);
+
+/// Balance that allows a retry; below one by more than the rounding errors of many additions.
+const ONE_RETRY: f64 = 1.0 - 1e-6;
 
 /// Budget that limits retries and hedges of a service to a share of its requests.
 #[derive(Debug)]
 pub struct RetryBudget {
     cfg: RetryConfig,
     balance: f64,
+    reserve: f64,
     window_start: Instant,
+    requests_in_window: u32,
     earned_in_window: f64,
 }
 
 impl RetryBudget {
     /// Returns a budget with its reserve full.
     pub fn new(cfg: RetryConfig, now: Instant) -> RetryBudget {
-        RetryBudget { balance: cfg.reserve, cfg, window_start: now, earned_in_window: 0.0 }
+        RetryBudget {
+            balance: cfg.reserve,
+            reserve: cfg.reserve,
+            cfg,
+            window_start: now,
+            requests_in_window: 0,
+            earned_in_window: 0.0,
+        }
     }
 
     /// Counts a request of a caller, not its retries.
@@ -55,7 +71,8 @@
         self.top_up(cx.now);
         // What the full reserve cuts off must not count, or a quiet service that spends its
         // reserve gets no floor for a window.
-        self.earned_in_window += self.earn(self.cfg.ratio);
+        self.earned_in_window += self.earn(self.cfg.ratio * EARNED);
+        self.requests_in_window += 1;
     }
 
     /// Decides about a failed attempt and takes from the budget when it is repeated.
@@ -110,11 +127,9 @@
         backoff.max(attempt.retry_after.unwrap_or_default())
     }
 
-    /// Spends one retry. A balance below one is spent by chance, so that the many ingresses
-    /// with a small reserve each still retry at the rate that they earn.
     fn spend(&mut self, cx: &mut Cx) -> bool {
         self.top_up(cx.now);
-        if self.balance <= 0.0 || cx.rng.random::<f64>() >= self.balance {
+        if self.balance < ONE_RETRY {
             return false;
         }
         self.balance -= 1.0;
@@ -123,14 +138,17 @@
 
     fn top_up(&mut self, now: Instant) {
         let passed = now.saturating_duration_since(self.window_start);
-        if passed < FLOOR_WINDOW {
+        if passed < WINDOW {
             return;
         }
         // Only the first window held requests, or this call would have come earlier.
-        let in_window = self.cfg.floor_rate * FLOOR_WINDOW.as_secs_f64();
+        let in_window = self.cfg.floor_rate * WINDOW.as_secs_f64();
         let missing = (in_window - self.earned_in_window).max(0.0);
-        let since = self.cfg.floor_rate * (passed - FLOOR_WINDOW).as_secs_f64();
+        let since = self.cfg.floor_rate * (passed - WINDOW).as_secs_f64();
+        let rate = f64::from(self.requests_in_window) / passed.as_secs_f64();
+        self.reserve = self.cfg.reserve.max(rate * self.cfg.ratio * EARNED);
         self.window_start = now;
+        self.requests_in_window = 0;
         self.earned_in_window = 0.0;
         self.earn(missing + since);
     }
@@ -138,7 +156,7 @@
     /// Adds to the balance up to the reserve and returns what was added.
     fn earn(&mut self, amount: f64) -> f64 {
         let before = self.balance;
-        self.balance = (before + amount).min(self.cfg.reserve);
+        self.balance = (before + amount).min(self.reserve.max(before));
         self.balance - before
     }
 }
--- a/crates/fescuemux-core/src/retry/tests/budget_model.rs
+++ b/crates/fescuemux-core/src/retry/tests/budget_model.rs
@@ -85,8 +85,7 @@
             Event::Wait { ms } => cx.now += Duration::from_millis(ms),
         }
         let floor = cfg.floor_rate * (cx.now - start).as_secs_f64();
-        // The balance may go below zero by less than one retry.
-        let bound = cfg.reserve + 1.0 + cfg.ratio * requests + floor;
+        let bound = cfg.reserve + cfg.ratio * requests + floor;
         if retries > bound {
             return Err(format!("{retries} retries of {requests} requests, bound {bound}"));
         }
