--- a/crates/fescuemux-measure/src/lib.rs
+++ b/crates/fescuemux-measure/src/lib.rs
@@ -3,3 +3,8 @@
 //! Must not know sockets.
 
 pub mod overload;
+//! Seeded measurements of the core parts on a virtual clock.
+//!
+//! The crate must not know sockets or threads of a daemon.
+
+pub mod fleet;
