Explore every interleaving of two confirms

Cause: a confirm must never be reported wrongly when replies are lost or reads are outdated. Before: no check. Conclusion: the protocol holds in this scope, including writes that arrive late.

--- /dev/null
+++ b/crates/fescuemux-core/tests/config_confirm.rs
@@ -0,0 +1,293 @@
+//! Explores every interleaving of two operators who confirm on the same base, with one lost
+//! reply and one outdated read. Guards against a confirm that is reported wrongly, lost or
+//! applied twice; broken versions of the protocol show that the check can fail.
+
+use fescuemux_core::base::PlanId;
+use fescuemux_core::config::{Confirm, Head, Outcome, Part, Reason, Reply, Step, Update};
+use std::collections::HashSet;
+use std::time::UNIX_EPOCH;
+
+/// How an operator's protocol is broken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Variant {
+    Correct,
+    /// Swaps without comparing the version.
+    NoCompare,
+    /// Takes an unknown effect for none.
+    NoReadBack,
+    /// Takes a conflict for the other operator's, though it may be with the own lost write.
+    ConflictIsFinal,
+    /// Takes an unchanged head after an unknown effect for proof that the write is lost.
+    UnchangedIsFinal,
+}
+
+#[derive(Clone, PartialEq, Eq, Hash)]
+struct Operator {
+    plan: PlanId,
+    confirm: Confirm,
+    wrong_outcome: Option<Outcome>,
+    repeats_left: u32,
+}
+
+#[derive(Clone, PartialEq, Eq, Hash)]
+struct World {
+    variant: Variant,
+    /// Every value of the head; its version is its place, counted from one.
+    heads: Vec<Head>,
+    /// Swaps that may still arrive, with the version that they expect.
+    delayed: Vec<(Option<u64>, Head)>,
+    operators: Vec<Operator>,
+    lost_replies: u32,
+    stale_reads: u32,
+}
+
+/// Result of an exploration.
+#[derive(Debug, Default)]
+struct Explored {
+    states: HashSet<World>,
+    ends: usize,
+    faults: Vec<String>,
+}
+
+fn confirm_of(plan: PlanId) -> Confirm {
+    Confirm::new(Update { plan, base: 1, author: "ops".into(), time: UNIX_EPOCH })
+}
+
+fn world(variant: Variant, plans: [PlanId; 2]) -> World {
+    let first = Head::next(None, 1, "ops".into(), UNIX_EPOCH, &[(Part::Services, Some([1; 32]))]);
+    let operator =
+        |plan| Operator { plan, confirm: confirm_of(plan), wrong_outcome: None, repeats_left: 1 };
+    World {
+        variant,
+        heads: vec![first],
+        delayed: Vec::new(),
+        operators: plans.map(operator).into(),
+        lost_replies: 1,
+        stale_reads: 1,
+    }
+}
+
+impl Operator {
+    fn outcome(&self) -> Option<Outcome> {
+        match self.confirm.step() {
+            _ if self.wrong_outcome.is_some() => self.wrong_outcome,
+            Step::Done(outcome) => Some(*outcome),
+            _ => None,
+        }
+    }
+
+    fn on_reply(&mut self, variant: Variant, reply: Reply) {
+        let wrong = match (variant, &reply) {
+            (Variant::NoReadBack, Reply::SwapUnknown) => true,
+            (Variant::ConflictIsFinal, Reply::Conflict(_)) => true,
+            (Variant::UnchangedIsFinal, Reply::Head(Some((_, head)))) => {
+                self.confirm.swap_sent() && head.generation() == 1
+            }
+            _ => false,
+        };
+        if wrong {
+            self.wrong_outcome = Some(Outcome::NotConfirmed(Reason::Stale(1)));
+        }
+        self.confirm.on_reply(reply);
+    }
+}
+
+impl World {
+    fn version(&self) -> u64 {
+        self.heads.len() as u64
+    }
+
+    /// Applies a swap and returns whether it took effect. The head must follow the one before.
+    fn swap(&mut self, expect: Option<u64>, head: &Head) -> Result<bool, String> {
+        if expect != Some(self.version()) && self.variant != Variant::NoCompare {
+            return Ok(false);
+        }
+        let last = self.heads.last().expect("there is a first head");
+        let follows = head.history.first() == Some(&last.latest);
+        if !follows {
+            return Err(format!("generation {} drops a confirmed plan", head.generation()));
+        }
+        self.heads.push(head.clone());
+        Ok(true)
+    }
+
+    /// Returns every state that operator `i` can reach by its next step.
+    fn steps(&self, i: usize) -> Result<Vec<World>, String> {
+        let mut next = Vec::new();
+        let mut take = |mut world: World, reply: Reply| {
+            world.operators[i].on_reply(self.variant, reply);
+            next.push(world);
+        };
+        match self.operators[i].confirm.step().clone() {
+            Step::Done(_) => {}
+            Step::ReadHead => {
+                for (place, head) in self.heads.iter().enumerate() {
+                    let mut world = self.clone();
+                    let is_stale = place + 1 < self.heads.len();
+                    if is_stale && self.stale_reads == 0 {
+                        continue;
+                    }
+                    world.stale_reads -= u32::from(is_stale);
+                    take(world, Reply::Head(Some((place as u64 + 1, Box::new(head.clone())))));
+                }
+                if self.lost_replies > 0 {
+                    let world = World { lost_replies: self.lost_replies - 1, ..self.clone() };
+                    take(world, Reply::NoHead);
+                }
+            }
+            Step::WriteChunks(_) => {
+                let name = [self.operators[i].plan as u8; 32];
+                take(self.clone(), Reply::Chunks(vec![(Part::Services, Some(name))]));
+            }
+            Step::SwapHead(expect, head) => {
+                let mut done = self.clone();
+                let reply = match done.swap(expect, &head)? {
+                    true => Reply::Swapped,
+                    false => Reply::Conflict(Some(self.version())),
+                };
+                take(done.clone(), reply);
+                if self.lost_replies > 0 {
+                    let without = World { lost_replies: self.lost_replies - 1, ..self.clone() };
+                    let mut late = without.clone();
+                    late.delayed.push((expect, (*head).clone()));
+                    let lost_replies = self.lost_replies - 1;
+                    take(World { lost_replies, ..done }, Reply::SwapUnknown);
+                    take(without.clone(), Reply::SwapUnknown);
+                    take(without, Reply::SwapFailed);
+                    take(late, Reply::SwapUnknown);
+                }
+            }
+        }
+        Ok(next)
+    }
+
+    /// Returns the states after a delayed swap arrives or is lost, and after an operator whose
+    /// outcome is unknown asks again.
+    fn outside_steps(&self) -> Result<Vec<World>, String> {
+        let mut next = Vec::new();
+        for i in 0..self.delayed.len() {
+            let mut lost = self.clone();
+            let (expect, head) = lost.delayed.remove(i);
+            let mut arrived = lost.clone();
+            arrived.swap(expect, &head)?;
+            next.extend([lost, arrived]);
+        }
+        for (i, operator) in self.operators.iter().enumerate() {
+            let is_unknown = matches!(operator.outcome(), Some(Outcome::Unknown { .. }));
+            if is_unknown && operator.repeats_left > 0 {
+                let mut world = self.clone();
+                world.operators[i].repeats_left -= 1;
+                world.operators[i].confirm = confirm_of(operator.plan);
+                next.push(world);
+            }
+        }
+        Ok(next)
+    }
+
+    /// Compares every outcome with the head at the end.
+    fn check_end(&self) -> Result<(), String> {
+        let head = self.heads.last().expect("there is a first head");
+        for operator in &self.operators {
+            let found = head.generation_of(operator.plan);
+            let is_true = match operator.outcome() {
+                Some(Outcome::Confirmed(generation)) => found == Some(generation),
+                Some(Outcome::NotConfirmed(_)) => found.is_none(),
+                Some(Outcome::Unknown { .. }) => true,
+                None => return Err("an operator never ends".to_owned()),
+            };
+            if !is_true {
+                return Err(format!("{:?} but the head has {found:?}", operator.outcome()));
+            }
+        }
+        let mut plans = HashSet::new();
+        match head.records().all(|record| plans.insert(record.plan)) {
+            true => Ok(()),
+            false => Err("a plan is in force twice".to_owned()),
+        }
+    }
+}
+
+fn explore(world: World) -> Explored {
+    let mut explored = Explored::default();
+    let mut open = vec![world];
+    while let Some(world) = open.pop() {
+        let operators = 0..world.operators.len();
+        let steps: Result<Vec<Vec<World>>, String> = operators
+            .filter(|i| world.operators[*i].outcome().is_none())
+            .map(|i| world.steps(i))
+            .chain([world.outside_steps()])
+            .collect();
+        match steps {
+            Err(fault) => explored.faults.push(fault),
+            Ok(steps) => {
+                let next: Vec<World> = steps.into_iter().flatten().collect();
+                if next.is_empty() {
+                    explored.ends += 1;
+                    explored.faults.extend(world.check_end().err());
+                }
+                let fresh = next.into_iter().filter(|w| explored.states.insert(w.clone()));
+                open.extend(fresh.collect::<Vec<_>>());
+            }
+        }
+    }
+    explored
+}
+
+impl std::fmt::Debug for World {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{} heads", self.heads.len())
+    }
+}
+
+struct Scope {
+    plans: [PlanId; 2],
+    lost_replies: u32,
+    stale_reads: u32,
+}
+
+#[test]
+fn every_interleaving_is_reported_truly() {
+    let scopes = [
+        Scope { plans: [2, 3], lost_replies: 1, stale_reads: 1 },
+        Scope { plans: [2, 2], lost_replies: 1, stale_reads: 1 },
+        Scope { plans: [2, 3], lost_replies: 2, stale_reads: 2 },
+        Scope { plans: [2, 2], lost_replies: 2, stale_reads: 2 },
+    ];
+    for Scope { plans, lost_replies, stale_reads } in scopes {
+        let start = World { lost_replies, stale_reads, ..world(Variant::Correct, plans) };
+        let explored = explore(start);
+        assert_eq!(explored.faults, Vec::<String>::new(), "plans {plans:?}");
+        assert!(explored.ends > 0);
+        let states = explored.states.len();
+        println!("plans {plans:?}, {lost_replies} lost: {states} states, {} ends", explored.ends);
+    }
+}
+
+#[test]
+fn broken_versions_are_caught() {
+    let variants = [
+        Variant::NoCompare,
+        Variant::NoReadBack,
+        Variant::ConflictIsFinal,
+        Variant::UnchangedIsFinal,
+    ];
+    for variant in variants {
+        let explored = explore(world(variant, [2, 3]));
+        assert!(!explored.faults.is_empty(), "{variant:?} is not caught");
+        println!("{variant:?}: {} faults, first: {}", explored.faults.len(), explored.faults[0]);
+    }
+}
+
+/// Guards against a protocol that is safe only because it never confirms.
+#[test]
+fn without_faults_exactly_one_operator_succeeds() {
+    let calm = World { lost_replies: 0, stale_reads: 0, ..world(Variant::Correct, [2, 3]) };
+    let explored = explore(calm);
+    let is_end = |w: &&World| w.operators.iter().all(|operator| operator.outcome().is_some());
+    for world in explored.states.iter().filter(is_end) {
+        let outcomes: Vec<_> = world.operators.iter().filter_map(Operator::outcome).collect();
+        let confirmed = outcomes.iter().filter(|o| matches!(o, Outcome::Confirmed(2))).count();
+        let stale = Outcome::NotConfirmed(Reason::Stale(2));
+        assert_eq!((confirmed, outcomes.contains(&stale)), (1, true), "{outcomes:?}");
+    }
+}
