--- a/crates/fescuemux-store/src/config_store/confirm.rs
+++ b/crates/fescuemux-store/src/config_store/confirm.rs
@@ -99,7 +99,7 @@
     }
 
     fn reply_head(&self) -> Result<Reply, ConfigStoreError> {
-        match self.read_head() {
+        match self.read_head_to_follow() {
             Ok(head) => Ok(Reply::Head(head.map(|(version, head)| (version, Box::new(head))))),
             Err(ConfigStoreError::Store(_)) => Ok(Reply::NoHead),
             Err(error) => Err(error),
--- a/crates/fescuemux-store/src/config_store/load.rs
+++ b/crates/fescuemux-store/src/config_store/load.rs
@@ -4,7 +4,7 @@
 use crate::{Store, Version, Watched};
 use fescuemux_core::base::Generation;
 use fescuemux_core::config::{Config, HEAD_KEY, Head, Names, Record, chunk_key};
-use fescuemux_wire::config::{ChunkSet, ConfigError, decode_head};
+use fescuemux_wire::config::{ChunkSet, ConfigError, decode_head, decode_head_to_follow};
 use std::time::Duration;
 
 /// One generation with its content.
@@ -74,6 +74,12 @@
         Ok(head.map(|(_, head)| head.records().cloned().collect()).unwrap_or_default())
     }
 
+    /// Returns the head as the base of a plan or confirm.
+    pub(super) fn read_head_to_follow(&self) -> Result<Option<(Version, Head)>, ConfigStoreError> {
+        let Some(entry) = self.store.get(HEAD_KEY)? else { return Ok(None) };
+        Ok(Some((entry.version, decode_head_to_follow(&entry.value)?)))
+    }
+
     pub(super) fn read_head(&self) -> Result<Option<(Version, Head)>, ConfigStoreError> {
         let Some(entry) = self.store.get(HEAD_KEY)? else { return Ok(None) };
         Ok(Some((entry.version, decode_head(&entry.value)?)))
--- a/crates/fescuemux-store/src/config_store/plans.rs
+++ b/crates/fescuemux-store/src/config_store/plans.rs
@@ -30,7 +30,7 @@
         capacity: &CapacityReport,
         author: SmolStr,
     ) -> Result<Plan, ConfigStoreError> {
-        let head = self.read_head()?.map(|(_, head)| head);
+        let head = self.read_head_to_follow()?.map(|(_, head)| head);
         let names = head.as_ref().map(|head| head.names.clone()).unwrap_or_default();
         let config = self.config_of(&names)?;
         let older = match (intent, &head) {
--- a/crates/fescuemux-wire/src/config.rs
+++ b/crates/fescuemux-wire/src/config.rs
@@ -17,7 +17,7 @@
 pub use chunk_set::ChunkSet;
 pub use digest::{format_plan_id, parse_plan_id};
 pub use error::ConfigError;
-pub use head::{decode_head, encode_head};
+pub use head::{decode_head, decode_head_to_follow, encode_head};
 pub use intent::{ChangeBody, ContentBody, IntentBody, decode_intent, encode_intent};
 pub use item::{CallerBody, FavorBody, RouteBody, ServiceBody};
 pub use plan::{
--- a/crates/fescuemux-wire/src/config/head.rs
+++ b/crates/fescuemux-wire/src/config/head.rs
@@ -47,7 +47,22 @@
 /// # Errors
 /// Fails when the bytes are not a head within bounds, or its generations have a gap.
 pub fn decode_head(bytes: &[u8]) -> Result<Head, ConfigError> {
+    head_of(parse(bytes, MAX_HEAD_BYTES)?)
+}
+
+/// Decodes a head that is the base of a new one.
+///
+/// # Errors
+/// Fails as [`decode_head`] does, and when a newer version wrote the head.
+pub fn decode_head_to_follow(bytes: &[u8]) -> Result<Head, ConfigError> {
     let body: HeadBody = parse(bytes, MAX_HEAD_BYTES)?;
+    if body.format > FORMAT {
+        return Err(ConfigError::NewerFormat(body.format));
+    }
+    head_of(body)
+}
+
+fn head_of(body: HeadBody) -> Result<Head, ConfigError> {
     if body.history.len() > HISTORY_LEN {
         return Err(ConfigError::shape("history", format!("more than {HISTORY_LEN} records")));
     }
