--- a/crates/fescuemux-measure/examples/config_cost.rs
+++ b/crates/fescuemux-measure/examples/config_cost.rs
@@ -25,12 +25,12 @@
 fn route(i: u32) -> Route {
     Route {
         id: format!("route-{i:04}").into(),
-        method: (i % 3 == 0).then(|| "POST".into()),
+        method: i.is_multiple_of(3).then(|| "POST".into()),
         host: Some(format!("api{}.example.net", i % 7).into()),
         path_prefix: format!("/v1/team-{}/resource-{i}", i % 90).into(),
         service: format!("service-{:02}", i % SERVICES).into(),
-        idempotent: i % 3 != 0,
-        deadline: (i % 5 == 0).then_some(Duration::from_millis(1_500)),
+        idempotent: !i.is_multiple_of(3),
+        deadline: i.is_multiple_of(5).then_some(Duration::from_millis(1_500)),
     }
 }
 
