--- /dev/null
+++ b/crates/fescuemux-cli/src/api.rs
@@ -0,0 +1,82 @@
+//! Client of the operator API.
+
+use anyhow::{Context, bail};
+use attohttpc::{Method, RequestBuilder};
+use clap::Args;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Longest time for one call. A confirm may wait for a slow store.
+const CALL_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// How to reach the operator API.
+#[derive(Clone, Debug, Args)]
+pub(crate) struct ApiArgs {
+    /// Operator address of any daemon
+    #[arg(long, env = "FESCUEMUX_ADDR", value_name = "IP:PORT")]
+    pub(crate) addr: SocketAddr,
+    /// Token of an operator
+    #[arg(long, env = "FESCUEMUX_TOKEN", hide_env_values = true)]
+    pub(crate) token: String,
+    /// Print JSON instead of text
+    #[arg(long)]
+    pub(crate) json: bool,
+}
+
+/// Answer of the operator API.
+#[derive(Debug)]
+pub(crate) struct ApiAnswer {
+    pub(crate) status: u16,
+    pub(crate) body: Value,
+}
+
+impl ApiArgs {
+    /// Calls an operation without a body.
+    pub(crate) fn get(&self, path: &str) -> anyhow::Result<ApiAnswer> {
+        self.send(self.request(Method::GET, path), Vec::new())
+    }
+
+    /// Calls an operation with a body.
+    pub(crate) fn post(&self, path: &str, body: Vec<u8>) -> anyhow::Result<ApiAnswer> {
+        self.send(self.request(Method::POST, path), body)
+    }
+
+    fn request(&self, method: Method, path: &str) -> RequestBuilder {
+        let url = format!("http://{}{path}", self.addr);
+        RequestBuilder::new(method, url)
+            .header("Authorization", format!("Bearer {}", self.token))
+            .timeout(CALL_TIMEOUT)
+    }
+
+    fn send(&self, req: RequestBuilder, body: Vec<u8>) -> anyhow::Result<ApiAnswer> {
+        let unreachable = || {
+            format!(
+                "the daemon at {} does not answer; name the `operators` address of another one",
+                self.addr
+            )
+        };
+        let answer = req.bytes(body).send().with_context(unreachable)?;
+        let status = answer.status().as_u16();
+        let content = answer.bytes().with_context(unreachable)?;
+        let body = serde_json::from_slice(&content).unwrap_or(Value::Null);
+        Ok(ApiAnswer { status, body })
+    }
+}
+
+impl ApiAnswer {
+    /// Returns the body of a successful answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns the text of the operator API for any other status.
+    pub(crate) fn ok(self) -> anyhow::Result<Value> {
+        if (200..300).contains(&self.status) {
+            return Ok(self.body);
+        }
+        match self.body.get("error").and_then(Value::as_str) {
+            Some(text) => bail!("{text}"),
+            None => bail!("the daemon answered with status {}", self.status),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-cli/src/check.rs
@@ -0,0 +1,18 @@
+//! Check of a settings file.
+
+use fescuemux_settings::Settings;
+use std::path::Path;
+use std::process::ExitCode;
+
+pub(crate) fn check(file: &Path) -> ExitCode {
+    match Settings::load(file) {
+        Ok(settings) => {
+            println!("{}: fine, instance {}", file.display(), settings.instance);
+            ExitCode::SUCCESS
+        }
+        Err(e) => {
+            eprintln!("{e}");
+            ExitCode::from(crate::EXIT_FAILED)
+        }
+    }
+}
--- a/crates/fescuemux-cli/src/main.rs
+++ b/crates/fescuemux-cli/src/main.rs
@@ -1,26 +1,89 @@
-//! Operator command of fescuemux.
+//! The command for operators.
 
+mod api;
+mod check;
+mod demo;
 mod load;
+mod operate;
 
 use clap::{Parser, Subcommand};
+use std::path::PathBuf;
 use std::process::ExitCode;
 
-/// Command line of `fescuemux`.
-#[derive(Parser)]
-#[command(name = "fescuemux", version, about = "Operates a fescuemux fleet")]
+/// Exit code of a command that failed, or whose check failed.
+const EXIT_FAILED: u8 = 1;
+
+/// Operates a fescuemux fleet.
+#[derive(Debug, Parser)]
+#[command(name = "fescuemux", version)]
+#[command(after_help = "Exit codes: 0 done; 1 failed, or a check failed; 2 usage; \
+                        3 the result of a confirm is not known yet; 4 a plan was refused")]
 struct Cli {
     #[command(subcommand)]
     command: Command,
 }
 
-#[derive(Subcommand)]
+#[derive(Debug, Subcommand)]
 enum Command {
+    /// Shows what an intent would change; nothing takes effect
+    Plan {
+        #[command(flatten)]
+        api: api::ApiArgs,
+        /// File with the intent as JSON; `-` for standard input
+        intent: PathBuf,
+    },
+    /// Puts a plan in force
+    Confirm {
+        #[command(flatten)]
+        api: api::ApiArgs,
+        /// Id that `plan` printed
+        plan: String,
+    },
+    /// Shows which daemons have the newest configuration in force
+    Status {
+        #[command(flatten)]
+        api: api::ApiArgs,
+    },
+    /// Shows the confirmed generations
+    History {
+        #[command(flatten)]
+        api: api::ApiArgs,
+    },
+    /// Prints the state of one daemon as JSON
+    Dump {
+        #[command(flatten)]
+        api: api::ApiArgs,
+    },
+    /// Checks a settings file
+    Check {
+        /// Settings file
+        file: PathBuf,
+    },
+    /// Runs a small fleet on loopback and checks what must always hold
+    Demo(demo::Args),
     /// Sends load at a fixed rate and reports latency and failed checks
     Load(Box<load::Args>),
 }
 
-fn main() -> anyhow::Result<ExitCode> {
-    match Cli::parse().command {
+fn main() -> ExitCode {
+    match run(Cli::parse().command) {
+        Ok(code) => code,
+        Err(e) => {
+            eprintln!("fescuemux: {e:#}");
+            ExitCode::from(EXIT_FAILED)
+        }
+    }
+}
+
+fn run(command: Command) -> anyhow::Result<ExitCode> {
+    match command {
+        Command::Plan { api, intent } => operate::plan(&api, &intent),
+        Command::Confirm { api, plan } => operate::confirm(&api, &plan),
+        Command::Status { api } => operate::status(&api),
+        Command::History { api } => operate::history(&api),
+        Command::Dump { api } => operate::dump(&api),
+        Command::Check { file } => Ok(check::check(&file)),
+        Command::Demo(args) => demo::run(&args),
         Command::Load(args) => load::run(*args),
     }
 }
--- /dev/null
+++ b/crates/fescuemux-cli/src/operate.rs
@@ -0,0 +1,83 @@
+//! Commands on a running fleet.
+
+mod text;
+
+use crate::api::{ApiAnswer, ApiArgs};
+use anyhow::Context;
+use serde_json::Value;
+use std::io::Read;
+use std::path::Path;
+use std::process::ExitCode;
+
+/// Exit code when the result of a confirm is not known yet.
+const EXIT_UNKNOWN: u8 = 3;
+/// Exit code when a plan was refused.
+const EXIT_REFUSED: u8 = 4;
+
+/// Shows what an intent would change.
+pub(crate) fn plan(api: &ApiArgs, intent: &Path) -> anyhow::Result<ExitCode> {
+    let body = read(intent)?;
+    let plan = api.post("/v1/plans", body)?.ok()?;
+    print(api, &plan, text::plan);
+    let refused = plan["refusals"].as_array().is_some_and(|refusals| !refusals.is_empty());
+    Ok(if refused { ExitCode::from(EXIT_REFUSED) } else { ExitCode::SUCCESS })
+}
+
+/// Puts a plan in force.
+pub(crate) fn confirm(api: &ApiArgs, plan: &str) -> anyhow::Result<ExitCode> {
+    let answer = api.post(&format!("/v1/plans/{plan}/confirm"), Vec::new())?;
+    let ApiAnswer { status, body } = answer;
+    let result = body.get("result").and_then(Value::as_str).unwrap_or_default().to_owned();
+    let code = match result.as_str() {
+        "confirmed" => ExitCode::SUCCESS,
+        "not_confirmed" => ExitCode::from(EXIT_REFUSED),
+        "unknown" => ExitCode::from(EXIT_UNKNOWN),
+        _ => {
+            ApiAnswer { status, body }.ok()?;
+            anyhow::bail!("the daemon's answer has no result");
+        }
+    };
+    print(api, &body, text::confirm);
+    Ok(code)
+}
+
+/// Shows which daemons have the newest configuration in force.
+pub(crate) fn status(api: &ApiArgs) -> anyhow::Result<ExitCode> {
+    let status = api.get("/v1/status")?.ok()?;
+    print(api, &status, text::status);
+    let behind = status["members"].as_array().is_some_and(|members| {
+        members.iter().any(|member| member["current"] == Value::Bool(false))
+    });
+    Ok(if behind { ExitCode::from(crate::EXIT_FAILED) } else { ExitCode::SUCCESS })
+}
+
+/// Shows the confirmed generations.
+pub(crate) fn history(api: &ApiArgs) -> anyhow::Result<ExitCode> {
+    let history = api.get("/v1/history")?.ok()?;
+    print(api, &history, text::history);
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Prints the state of one daemon.
+pub(crate) fn dump(api: &ApiArgs) -> anyhow::Result<ExitCode> {
+    let dump = api.get("/v1/dump")?.ok()?;
+    println!("{}", serde_json::to_string_pretty(&dump)?);
+    Ok(ExitCode::SUCCESS)
+}
+
+fn print(api: &ApiArgs, body: &Value, to_text: fn(&Value) -> String) {
+    if api.json {
+        println!("{body:#}");
+    } else {
+        print!("{}", to_text(body));
+    }
+}
+
+fn read(path: &Path) -> anyhow::Result<Vec<u8>> {
+    let mut content = Vec::new();
+    if path == Path::new("-") {
+        std::io::stdin().read_to_end(&mut content)?;
+        return Ok(content);
+    }
+    std::fs::read(path).with_context(|| format!("cannot read the intent {}", path.display()))
+}
