--- /dev/null
+++ b/crates/fescuemux-cli/src/demo.rs
@@ -0,0 +1,76 @@
+//! A small fleet on loopback: stand-in store and backend servers, real daemons, real callers.
+
+mod callers;
+mod fleet;
+mod observer;
+mod request_log;
+mod script;
+mod verdicts;
+
+use self::fleet::Fleet;
+use self::script::Script;
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// Arguments of the demo.
+#[derive(Clone, Debug, clap::Args)]
+pub(crate) struct Args {
+    /// Keep the fleet up and print its addresses instead of running the script
+    #[arg(long)]
+    hold: bool,
+    /// Print the table as JSON
+    #[arg(long)]
+    json: bool,
+    /// Requests per second of each kind
+    #[arg(long, default_value_t = 60, value_parser = clap::value_parser!(u32).range(1..=1_000))]
+    rate: u32,
+    /// Print the daemons' logs
+    #[arg(long)]
+    logs: bool,
+    /// Seed of the stand-ins
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+}
+
+pub(crate) fn run(args: &Args) -> anyhow::Result<ExitCode> {
+    if args.logs {
+        tracing_subscriber::fmt()
+            .with_env_filter("warn,fescuemux_daemon=info")
+            .with_writer(std::io::stderr)
+            .init();
+    }
+    eprintln!("starting a store, 3 daemons, and 3 backend servers of each of 2 services");
+    let mut fleet = Fleet::start(args.seed)?;
+    fleet.confirm_configuration()?;
+    if args.hold {
+        return hold(&fleet);
+    }
+    let outcome = Script { rate: args.rate }.run(&mut fleet)?;
+    if args.json {
+        println!("{}", serde_json::to_string_pretty(&outcome)?);
+    } else {
+        print!("{outcome}");
+    }
+    let broken = outcome.broken();
+    for property in &broken {
+        eprintln!("BROKEN: {property}");
+    }
+    Ok(if broken.is_empty() { ExitCode::SUCCESS } else { ExitCode::from(crate::EXIT_FAILED) })
+}
+
+/// Prints the addresses on single lines and waits until the process is ended.
+fn hold(fleet: &Fleet) -> anyhow::Result<ExitCode> {
+    use std::io::Write;
+    let join = |addrs: Vec<std::net::SocketAddr>| {
+        addrs.iter().map(ToString::to_string).collect::<Vec<_>>().join(",")
+    };
+    let mut out = std::io::stdout();
+    writeln!(out, "callers={}", join(fleet.caller_addrs()))?;
+    writeln!(out, "operators={}", join(fleet.operator_addrs()))?;
+    writeln!(out, "metrics={}", join(fleet.operator_addrs()))?;
+    out.flush()?;
+    eprintln!("operator token: {}", fleet::OPERATOR_TOKEN);
+    loop {
+        std::thread::sleep(Duration::from_secs(3_600));
+    }
+}
--- a/crates/fescuemux-measure/src/lib.rs
+++ b/crates/fescuemux-measure/src/lib.rs
@@ -1,10 +1,6 @@
-//! Measurements of the decision parts on a virtual clock.
+//! Seeded measurements of the core parts on a virtual clock: tables, JSON and plots.
 //!
-//! Must not know sockets.
-
-pub mod overload;
-//! Seeded measurements of the core parts on a virtual clock.
-//!
-//! The crate must not know sockets or threads of a daemon.
+//! Must not know sockets or the threads of a daemon.
 
 pub mod fleet;
+pub mod overload;
