Read the rest of a body after an early answer of the stand-in server

Cause: the stand-in closed the connection with unread body bytes, the kernel reset it, and a client that was still sending lost the 503 with its truthful not-run. Conclusion: any hop that refuses early must read on, or its not-run turns into a may-have-run. The new test fails without the fix.

--- a/crates/fescuemux-standins/src/server/handler.rs
+++ b/crates/fescuemux-standins/src/server/handler.rs
@@ -44,29 +44,39 @@
 async fn work(shared: &Arc<Shared>, request: Request<Incoming>) -> io::Result<Response<Answer>> {
     let arrived = Instant::now();
     let fault = shared.fault();
-    let (parts, body) = request.into_parts();
+    let (parts, mut body) = request.into_parts();
     let slot = RunningWork::begin(shared, &parts.headers);
     if fault == ServerFault::BlackHole {
         // Holds the slot, if one was free, until the connection closes.
         future::pending::<()>().await;
     }
     let Some(slot) = slot else {
+        discard(body);
         return Ok(shed());
     };
-    let run = run(shared, &fault, body);
+    let run = run(shared, &fault, &mut body);
     let received = match deadline(&parts) {
         None => run.await?,
         Some(left) => match time::timeout_at((arrived + left).into(), run).await {
             Ok(received) => received?,
-            Err(_) => return Ok(deadline_passed()),
+            Err(_) => {
+                discard(body);
+                return Ok(deadline_passed());
+            }
         },
     };
     slot.finish();
     answer(shared, &fault, &parts, &received)
 }
 
+/// Reads the rest of a body that nobody needs. Closing the connection instead would reset it,
+/// and a client that is still sending would lose the answer.
+fn discard(mut body: Incoming) {
+    tokio::spawn(async move { while let Some(Ok(_)) = body.frame().await {} });
+}
+
 /// Reads the body and spends the service time.
-async fn run(shared: &Shared, fault: &ServerFault, mut body: Incoming) -> io::Result<Received> {
+async fn run(shared: &Shared, fault: &ServerFault, body: &mut Incoming) -> io::Result<Received> {
     let mut bytes = 0;
     let mut hasher = Sha256::new();
     while let Some(frame) = body.frame().await {
--- a/crates/fescuemux-standins/tests/server.rs
+++ b/crates/fescuemux-standins/tests/server.rs
@@ -203,6 +203,26 @@
     wait_for("a free slot", || effect(&server) == "right");
 }
 
+/// Guards against early answers that are lost because the connection is reset while the rest
+/// of a large body is on its way.
+#[test]
+fn early_answers_to_large_bodies_arrive() {
+    struct Case {
+        slots: u32,
+        status: u16,
+    }
+    let body = vec![0; 20_000_000];
+    for Case { slots, status } in [Case { slots: 0, status: 503 }, Case { slots: 1, status: 504 }] {
+        let service_time = Duration::from_secs(600);
+        let server = start(ServerOptions { slots, service_time, ..quick() });
+        for _ in 0..5 {
+            let head = "POST /work HTTP/1.1\r\nfescuemux-deadline-ms: 1\r\n";
+            let answer = exchange(server.addr(), head, &body).expect("an answer");
+            assert_eq!(answer.status, status);
+        }
+    }
+}
+
 /// Guards against work that goes on after its deadline.
 #[test]
 fn a_passed_deadline_cancels_the_work() {
