Test that latency counts from the intended send time

Cause: a trial that counted from the start of the task passed all tests. Conclusion: both parts of the wait, before and inside the task, are guarded.

--- a/crates/fescuemux-cli/src/load/tests.rs
+++ b/crates/fescuemux-cli/src/load/tests.rs
@@ -3,8 +3,11 @@
 use super::args::Args;
 use super::check::AnswerCheck;
 use super::driver::drive;
+use super::exchange::{Due, exchange};
 use super::expected::Expected;
 use super::outcome::{Answered, Check, Failure, Outcome};
+use super::plan::Plan;
+use super::pool::Pool;
 use super::report::{Report, TargetReport};
 use super::schedule::{Merged, Schedule, Shape};
 use super::totals::Totals;
@@ -12,7 +15,7 @@
 use clap::Parser;
 use fescuemux_standins::server::{ServerFault, ServerOptions, StandInServer};
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 #[derive(Parser)]
 struct Cli {
@@ -156,6 +159,21 @@
     assert!(target.send_delay.max_us > 38 * 14_000, "{:?}", target.send_delay);
 }
 
+/// Guards against latency that counts from the real instead of the intended send time.
+#[test]
+fn latency_counts_from_the_intended_send_time() {
+    let server = server();
+    let args = args(&format!("--target t={}", server.addr())).expect("valid arguments");
+    let (plan, pool) = (Plan::new(&args), Pool::new(vec![server.addr()], 1));
+    let late = Duration::from_secs(10);
+    let at = Instant::now().checked_sub(late).expect("the machine runs for 10 s");
+    let due = Due { target: 0, index: 0, intended: Duration::ZERO, at };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let timeout = Duration::from_secs(600);
+    let outcome = runtime.expect("a runtime").block_on(exchange(&plan, &pool, due, timeout));
+    assert!(outcome.result.is_ok() && outcome.latency >= late && outcome.delay >= late);
+}
+
 /// Guards against targets that run one after the other, which would see different conditions.
 #[test]
 fn targets_are_interleaved_and_compared() {
