Answer at once when a stand-in server has no service time

Cause: a sleep of length 0 waits for the next tick of the runtime's timer, which hides differences below a millisecond between a direct path and the fleet. A test compares the page with the options.

--- a/crates/fescuemux-cli/src/load/tests.rs
+++ b/crates/fescuemux-cli/src/load/tests.rs
@@ -12,7 +12,7 @@
 use super::schedule::{Merged, Schedule, Shape};
 use super::totals::Totals;
 use super::{plot, run, table};
-use clap::Parser;
+use clap::{CommandFactory, Parser};
 use fescuemux_standins::server::{ServerFault, ServerOptions, StandInServer};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -337,6 +337,25 @@
     args("--target a=127.0.0.1:1 --target b=127.0.0.1:1,[::1]:2").expect("valid arguments");
 }
 
+/// Guards against an operator page that lacks an option or shows another default.
+#[test]
+fn the_page_lists_every_option() {
+    let page = include_str!("../../../../docs/operators/load-testing.md");
+    let command = Cli::command();
+    for argument in command.get_arguments().filter(|argument| argument.get_long() != Some("help")) {
+        let long = argument.get_long().expect("every argument is an option");
+        let start = format!("| `--{long}");
+        let row = page.lines().find(|line| line.starts_with(&start)).expect(long);
+        let default = match argument.get_default_values().first().and_then(|value| value.to_str()) {
+            _ if argument.is_required_set() => "required",
+            None if !argument.get_action().takes_values() => "off",
+            None => "none",
+            Some(value) => value,
+        };
+        assert!(row.contains(&format!("| {default} |")), "{row} lacks the default {default}");
+    }
+}
+
 /// Guards against reports that are not written, cannot be read, or lack a target.
 #[test]
 fn reports_are_complete() {
--- a/crates/fescuemux-standins/src/server/handler.rs
+++ b/crates/fescuemux-standins/src/server/handler.rs
@@ -86,7 +86,11 @@
         }
     }
     let factor = if let ServerFault::Slow(factor) = fault { factor.max(0.0) } else { 1.0 };
-    time::sleep(shared.service_time().mul_f64(factor)).await;
+    let service_time = shared.service_time().mul_f64(factor);
+    // The timer rounds up to whole milliseconds, which would show in latency measurements.
+    if !service_time.is_zero() {
+        time::sleep(service_time).await;
+    }
     Ok(Received { bytes, sha256: format!("{:x}", hasher.finalize()) })
 }
 
