--- a/crates/fescuemux-cli/src/load/tests.rs
+++ b/crates/fescuemux-cli/src/load/tests.rs
@@ -3,16 +3,19 @@
 use super::args::Args;
 use super::check::AnswerCheck;
 use super::driver::drive;
+use super::exchange::{Due, exchange};
 use super::expected::Expected;
 use super::outcome::{Answered, Check, Failure, Outcome};
+use super::plan::Plan;
+use super::pool::Pool;
 use super::report::{Report, TargetReport};
 use super::schedule::{Merged, Schedule, Shape};
 use super::totals::Totals;
 use super::{plot, run, table};
-use clap::Parser;
+use clap::{CommandFactory, Parser};
 use fescuemux_standins::server::{ServerFault, ServerOptions, StandInServer};
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 #[derive(Parser)]
 struct Cli {
@@ -156,6 +159,21 @@
     assert!(target.send_delay.max_us > 38 * 14_000, "{:?}", target.send_delay);
 }
 
+/// Guards against latency that counts from the real instead of the intended send time.
+#[test]
+fn latency_counts_from_the_intended_send_time() {
+    let server = server();
+    let args = args(&format!("--target t={}", server.addr())).expect("valid arguments");
+    let (plan, pool) = (Plan::new(&args), Pool::new(vec![server.addr()], 1));
+    let late = Duration::from_secs(10);
+    let at = Instant::now().checked_sub(late).expect("the machine runs for 10 s");
+    let due = Due { target: 0, index: 0, intended: Duration::ZERO, at };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let timeout = Duration::from_secs(600);
+    let outcome = runtime.expect("a runtime").block_on(exchange(&plan, &pool, due, timeout));
+    assert!(outcome.result.is_ok() && outcome.latency >= late && outcome.delay >= late);
+}
+
 /// Guards against targets that run one after the other, which would see different conditions.
 #[test]
 fn targets_are_interleaved_and_compared() {
@@ -319,6 +337,25 @@
     args("--target a=127.0.0.1:1 --target b=127.0.0.1:1,[::1]:2").expect("valid arguments");
 }
 
+/// Guards against an operator page that lacks an option or shows another default.
+#[test]
+fn the_page_lists_every_option() {
+    let page = include_str!("../../../../docs/operators/load-testing.md");
+    let command = Cli::command();
+    for argument in command.get_arguments().filter(|argument| argument.get_long() != Some("help")) {
+        let long = argument.get_long().expect("every argument is an option");
+        let start = format!("| `--{long}");
+        let row = page.lines().find(|line| line.starts_with(&start)).expect(long);
+        let default = match argument.get_default_values().first().and_then(|value| value.to_str()) {
+            _ if argument.is_required_set() => "required",
+            None if !argument.get_action().takes_values() => "off",
+            None => "none",
+            Some(value) => value,
+        };
+        assert!(row.contains(&format!("| {default} |")), "{row} lacks the default {default}");
+    }
+}
+
 /// Guards against reports that are not written, cannot be read, or lack a target.
 #[test]
 fn reports_are_complete() {
