--- a/crates/fescuemux-daemon/src/daemon.rs
+++ b/crates/fescuemux-daemon/src/daemon.rs
@@ -284,7 +284,7 @@
         let entered = runtime.as_ref().map(Runtime::enter);
         self.stop.advance(StopPhase::Leaving);
         self.members.leave();
-        wait_until(LEAVE_TIME, || hurry());
+        wait_until(LEAVE_TIME, &hurry);
         self.stop.advance(StopPhase::Closing);
         wait_until(self.grace, || self.under_way() == 0 || hurry());
         let report = StopReport { cut: self.under_way() };
--- a/crates/fescuemux-daemon/src/ingress.rs
+++ b/crates/fescuemux-daemon/src/ingress.rs
@@ -136,7 +136,11 @@
         service.clone_from(&req.service.id);
         self.admit_caller(&req.caller)?;
         let mut body = CallerBody::take(body, &self.cx.limits, req.deadline).await?;
-        self.run_once(&req, &mut body).await
+        let result = self.run_once(&req, &mut body).await;
+        if result.is_err() {
+            body.discard();
+        }
+        result
     }
 
     fn admit_caller(&self, caller: &CallerId) -> Result<(), Failure> {
--- a/crates/fescuemux-daemon/src/ingress/caller_body.rs
+++ b/crates/fescuemux-daemon/src/ingress/caller_body.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use fescuemux_core::base::Verdict;
 use http::StatusCode;
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Instant;
@@ -54,6 +55,17 @@
         }
     }
 
+    /// Reads and drops what the caller still sends, in the background.
+    ///
+    /// Closing a connection with unread bytes resets it, and the caller then loses the answer
+    /// that told it that its upload did not run.
+    pub(super) fn discard(&self) {
+        let CallerBody::Streamed(held) = self else { return };
+        let rest = held.lock().unwrap_or_else(PoisonError::into_inner).take();
+        let Some(mut rest) = rest else { return };
+        tokio::spawn(async move { while let Some(Ok(_)) = rest.frame().await {} });
+    }
+
     /// Returns whether the body can be sent from its beginning.
     pub(super) fn is_whole(&self) -> bool {
         match self {
--- /dev/null
+++ b/crates/fescuemux-daemon/tests/requests.rs
@@ -0,0 +1,207 @@
+//! Requests through real daemons: keys, limits, uploads and stops.
+
+mod support;
+
+use fescuemux_standins::server::ServerFault;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::time::Duration;
+use support::{Fleet, get, send_raw};
+use uuid::Uuid;
+
+fn post_order(addr: SocketAddr, key: &str, tag: &str) -> support::Raw {
+    let request = format!(
+        "POST /orders HTTP/1.1\r\nhost: a\r\nconnection: close\r\nidempotency-key: {key}\r\n\
+         x-tag: {tag}\r\ncontent-length: 3\r\n\r\nabc"
+    );
+    send_raw(addr, request.as_bytes())
+}
+
+/// Sends keyed orders until the homes are old enough to know that the key is new.
+fn first_order(addr: SocketAddr) -> (String, String) {
+    for _ in 0..200 {
+        let key = Uuid::now_v7().to_string();
+        let raw = post_order(addr, &key, &key);
+        if raw.status == Some(200) {
+            return (key.clone(), key);
+        }
+        assert_eq!(raw.status, Some(409), "{raw:?}");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    panic!("no order was accepted");
+}
+
+#[test]
+fn a_key_runs_once_whichever_daemon_takes_it() {
+    let fleet = Fleet::start(3);
+    let (key, tag) = first_order(fleet.callers(0));
+    for daemon in 0..3 {
+        let raw = post_order(fleet.callers(daemon), &key, &tag);
+        assert_eq!((raw.status, raw.verdict.as_deref()), (Some(409), Some("ran")), "{raw:?}");
+        assert!(raw.text.contains("fescuemux-first-status: 200"), "{raw:?}");
+    }
+    assert_eq!(fleet.runs(&tag), 1);
+}
+
+#[test]
+fn a_key_whose_answer_was_lost_is_not_run_again() {
+    let fleet = Fleet::start(2);
+    first_order(fleet.callers(0));
+    for server in &fleet.servers {
+        server.set_fault(ServerFault::LostReply(1.0));
+    }
+    let key = Uuid::now_v7().to_string();
+    let first = post_order(fleet.callers(0), &key, &key);
+    assert_eq!((first.status, first.verdict.as_deref()), (Some(502), Some("may-have-run")));
+    for server in &fleet.servers {
+        server.set_fault(ServerFault::None);
+    }
+    let again = post_order(fleet.callers(1), &key, &key);
+    assert_eq!((again.status, again.verdict.as_deref()), (Some(409), Some("may-have-run")));
+    assert_eq!(fleet.runs(&key), 1);
+}
+
+#[test]
+fn a_key_older_than_its_home_is_refused() {
+    let fleet = Fleet::start(1);
+    first_order(fleet.callers(0));
+    let old = "0190163d-8694-739b-aea5-966c26f8ad91";
+    let raw = post_order(fleet.callers(0), old, old);
+    assert_eq!((raw.status, raw.verdict.as_deref()), (Some(409), Some("may-have-run")), "{raw:?}");
+    assert_eq!(fleet.runs(old), 0);
+}
+
+#[test]
+fn a_caller_over_its_limit_is_told_so() {
+    let fleet = Fleet::start(1);
+    let request = "GET /slots HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\
+                   fescuemux-caller: limited\r\n\r\n";
+    let statuses: Vec<Option<u16>> =
+        (0..4).map(|_| send_raw(fleet.callers(0), request.as_bytes()).status).collect();
+    assert_eq!(statuses[0], Some(200));
+    assert!(statuses.contains(&Some(429)), "{statuses:?}");
+}
+
+#[test]
+fn a_chunked_upload_arrives_whole() {
+    let fleet = Fleet::start(2);
+    let mut request = b"POST /orders HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\
+                        transfer-encoding: chunked\r\n\r\n"
+        .to_vec();
+    for _ in 0..64 {
+        request.extend_from_slice(b"10000\r\n");
+        request.extend_from_slice(&[b'x'; 0x10000]);
+        request.extend_from_slice(b"\r\n");
+    }
+    request.extend_from_slice(b"0\r\n\r\n");
+    let raw = send_raw(fleet.callers(0), &request);
+    assert_eq!(raw.status, Some(200), "{raw:?}");
+    let body: Value = serde_json::from_str(raw.text.split("\r\n\r\n").nth(1).unwrap()).unwrap();
+    let total = 64 * 0x10000;
+    assert!(body.to_string().contains(&total.to_string()), "{body}");
+}
+
+#[test]
+fn an_upload_without_a_server_keeps_its_answer() {
+    let fleet = Fleet::start(1);
+    fleet.servers[0].drain();
+    fleet.wait_for("the server to drain", |fleet| {
+        get(fleet.operators(0), "/v1/dump")["servers"][0]["phase"] == "draining"
+    });
+    let mut request = b"POST /orders HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\
+                        content-length: 20000000\r\n\r\n"
+        .to_vec();
+    request.resize(request.len() + 20_000_000, b'x');
+    let raw = send_raw(fleet.callers(0), &request);
+    assert_eq!((raw.status, raw.verdict.as_deref()), (Some(503), Some("not-run")), "{raw:?}");
+}
+
+#[test]
+fn a_large_answer_that_is_cut_never_looks_whole() {
+    let fleet = Fleet::start(1);
+    let request = "GET /slots HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\
+                   x-answer-bytes: 5000000\r\n\r\n";
+    let whole = send_raw(fleet.callers(0), request.as_bytes());
+    assert!(whole.text.len() > 5_000_000, "{} bytes", whole.text.len());
+    fleet.servers[0].set_fault(ServerFault::CutAnswer(1.0));
+    let cut = send_raw(fleet.callers(0), request.as_bytes());
+    assert!(cut.text.len() < whole.text.len(), "{} bytes", cut.text.len());
+}
+
+#[test]
+fn a_rolling_replacement_cuts_nothing() {
+    let mut fleet = Fleet::start(3);
+    let stop = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(false));
+    let addrs = std::sync::Arc::new(std::sync::Mutex::new(
+        (0..3).map(|daemon| fleet.callers(daemon)).collect::<Vec<_>>(),
+    ));
+    let callers: Vec<_> = (0..8)
+        .map(|number| {
+            let (stop, addrs) = (stop.clone(), addrs.clone());
+            std::thread::spawn(move || {
+                let (mut tags, mut turn) = (Vec::new(), number);
+                while !stop.load(std::sync::atomic::Ordering::Relaxed) {
+                    turn += 1;
+                    let addr = {
+                        let addrs = addrs.lock().unwrap();
+                        addrs[turn % addrs.len()]
+                    };
+                    let tag = Uuid::now_v7().to_string();
+                    let url = format!("http://{addr}/slots");
+                    match attohttpc::get(url).header("x-tag", &tag).send() {
+                        Ok(answer) => {
+                            let status = answer.status().as_u16();
+                            let body = answer.text().unwrap_or_default();
+                            tags.push((status, body.contains(&tag), String::new()));
+                        }
+                        Err(e) if e.to_string().contains("refused") => {}
+                        Err(e) => tags.push((0, false, e.to_string())),
+                    }
+                    std::thread::sleep(Duration::from_millis(5));
+                }
+                tags
+            })
+        })
+        .collect();
+    for old in 0..3 {
+        let new = fleet.add();
+        fleet.wait_for("the new daemon", |fleet| {
+            let dump = get(fleet.operators(new), "/v1/dump");
+            dump["generation"] == 1 && dump["servers"].as_array().is_some_and(|s| s.len() == 1)
+        });
+        addrs.lock().unwrap().push(fleet.callers(new));
+        let leaving = fleet.callers(old);
+        addrs.lock().unwrap().retain(|addr| *addr != leaving);
+        let report = fleet.daemons[old].take().unwrap().stop(|| false);
+        assert_eq!(report.cut, 0);
+    }
+    stop.store(true, std::sync::atomic::Ordering::Relaxed);
+    let seen: Vec<_> = callers.into_iter().flat_map(|c| c.join().unwrap()).collect();
+    assert!(seen.len() > 100, "{} requests", seen.len());
+    let bad: Vec<_> = seen.iter().filter(|(status, own, _)| *status != 200 || !own).collect();
+    assert!(bad.is_empty(), "{} of {} requests: {:?}", bad.len(), seen.len(), bad.first());
+}
+
+#[test]
+fn a_crashed_daemon_leaves_a_truthful_verdict() {
+    let mut fleet = Fleet::start(3);
+    fleet.daemons[2].take().unwrap().abort();
+    fleet.servers.remove(2).stop();
+    for number in 0..40 {
+        let tag = format!("after-crash-{number}");
+        let raw = send_raw(
+            fleet.callers(number % 2),
+            format!(
+                "POST /orders HTTP/1.1\r\nhost: a\r\nconnection: close\r\nx-tag: {tag}\r\n\
+                 content-length: 0\r\n\r\n"
+            )
+            .as_bytes(),
+        );
+        let runs = fleet.runs(&tag);
+        match raw.verdict.as_deref() {
+            Some("ran") => assert_eq!(runs, 1, "{raw:?}"),
+            Some("not-run") => assert_eq!(runs, 0, "{raw:?}"),
+            _ => assert!(runs <= 1, "{raw:?}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-daemon/tests/support/mod.rs
@@ -0,0 +1,177 @@
+//! A small fleet for tests: stand-in store and backend servers, real daemons on loopback.
+
+#![allow(dead_code, reason = "each test file uses a part of the support")]
+
+use fescuemux_daemon::Daemon;
+use fescuemux_settings::Settings;
+use fescuemux_standins::server::{ServerOptions, StandInServer};
+use fescuemux_standins::store::StandInStore;
+use serde_json::{Value, json};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+pub(crate) const TOKEN: &str = "test-operator-token";
+pub(crate) const CLUSTER_KEY: &str =
+    "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
+/// Bound for anything that is waited for; only a hang reaches it.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(60);
+
+pub(crate) struct Fleet {
+    pub(crate) store: StandInStore,
+    pub(crate) daemons: Vec<Option<Daemon>>,
+    pub(crate) servers: Vec<StandInServer>,
+    seeds: Vec<SocketAddr>,
+}
+
+impl Fleet {
+    /// Starts daemons with one server each of service `orders`, confirms the routes `/orders`
+    /// (not idempotent) and `/slots` (idempotent), and waits until everything is in force.
+    pub(crate) fn start(daemons: usize) -> Fleet {
+        let store = StandInStore::start("127.0.0.1:0").unwrap();
+        let (daemons_of, servers, seeds) = (Vec::new(), Vec::new(), Vec::new());
+        let mut fleet = Fleet { store, daemons: daemons_of, servers, seeds };
+        for _ in 0..daemons {
+            fleet.add();
+        }
+        fleet.confirm(&intent());
+        fleet.wait_for("all servers known", |fleet| {
+            fleet.live().all(|(_, daemon)| {
+                let dump = get(daemon.addresses().operators, "/v1/dump");
+                let members = dump["members"].as_array().unwrap().clone();
+                let count = |m: &Value| m["servers"].as_array().unwrap().len();
+                dump["generation"] == 1
+                    && dump["homes"]["settled"] == true
+                    && members.iter().map(count).sum::<usize>() == daemons
+            })
+        });
+        fleet
+    }
+
+    /// Adds a daemon with a server.
+    pub(crate) fn add(&mut self) -> usize {
+        let number = self.daemons.len();
+        let settings = settings(number, self.store.addr(), &self.seeds);
+        let daemon = Daemon::start(&settings, Arc::new(|_| Ok(()))).unwrap();
+        self.seeds.push(daemon.addresses().rpc);
+        self.servers.push(server(number, daemon.addresses().local));
+        self.daemons.push(Some(daemon));
+        number
+    }
+
+    pub(crate) fn live(&self) -> impl Iterator<Item = (usize, &Daemon)> {
+        self.daemons.iter().enumerate().filter_map(|(at, d)| d.as_ref().map(|d| (at, d)))
+    }
+
+    pub(crate) fn callers(&self, daemon: usize) -> SocketAddr {
+        self.daemons[daemon].as_ref().unwrap().addresses().callers
+    }
+
+    pub(crate) fn operators(&self, daemon: usize) -> SocketAddr {
+        self.daemons[daemon].as_ref().unwrap().addresses().operators
+    }
+
+    pub(crate) fn confirm(&self, intent: &Value) -> u64 {
+        let (_, daemon) = self.live().next().unwrap();
+        let addr = daemon.addresses().operators;
+        let plan = post(addr, "/v1/plans", intent.to_string().as_bytes());
+        let id = plan["id"].as_str().unwrap_or_else(|| panic!("{plan}"));
+        let confirmed = post(addr, &format!("/v1/plans/{id}/confirm"), b"");
+        confirmed["generation"].as_u64().unwrap_or_else(|| panic!("{confirmed}"))
+    }
+
+    pub(crate) fn wait_for(&self, what: &str, done: impl Fn(&Fleet) -> bool) {
+        let started = Instant::now();
+        while !done(self) {
+            assert!(started.elapsed() < PATIENCE, "waited too long for {what}");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// Returns how often work with this tag was executed.
+    pub(crate) fn runs(&self, tag: &str) -> usize {
+        let executions = self.servers.iter().flat_map(|server| server.executions());
+        executions.filter(|execution| execution.tag.as_deref() == Some(tag)).count()
+    }
+}
+
+pub(crate) fn server(number: usize, announce_to: SocketAddr) -> StandInServer {
+    StandInServer::start(ServerOptions {
+        server: format!("orders-{number}"),
+        service: "orders".to_owned(),
+        service_time: Duration::from_millis(2),
+        announce_to: Some(announce_to),
+        ..ServerOptions::default()
+    })
+    .unwrap()
+}
+
+pub(crate) fn settings(number: usize, store: SocketAddr, seeds: &[SocketAddr]) -> Settings {
+    let any = "127.0.0.1:0";
+    let text = json!({
+        "instance": format!("instance-{number}"),
+        "domain": format!("domain-{}", number % 3),
+        "region": "test",
+        "listen": { "callers": any, "hop": any, "rpc": any, "local": any, "operators": any },
+        "store": { "addresses": [store.to_string()] },
+        "cluster_keys": [CLUSTER_KEY],
+        "operators": [{ "name": "test", "token": TOKEN }],
+        "seeds": seeds.iter().map(ToString::to_string).collect::<Vec<_>>(),
+        "limits": { "idle_timeout_ms": 5000 },
+    });
+    Settings::parse("test settings", &text.to_string()).unwrap()
+}
+
+pub(crate) fn intent() -> Value {
+    json!({ "content": {
+        "services": [{ "id": "orders", "floor_slots": 4, "default_deadline_ms": 20000 }],
+        "routes": [
+            { "id": "o", "path_prefix": "/orders", "service": "orders", "idempotent": false },
+            { "id": "s", "path_prefix": "/slots", "service": "orders", "idempotent": true },
+        ],
+        "callers": [{ "caller": "limited", "rate_per_s": 1, "burst": 2 }],
+    }})
+}
+
+fn call(method: attohttpc::Method, addr: SocketAddr, path: &str, body: &[u8]) -> Value {
+    let answer = attohttpc::RequestBuilder::new(method, format!("http://{addr}{path}"))
+        .header("Authorization", format!("Bearer {TOKEN}"))
+        .bytes(body)
+        .send()
+        .unwrap();
+    serde_json::from_slice(&answer.bytes().unwrap()).unwrap()
+}
+
+pub(crate) fn get(addr: SocketAddr, path: &str) -> Value {
+    call(attohttpc::Method::GET, addr, path, b"")
+}
+
+pub(crate) fn post(addr: SocketAddr, path: &str, body: &[u8]) -> Value {
+    call(attohttpc::Method::POST, addr, path, body)
+}
+
+/// Answer as it came over the socket.
+#[derive(Debug)]
+pub(crate) struct Raw {
+    pub(crate) status: Option<u16>,
+    pub(crate) verdict: Option<String>,
+    pub(crate) text: String,
+}
+
+/// Sends bytes as they are and reads until the daemon closes the connection.
+pub(crate) fn send_raw(addr: SocketAddr, bytes: &[u8]) -> Raw {
+    let mut stream = TcpStream::connect(addr).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    // The daemon may close before it has read everything.
+    let _ = stream.write_all(bytes);
+    let mut read = Vec::new();
+    let _ = stream.read_to_end(&mut read);
+    let text = String::from_utf8_lossy(&read).into_owned();
+    let status = text.split(' ').nth(1).and_then(|status| status.parse().ok());
+    let verdict = text
+        .lines()
+        .find_map(|line| line.strip_prefix("fescuemux-verdict: "))
+        .map(|verdict| verdict.trim().to_owned());
+    Raw { status, verdict, text }
+}
