--- a/crates/fescuemux-core/src/detect/detector.rs
+++ b/crates/fescuemux-core/src/detect/detector.rs
@@ -19,11 +19,11 @@
 const BROKEN_ANSWER: f64 = 4.5;
 /// Largest score of one error or missed deadline.
 const ERROR_CAP: f64 = 3.5;
-/// A missed deadline counts as a failure when the request got this many times the reference.
-/// Callers may set deadlines that no healthy server can meet.
-const FAIR_DEADLINE: f64 = 8.0;
-/// Slowness allowed in the phase [`Phase::Cold`], as a factor on the reference.
-const COLD_FACTOR: f64 = 4.0;
+/// A missed deadline counts as a failure when the request lasted this many octaves longer than
+/// the reference: eight times. Callers may set deadlines that no healthy server can meet.
+const FAIR_DEADLINE_OCTAVES: f64 = 3.0;
+/// Slowness allowed in the phase [`Phase::Cold`], in octaves: four times the reference.
+const COLD_OCTAVES: f64 = 2.0;
 /// Score of one failed probe and the bound of their sum. Health endpoints lag and mislead.
 const PROBE_FAILED: f64 = 0.5;
 const PROBE_CAP: f64 = 2.0;
@@ -31,8 +31,10 @@
 const ABSOLUTE_AGE: f64 = 4.0;
 /// Finished requests before the own past becomes a reference.
 const OWN_PAST_SAMPLES: usize = 32;
-/// A trial answer slower than this factor is bad.
-const TRIAL_FACTOR: f64 = 4.0;
+/// A trial answer this many octaves slower than the reference is bad: four times.
+const TRIAL_OCTAVES: f64 = 2.0;
+/// Shortest latency told apart from zero.
+const SHORTEST: f64 = 1e-6;
 
 /// Evidence about one backend server. Memory is bounded, and each call does constant work.
 #[derive(Clone, Debug)]
@@ -86,10 +88,7 @@
         if !self.in_flight.finish(observation.id) {
             return;
         }
-        let sample = Sample {
-            outcome: observation.outcome,
-            latency: observation.latency.as_secs_f64().max(1e-6),
-        };
+        let sample = Sample { outcome: observation.outcome, octave: octave(observation.latency) };
         if let Some(oldest) = self.window.push(sample) {
             self.learn(oldest);
         }
@@ -133,23 +132,16 @@
 
     /// Returns how a trial request went.
     pub fn judge(&self, observation: &Observation) -> TrialOutcome {
-        match observation.outcome {
-            Outcome::Ok => match self.reference_latency() {
-                Some(reference) if observation.latency.as_secs_f64() > reference * TRIAL_FACTOR => {
-                    TrialOutcome::Bad
-                }
-                _ => TrialOutcome::Good,
-            },
-            Outcome::Canceled => TrialOutcome::Unknown,
-            Outcome::DeadlineMissed => match self.reference_latency() {
-                Some(reference) if observation.latency.as_secs_f64() < reference * TRIAL_FACTOR => {
-                    TrialOutcome::Unknown
-                }
-                _ => TrialOutcome::Bad,
-            },
-            Outcome::ServerError | Outcome::Cut | Outcome::WrongAnswer | Outcome::ConnectFailed => {
-                TrialOutcome::Bad
+        let slow = self
+            .reference_octave()
+            .map(|reference| octave(observation.latency) - reference > TRIAL_OCTAVES);
+        match (observation.outcome, slow) {
+            (Outcome::Ok, Some(true)) => TrialOutcome::Bad,
+            (Outcome::Ok, _) => TrialOutcome::Good,
+            (Outcome::Canceled, _) | (Outcome::DeadlineMissed, Some(false)) => {
+                TrialOutcome::Unknown
             }
+            _ => TrialOutcome::Bad,
         }
     }
 
@@ -181,22 +173,22 @@
     }
 
     fn slowness(&self, now: Instant, reasons: &mut Vec<Reason>) -> f64 {
-        let Some(reference) = self.reference_latency() else {
+        let Some(reference) = self.reference_octave() else {
             return self.absolute_ages(now, reasons);
         };
         let latency = self.window.cusum(|sample| self.latency_score(sample, reference)).score;
         if latency > 0.0 {
             reasons.push(Reason::Latency {
                 score: latency,
-                median: Duration::from_secs_f64(self.window.median().unwrap_or(0.0)),
-                reference: Duration::from_secs_f64(reference),
+                median: self.window.median().map_or(Duration::ZERO, from_octave),
+                reference: from_octave(reference),
             });
         }
         let mut age = 0.0;
         let mut requests = 0;
         let mut oldest = Duration::ZERO;
         for each in self.in_flight.ages(now) {
-            let score = self.tail.age_score(each.as_secs_f64() / reference);
+            let score = self.tail.age_score(octave(each) - reference);
             age += score;
             requests += usize::from(score > 0.0);
             oldest = oldest.max(each);
@@ -221,8 +213,9 @@
 
     fn failures(&self, reasons: &mut Vec<Reason>) -> f64 {
         let expected = self.reference.error_ratio();
-        let reference = self.reference_latency();
-        let sum = self.window.cusum(|sample| outcome_score(sample, expected, reference));
+        let reference = self.reference_octave();
+        let scores = OutcomeScores::new(expected, reference);
+        let sum = self.window.cusum(|sample| scores.of(sample));
         if sum.score > 0.0 {
             reasons.push(Reason::Failures {
                 score: sum.score,
@@ -243,20 +236,20 @@
     }
 
     fn latency_score(&self, sample: &Sample, reference: f64) -> f64 {
-        let ratio = sample.latency / reference;
+        let octaves = sample.octave - reference;
         match sample.outcome {
-            Outcome::Ok => self.tail.finished_score(ratio),
+            Outcome::Ok => self.tail.finished_score(octaves),
             // Censored: the request would have lasted at least this long.
-            Outcome::DeadlineMissed | Outcome::Canceled => self.tail.age_score(ratio),
+            Outcome::DeadlineMissed | Outcome::Canceled => self.tail.age_score(octaves),
             Outcome::ServerError | Outcome::Cut | Outcome::WrongAnswer | Outcome::ConnectFailed => {
                 0.0
             }
         }
     }
 
-    fn reference_latency(&self) -> Option<f64> {
-        let factor = if self.phase == Phase::Cold { COLD_FACTOR } else { 1.0 };
-        self.reference.latency().map(|latency| latency * factor)
+    fn reference_octave(&self) -> Option<f64> {
+        let allowed = if self.phase == Phase::Cold { COLD_OCTAVES } else { 0.0 };
+        self.reference.latency().map(|latency| latency.log2() + allowed)
     }
 
     /// Learns from a sample that leaves the window while nothing speaks against the server. The
@@ -268,9 +261,9 @@
         match sample.outcome {
             Outcome::Ok => {
                 if let Some(reference) = self.reference.latency() {
-                    self.tail.learn(sample.latency / reference);
+                    self.tail.learn(sample.octave - reference.log2());
                 }
-                self.reference.learn_latency(sample.latency);
+                self.reference.learn_latency(sample.octave.exp2());
                 self.reference.learn_error(false);
             }
             Outcome::ServerError => self.reference.learn_error(true),
@@ -283,23 +276,47 @@
             return;
         }
         if let Some(median) = self.window.median() {
-            self.reference.set_own(median);
+            self.reference.set_own(median.exp2());
         }
     }
 }
 
-fn outcome_score(sample: &Sample, expected: f64, reference: Option<f64>) -> f64 {
-    let sick = expected + (1.0 - expected) * SICK_ERRORS;
-    let error = (sick / expected).ln().min(ERROR_CAP);
-    match sample.outcome {
-        Outcome::Ok => ((1.0 - sick) / (1.0 - expected)).ln(),
-        Outcome::ServerError => error,
-        Outcome::DeadlineMissed => match reference {
-            Some(reference) if sample.latency < reference * FAIR_DEADLINE => 0.0,
-            _ => error,
-        },
-        Outcome::Cut | Outcome::WrongAnswer => BROKEN_ANSWER,
-        Outcome::Canceled => 0.0,
-        Outcome::ConnectFailed => CONNECT_FAILED,
+/// Scores of the outcome test, computed once for an assessment.
+struct OutcomeScores {
+    ok: f64,
+    error: f64,
+    fair_deadline: Option<f64>,
+}
+
+impl OutcomeScores {
+    fn new(expected: f64, reference: Option<f64>) -> OutcomeScores {
+        let sick = expected + (1.0 - expected) * SICK_ERRORS;
+        OutcomeScores {
+            ok: ((1.0 - sick) / (1.0 - expected)).ln(),
+            error: (sick / expected).ln().min(ERROR_CAP),
+            fair_deadline: reference.map(|reference| reference + FAIR_DEADLINE_OCTAVES),
+        }
+    }
+
+    fn of(&self, sample: &Sample) -> f64 {
+        match sample.outcome {
+            Outcome::Ok => self.ok,
+            Outcome::ServerError => self.error,
+            Outcome::DeadlineMissed => match self.fair_deadline {
+                Some(fair) if sample.octave < fair => 0.0,
+                _ => self.error,
+            },
+            Outcome::Cut | Outcome::WrongAnswer => BROKEN_ANSWER,
+            Outcome::Canceled => 0.0,
+            Outcome::ConnectFailed => CONNECT_FAILED,
+        }
     }
 }
+
+fn octave(latency: Duration) -> f64 {
+    latency.as_secs_f64().max(SHORTEST).log2()
+}
+
+fn from_octave(octave: f64) -> Duration {
+    Duration::from_secs_f64(octave.exp2())
+}
--- a/crates/fescuemux-core/src/detect/tail.rs
+++ b/crates/fescuemux-core/src/detect/tail.rs
@@ -18,6 +18,8 @@
 const MEMORY: f64 = 4096.0;
 /// Learned requests before the learned shares are used, so a few slow ones do not hide a fault.
 const LEAST_LEARNED: f64 = 256.0;
+/// Learned requests between two computations of the score tables.
+const REBUILD_EVERY: u32 = 16;
 /// Bounds of the score of one latency. The cap keeps any one request from deciding; the floor
 /// keeps a few fast answers from hiding that most are slow.
 const CAP: f64 = 3.5;
@@ -31,6 +33,7 @@
 pub(super) struct Tail {
     counts: [f64; BINS],
     total: f64,
+    learned: u32,
     finished: [f64; BINS],
     survival: [f64; BINS + 1],
 }
@@ -40,6 +43,7 @@
         let mut tail = Tail {
             counts: [0.0; BINS],
             total: 0.0,
+            learned: 0,
             finished: [0.0; BINS],
             survival: [0.0; BINS + 1],
         };
@@ -47,31 +51,35 @@
         tail
     }
 
-    /// Adds a ratio that was seen while the server was healthy.
-    pub(super) fn learn(&mut self, ratio: f64) {
+    /// Adds a latency of `2^octaves` times the reference that was seen while the server was healthy.
+    pub(super) fn learn(&mut self, octaves: f64) {
         let keep = 1.0 - 1.0 / MEMORY;
         for count in &mut self.counts {
             *count *= keep;
         }
-        self.counts[bin(ratio)] += 1.0;
+        self.counts[bin(octaves)] += 1.0;
         self.total = self.total * keep + 1.0;
-        self.rebuild();
+        self.learned += 1;
+        if self.learned.is_multiple_of(REBUILD_EVERY) {
+            self.rebuild();
+        }
     }
 
-    /// Returns the score of a request that finished after `ratio` times the reference.
-    pub(super) fn finished_score(&self, ratio: f64) -> f64 {
-        self.finished[bin(ratio)]
+    /// Returns the score of a request that finished after `2^octaves` times the reference.
+    pub(super) fn finished_score(&self, octaves: f64) -> f64 {
+        self.finished[bin(octaves)]
     }
 
-    /// Returns the score of a request that has lasted `ratio` times the reference and whose end
+    /// Returns the score of a request that has lasted `2^octaves` times the reference and whose end
     /// is not known. Never negative: a young request says nothing.
-    pub(super) fn age_score(&self, ratio: f64) -> f64 {
-        (-self.survival_at(ratio).ln() - AGE_OFFSET).max(0.0)
+    pub(super) fn age_score(&self, octaves: f64) -> f64 {
+        (-self.survival_at(octaves).ln() - AGE_OFFSET).max(0.0)
     }
 
-    /// Returns the probability that a healthy request lasts at least `ratio` times the reference.
-    pub(super) fn survival_at(&self, ratio: f64) -> f64 {
-        let position = position(ratio);
+    /// Returns the probability that a healthy request lasts at least `2^octaves` times the
+    /// reference.
+    fn survival_at(&self, octaves: f64) -> f64 {
+        let position = position(octaves);
         if position >= (BINS - 1) as f64 {
             return self.survival[BINS - 1];
         }
@@ -104,13 +112,10 @@
     }
 }
 
-fn position(ratio: f64) -> f64 {
-    if ratio <= 0.0 {
-        return 0.0;
-    }
-    (2.0 * ratio.log2() + UNIT_BIN as f64).max(0.0)
+fn position(octaves: f64) -> f64 {
+    (2.0 * octaves + UNIT_BIN as f64).max(0.0)
 }
 
-fn bin(ratio: f64) -> usize {
-    (position(ratio) as usize).min(BINS - 1)
+fn bin(octaves: f64) -> usize {
+    (position(octaves) as usize).min(BINS - 1)
 }
--- a/crates/fescuemux-core/src/detect/window.rs
+++ b/crates/fescuemux-core/src/detect/window.rs
@@ -11,8 +11,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Sample {
     pub(super) outcome: Outcome,
-    /// Latency in seconds.
-    pub(super) latency: f64,
+    /// Binary logarithm of the latency in seconds.
+    pub(super) octave: f64,
 }
 
 /// Bounded queue of samples, oldest first.
@@ -62,12 +62,12 @@
         sum
     }
 
-    /// Returns the median latency in seconds of the successful samples.
+    /// Returns the binary logarithm of the median latency in seconds of the successful samples.
     pub(super) fn median(&self) -> Option<f64> {
         let mut values = [0.0; WINDOW];
         let mut len = 0;
         for sample in self.samples.iter().filter(|sample| sample.outcome == Outcome::Ok) {
-            values[len] = sample.latency;
+            values[len] = sample.octave;
             len += 1;
         }
         if len == 0 {
--- /dev/null
+++ b/crates/fescuemux-measure/src/detection/report.rs
@@ -0,0 +1,161 @@
+//! Table and JSON of a measurement.
+
+use super::options::{Method, Options};
+use super::result::Tally;
+use super::trace::Trace;
+use serde::Serialize;
+use std::fmt;
+
+/// One trace with one pool and one method.
+#[derive(Clone, Debug, Serialize)]
+pub struct Row {
+    /// Trace.
+    pub trace: Trace,
+    /// Backend servers.
+    pub pool: usize,
+    /// Method.
+    pub method: Method,
+    /// Median detection time in seconds. Infinite times are `null` in JSON.
+    pub detection_p50: Option<f64>,
+    /// 99th percentile of the detection time.
+    pub detection_p99: Option<f64>,
+    /// Longest detection time.
+    pub detection_max: Option<f64>,
+    /// 99th percentile of the time to ejection.
+    pub ejection_p99: Option<f64>,
+    /// Share of the requests of bad servers that reached them.
+    pub bad_let_through: Option<f64>,
+    /// The same after the third flap.
+    pub flap_let_through: Option<f64>,
+    /// Healthy servers ejected, for each day of a healthy server.
+    pub false_ejections_per_server_day: f64,
+    /// Healthy servers steered, for each day of a healthy server.
+    pub false_steers_per_server_day: f64,
+    /// Sums behind the figures.
+    pub tally: Tally,
+}
+
+impl Row {
+    pub(super) fn new(trace: Trace, pool: usize, method: Method, tally: Tally) -> Row {
+        let ratio = |sent: u64, share: f64| (share > 0.0).then(|| sent as f64 / share);
+        let days = tally.healthy_hours / 24.0;
+        Row {
+            trace,
+            pool,
+            method,
+            detection_p50: tally.detection_quantile(0.5),
+            detection_p99: tally.detection_quantile(0.99),
+            detection_max: tally.detection_quantile(1.0),
+            ejection_p99: tally.ejection_quantile(0.99),
+            bad_let_through: ratio(tally.bad_sent, tally.bad_share),
+            flap_let_through: ratio(tally.flap_sent, tally.flap_share),
+            false_ejections_per_server_day: tally.false_ejections as f64 / days,
+            false_steers_per_server_day: tally.false_steers as f64 / days,
+            tally,
+        }
+    }
+}
+
+/// Result of a measurement.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    /// Seeds run.
+    pub seeds: u64,
+    /// First seed.
+    pub first_seed: u64,
+    /// Deadline of each request in seconds.
+    pub deadline_seconds: f64,
+    /// Median latency of a healthy server in seconds.
+    pub median_seconds: f64,
+    /// One row for each trace, pool and method.
+    pub rows: Vec<Row>,
+}
+
+impl Report {
+    pub(super) fn new(options: &Options, rows: Vec<Row>) -> Report {
+        Report {
+            seeds: options.seeds,
+            first_seed: options.first_seed,
+            deadline_seconds: options.deadline.as_secs_f64(),
+            median_seconds: options.median.as_secs_f64(),
+            rows,
+        }
+    }
+
+    /// Returns the report as JSON.
+    ///
+    /// # Errors
+    ///
+    /// Fails only when the serializer does.
+    pub fn to_json(&self) -> serde_json::Result<String> {
+        serde_json::to_string_pretty(self)
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "{} seeds from {}, deadline {:.1} s, median {:.0} ms",
+            self.seeds,
+            self.first_seed,
+            self.deadline_seconds,
+            self.median_seconds * 1000.0
+        )?;
+        writeln!(
+            f,
+            "{:<16}{:>5} {:<20}{:>8}{:>8}{:>8}{:>9}{:>8}{:>8}{:>9}{:>9}{:>9}{:>7}{:>7}{:>8}",
+            "trace",
+            "pool",
+            "method",
+            "det p50",
+            "det p99",
+            "det max",
+            "eject99",
+            "bad %",
+            "flap %",
+            "f.ej",
+            "f.ej/d",
+            "f.steer",
+            "margin",
+            "floor",
+            "refused%"
+        )?;
+        for row in &self.rows {
+            write_row(f, row)?;
+        }
+        Ok(())
+    }
+}
+
+fn write_row(f: &mut fmt::Formatter<'_>, row: &Row) -> fmt::Result {
+    let seconds = |value: Option<f64>| match value {
+        None => "-".to_string(),
+        Some(value) if value.is_infinite() => "never".to_string(),
+        Some(value) => format!("{value:.2}"),
+    };
+    let percent = |value: Option<f64>| match value {
+        None => "-".to_string(),
+        Some(value) => format!("{:.2}", value * 100.0),
+    };
+    let tally = &row.tally;
+    writeln!(
+        f,
+        "{:<16}{:>5} {:<20}{:>8}{:>8}{:>8}{:>9}{:>8}{:>8}{:>9}{:>9.3}{:>9}{:>7}{:>7}{:>8.2}",
+        row.trace.as_str(),
+        row.pool,
+        row.method.as_str(),
+        seconds(row.detection_p50),
+        seconds(row.detection_p99),
+        seconds(row.detection_max),
+        seconds(row.ejection_p99),
+        percent(row.bad_let_through),
+        percent(row.flap_let_through),
+        tally.false_ejections,
+        row.false_ejections_per_server_day,
+        tally.false_steers,
+        tally.lowest_margin.map_or("-".to_string(), |margin| margin.to_string()),
+        tally.floor_violations,
+        100.0 * tally.refused as f64 / (tally.requests.max(1)) as f64
+    )
+}
--- /dev/null
+++ b/crates/fescuemux-measure/src/detection/run.rs
@@ -0,0 +1,59 @@
+//! Runs all combinations of options.
+
+use super::engine::Engine;
+use super::options::{Method, Options};
+use super::report::{Report, Row};
+use super::result::Tally;
+use super::trace::Trace;
+use std::collections::BTreeMap;
+use std::panic::resume_unwind;
+
+type Key = (Trace, usize, Method);
+
+/// Runs all traces, pools, methods and seeds.
+pub fn run(options: &Options) -> Report {
+    let threads = options.threads.max(1) as u64;
+    let parts: Vec<BTreeMap<Key, Tally>> = std::thread::scope(|scope| {
+        let workers: Vec<_> = (0..threads)
+            .map(|thread| scope.spawn(move || run_part(options, thread, threads)))
+            .collect();
+        workers
+            .into_iter()
+            .map(|worker| worker.join().unwrap_or_else(|panic| resume_unwind(panic)))
+            .collect()
+    });
+    let mut tallies: BTreeMap<Key, Tally> = BTreeMap::new();
+    for part in parts {
+        for (key, tally) in part {
+            tallies.entry(key).or_default().merge(tally);
+        }
+    }
+    let rows = tallies
+        .into_iter()
+        .map(|((trace, pool, method), tally)| Row::new(trace, pool, method, tally))
+        .collect();
+    Report::new(options, rows)
+}
+
+/// Runs one trace with one seed.
+pub fn run_one(options: &Options, trace: Trace, pool: usize, method: Method, seed: u64) -> Tally {
+    let mut tally = Tally::default();
+    tally.add(Engine::new(options, trace, pool, method, seed).run());
+    tally
+}
+
+fn run_part(options: &Options, thread: u64, threads: u64) -> BTreeMap<Key, Tally> {
+    let mut tallies: BTreeMap<Key, Tally> = BTreeMap::new();
+    let seeds = options.first_seed..options.first_seed + options.seeds;
+    for seed in seeds.filter(|seed| seed % threads == thread) {
+        for &trace in &options.traces {
+            for &pool in &options.pools {
+                for &method in &options.methods {
+                    let outcome = Engine::new(options, trace, pool, method, seed).run();
+                    tallies.entry((trace, pool, method)).or_default().add(outcome);
+                }
+            }
+        }
+    }
+    tallies
+}
