core: eject for slowness only on evidence from fresh requests

A stall of a whole server delays its four requests at once. They counted as independent evidence, and a steered server got no traffic that could correct the picture, so it was ejected a second later.

A steered server now takes up to 8 idempotent trial requests, one at a time, and slowness alone ejects only after 2 slow answers to requests that started after the suspicion, or when requests in flight alone reach the threshold.

--- a/crates/fescuemux-core/src/detect/detector.rs
+++ b/crates/fescuemux-core/src/detect/detector.rs
@@ -33,6 +33,9 @@
 const OWN_PAST_SAMPLES: usize = 32;
 /// A trial answer this many octaves slower than the reference is bad: four times.
 const TRIAL_OCTAVES: f64 = 2.0;
+/// Slow answers to requests that started after the suspicion, before slowness alone may eject.
+/// A pause of the whole server delays all its requests at once; they are one event, not four.
+const FRESH_NEEDED: u32 = 2;
 /// Shortest latency told apart from zero.
 const SHORTEST: f64 = 1e-6;
 
@@ -47,6 +50,8 @@
     in_flight: InFlight,
     probe_failures: u32,
     suspect_since: Option<Instant>,
+    /// Slow answers to requests that started after the suspicion.
+    fresh_against: u32,
     evidence_since: Instant,
     score: f64,
 }
@@ -63,6 +68,7 @@
             in_flight: InFlight::default(),
             probe_failures: 0,
             suspect_since: None,
+            fresh_against: 0,
             evidence_since: now,
             score: 0.0,
         }
@@ -85,10 +91,9 @@
 
     /// Notes that a request ended.
     pub fn on_finish(&mut self, _cx: &mut Cx, observation: Observation) {
-        if !self.in_flight.finish(observation.id) {
-            return;
-        }
+        let Some(started) = self.in_flight.finish(observation.id) else { return };
         let sample = Sample { outcome: observation.outcome, octave: octave(observation.latency) };
+        self.count_fresh(started, &sample);
         if let Some(oldest) = self.window.push(sample) {
             self.learn(oldest);
         }
@@ -126,6 +131,7 @@
         self.in_flight.restart(cx.now);
         self.probe_failures = 0;
         self.suspect_since = None;
+        self.fresh_against = 0;
         self.evidence_since = cx.now;
         self.score = 0.0;
     }
@@ -148,12 +154,15 @@
     /// Weighs all evidence at the current time.
     pub fn assess(&mut self, cx: &mut Cx) -> Assessment {
         let mut reasons = Vec::new();
-        let slowness = self.slowness(cx.now, &mut reasons);
+        let (latency, age) = self.slowness(cx.now, &mut reasons);
         let failures = self.failures(&mut reasons);
         let probes = self.probes(&mut reasons);
-        let score = slowness.max(failures) + probes;
+        let score = failures.max(latency + age) + probes;
         self.score = score;
-        let level = self.level(cx.now, score);
+        let independent = failures + probes >= self.config.bad_score
+            || age >= self.config.suspect_score
+            || self.fresh_against >= FRESH_NEEDED;
+        let level = self.level(cx.now, score, independent);
         Assessment { level, score, reasons }
     }
 
@@ -162,19 +171,30 @@
         self.evidence_since
     }
 
-    fn level(&mut self, now: Instant, score: f64) -> Level {
+    fn level(&mut self, now: Instant, score: f64, independent: bool) -> Level {
         if score < self.config.suspect_score {
             self.suspect_since = None;
+            self.fresh_against = 0;
             return Level::Healthy;
         }
         let since = *self.suspect_since.get_or_insert(now);
         let confirmed = now.saturating_duration_since(since) >= self.config.confirm;
-        if score >= self.config.bad_score && confirmed { Level::Bad } else { Level::Suspect }
+        let bad = score >= self.config.bad_score && confirmed && independent;
+        if bad { Level::Bad } else { Level::Suspect }
+    }
+
+    fn count_fresh(&mut self, started: Instant, sample: &Sample) {
+        let fresh = self.suspect_since.is_some_and(|since| started > since);
+        let Some(reference) = self.reference_octave() else { return };
+        if fresh && self.latency_score(sample, reference) > 0.0 {
+            self.fresh_against += 1;
+        }
     }
 
-    fn slowness(&self, now: Instant, reasons: &mut Vec<Reason>) -> f64 {
+    /// Returns the scores of finished requests and of requests in flight.
+    fn slowness(&self, now: Instant, reasons: &mut Vec<Reason>) -> (f64, f64) {
         let Some(reference) = self.reference_octave() else {
-            return self.absolute_ages(now, reasons);
+            return (0.0, self.absolute_ages(now, reasons));
         };
         let latency = self.window.cusum(|sample| self.latency_score(sample, reference)).score;
         if latency > 0.0 {
@@ -196,7 +216,7 @@
         if age > 0.0 {
             reasons.push(Reason::InFlightAge { score: age, requests, oldest });
         }
-        latency + age
+        (latency, age)
     }
 
     /// Scores ages without a reference: only a request that outlived any plausible one counts.
--- a/crates/fescuemux-core/src/detect/in_flight.rs
+++ b/crates/fescuemux-core/src/detect/in_flight.rs
@@ -27,12 +27,12 @@
         }
     }
 
-    /// Removes a request and returns whether its latency counts as evidence.
-    pub(super) fn finish(&mut self, id: RequestId) -> bool {
-        let Some(index) = self.entries.iter().position(|entry| entry.id == id) else {
-            return true;
-        };
-        !self.entries.swap_remove(index).tainted
+    /// Removes a request. Returns the time since which its age counted, or `None` when its
+    /// latency is not evidence.
+    pub(super) fn finish(&mut self, id: RequestId) -> Option<Instant> {
+        let index = self.entries.iter().position(|entry| entry.id == id)?;
+        let entry = self.entries.swap_remove(index);
+        (!entry.tainted).then_some(entry.since)
     }
 
     /// Starts the age of every request anew, because the time before `now` is not evidence.
--- a/crates/fescuemux-core/src/detect/tail.rs
+++ b/crates/fescuemux-core/src/detect/tail.rs
@@ -35,7 +35,8 @@
     total: f64,
     learned: u32,
     finished: [f64; BINS],
-    survival: [f64; BINS + 1],
+    /// Negative logarithm of the probability that a healthy request reaches each bin.
+    surprise: [f64; BINS],
 }
 
 impl Tail {
@@ -45,7 +46,7 @@
             total: 0.0,
             learned: 0,
             finished: [0.0; BINS],
-            survival: [0.0; BINS + 1],
+            surprise: [0.0; BINS],
         };
         tail.rebuild();
         tail
@@ -70,23 +71,14 @@
         self.finished[bin(octaves)]
     }
 
-    /// Returns the score of a request that has lasted `2^octaves` times the reference and whose end
-    /// is not known. Never negative: a young request says nothing.
+    /// Returns the score of a request that has lasted `2^octaves` times the reference and whose
+    /// end is not known. Never negative: a young request says nothing.
     pub(super) fn age_score(&self, octaves: f64) -> f64 {
-        (-self.survival_at(octaves).ln() - AGE_OFFSET).max(0.0)
-    }
-
-    /// Returns the probability that a healthy request lasts at least `2^octaves` times the
-    /// reference.
-    fn survival_at(&self, octaves: f64) -> f64 {
-        let position = position(octaves);
-        if position >= (BINS - 1) as f64 {
-            return self.survival[BINS - 1];
-        }
-        let low = position.floor();
-        let part = position - low;
-        let k = low as usize;
-        self.survival[k].powf(1.0 - part) * self.survival[k + 1].powf(part)
+        let position = position(octaves).min((BINS - 1) as f64);
+        let k = (position as usize).min(BINS - 2);
+        let part = position - k as f64;
+        let surprise = self.surprise[k] * (1.0 - part) + self.surprise[k + 1] * part;
+        (surprise - AGE_OFFSET).max(0.0)
     }
 
     fn rebuild(&mut self) {
@@ -97,9 +89,10 @@
             }
         }
         let sum: f64 = shares.iter().sum();
-        self.survival[BINS] = 0.0;
+        let mut survival = 0.0;
         for k in (0..BINS).rev() {
-            self.survival[k] = self.survival[k + 1] + shares[k] / sum;
+            survival += shares[k] / sum;
+            self.surprise[k] = -survival.ln();
         }
         let mut highest = FLOOR;
         for k in 0..BINS {
--- a/crates/fescuemux-core/src/eject/config.rs
+++ b/crates/fescuemux-core/src/eject/config.rs
@@ -22,6 +22,9 @@
     pub shares: &'static [f64],
     /// Length of each stage.
     pub stage: Duration,
+    /// Trial requests to a server that was just steered. They show whether the evidence was a
+    /// passing stall before an ejection is asked for.
+    pub checks: u32,
     /// Score that ends a probation. Lower than the score that steers a serving server, because
     /// the server was sick a moment ago.
     pub probation_score: f64,
@@ -43,6 +46,7 @@
             idempotent_trials: 3,
             shares: &[0.1, 0.25, 0.5],
             stage: Duration::from_secs(2),
+            checks: 8,
             probation_score,
         }
     }
--- a/crates/fescuemux-core/src/eject/health.rs
+++ b/crates/fescuemux-core/src/eject/health.rs
@@ -103,7 +103,11 @@
 
     /// Returns whether a trial request would be welcome now.
     pub fn wants_trial(&self, now: Instant) -> bool {
-        self.state == State::Probation && self.probation.wants_trial(now)
+        match self.state {
+            State::Probation => self.probation.wants_trial(now),
+            State::Steered => self.probation.wants_check(now),
+            State::Serving | State::Ejected => false,
+        }
     }
 
     /// Returns the share of normal requests that is admitted, from 0 to 1.
@@ -120,7 +124,8 @@
     pub fn admission(&mut self, cx: &mut Cx, kind: RequestKind, idempotent: bool) -> Admission {
         match (self.state, kind) {
             (State::Serving, _) | (State::Steered, RequestKind::LastResort) => Admission::Admit,
-            (State::Steered, _) => Admission::Refuse(RefuseReason::Steered),
+            (State::Steered, RequestKind::Trial) => self.probation.admit_check(cx.now, idempotent),
+            (State::Steered, RequestKind::Normal) => Admission::Refuse(RefuseReason::Steered),
             (State::Ejected, _) => Admission::Refuse(RefuseReason::Ejected),
             (State::Probation, RequestKind::Trial) => {
                 self.probation.admit_trial(cx, &self.config, idempotent)
@@ -156,6 +161,7 @@
     pub fn on_trial_end(&mut self, cx: &mut Cx, end: TrialOutcome) -> Vec<Action> {
         let mut actions = Vec::new();
         if self.state != State::Probation {
+            self.probation.on_check_end();
             return actions;
         }
         self.probation.on_trial_end(cx.now, &self.config, end);
@@ -209,6 +215,7 @@
             return actions;
         }
         if self.state == State::Ejected {
+            self.probation = Probation::new();
             self.enter(State::Steered, cx.now, &mut actions);
         }
         self.release(cx.now, &mut actions);
@@ -234,6 +241,7 @@
     fn steer(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let hold = self.hold.begin(now);
         self.return_at = now + hold;
+        self.probation = Probation::checking(self.config.checks);
         self.enter(State::Steered, now, actions);
     }
 
@@ -266,6 +274,7 @@
     fn relapse(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let hold = self.hold.begin(now);
         self.return_at = now + hold;
+        self.probation = Probation::new();
         let back = if self.permit == Permit::Held { State::Ejected } else { State::Steered };
         self.enter(back, now, actions);
     }
--- a/crates/fescuemux-core/src/eject/probation.rs
+++ b/crates/fescuemux-core/src/eject/probation.rs
@@ -10,23 +10,52 @@
 /// A trial whose end was never reported no longer blocks the next one after this time.
 const LOST_TRIAL: Duration = Duration::from_secs(30);
 
-/// Progress of one probation.
+/// Progress of one probation, or of the checks of a server that was just steered.
 #[derive(Clone, Debug)]
 pub(super) struct Probation {
     good_trials: u32,
+    checks_left: u32,
     in_flight_since: Option<Instant>,
     shares_since: Option<Instant>,
 }
 
 impl Probation {
     pub(super) fn new() -> Probation {
-        Probation { good_trials: 0, in_flight_since: None, shares_since: None }
+        Probation { good_trials: 0, checks_left: 0, in_flight_since: None, shares_since: None }
+    }
+
+    /// Returns the progress of a steered server that takes `checks` trial requests.
+    pub(super) fn checking(checks: u32) -> Probation {
+        Probation { checks_left: checks, ..Probation::new() }
     }
 
     pub(super) fn wants_trial(&self, now: Instant) -> bool {
         self.shares_since.is_none() && !self.occupied(now)
     }
 
+    pub(super) fn wants_check(&self, now: Instant) -> bool {
+        self.checks_left > 0 && !self.occupied(now)
+    }
+
+    pub(super) fn admit_check(&mut self, now: Instant, idempotent: bool) -> Admission {
+        if self.checks_left == 0 {
+            return Admission::Refuse(RefuseReason::Steered);
+        }
+        if self.occupied(now) {
+            return Admission::Refuse(RefuseReason::TrialInFlight);
+        }
+        if !idempotent {
+            return Admission::Refuse(RefuseReason::TrialNotIdempotent);
+        }
+        self.checks_left -= 1;
+        self.in_flight_since = Some(now);
+        Admission::Admit
+    }
+
+    pub(super) fn on_check_end(&mut self) {
+        self.in_flight_since = None;
+    }
+
     pub(super) fn admit_trial(
         &mut self,
         cx: &Cx,
