core: probe half-open paths outside of requests

Conclusion: the daemon asks next_path_probe about every 100 ms and reports with on_path_probe; requests serve as trials at a share of 5% at most. A record of a new incarnation closes the breaker.

--- a/crates/fescuemux-core/src/route/breaker.rs
+++ b/crates/fescuemux-core/src/route/breaker.rs
@@ -21,9 +21,9 @@
 impl Default for BreakerConfig {
     fn default() -> BreakerConfig {
         BreakerConfig {
-            failures: 3.0,
+            failures: 2.0,
             open_min: Duration::from_secs(1),
-            open_max: Duration::from_secs(30),
+            open_max: Duration::from_secs(2),
         }
     }
 }
--- a/crates/fescuemux-core/src/route/choose.rs
+++ b/crates/fescuemux-core/src/route/choose.rs
@@ -15,6 +15,11 @@
 /// Largest share of requests that trials of one service may take.
 const MAX_TRIAL_SHARE: f64 = 0.5;
 
+/// Share of requests that try a half-open path while other servers are left. A trial on a
+/// broken path costs its request an attempt, and at 1.2 requests/s for each ingress the trials
+/// of 29 broken paths would take every request.
+const PATH_TRIAL_SHARE: f64 = 0.05;
+
 #[derive(Clone, Copy)]
 struct Candidate {
     index: Index,
@@ -154,7 +159,7 @@
         if waiting == 0 {
             return None;
         }
-        let ready: usize = Tier::ALL.iter().map(|t| table.count(*t, self.cfg.subset)).sum();
+        let ready = self.ready_count(service);
         let others = ready + table.steered.len() + table.blocked.len();
         let share = waiting as f64 / (waiting + ready) as f64;
         if others > 0 && cx.rng.random::<f64>() >= share.min(MAX_TRIAL_SHARE) {
@@ -169,6 +174,11 @@
         (query.idempotent || waited >= self.cfg.idempotent_wait).then_some(index)
     }
 
+    fn ready_count(&self, service: usize) -> usize {
+        let table = &self.services[service];
+        Tier::ALL.iter().map(|tier| table.count(*tier, self.cfg.subset)).sum()
+    }
+
     fn path_trial(&mut self, cx: &mut Cx, service: usize, query: &RouteQuery) -> Option<Index> {
         let index = *self.services[service].half_open.first()?;
         let entry = self.entries[index as usize].as_ref()?;
@@ -183,6 +193,10 @@
         if excluded(query, entry) {
             return None;
         }
+        let others = self.ready_count(service) + self.services[service].steered.len();
+        if others > 0 && cx.rng.random::<f64>() >= PATH_TRIAL_SHARE {
+            return None;
+        }
         self.start_path_trial(cx.now, path);
         Some(index)
     }
--- a/crates/fescuemux-core/src/route/entry.rs
+++ b/crates/fescuemux-core/src/route/entry.rs
@@ -1,6 +1,6 @@
 //! Router state of one backend server and of one path.
 
-use crate::base::{Phase, ServerId};
+use crate::base::{InstanceId, Phase, ServerId};
 use crate::route::breaker::Breaker;
 use crate::route::load::LoadEstimate;
 use crate::route::{BreakerState, Endpoint, EndpointHealth};
@@ -93,6 +93,7 @@
 /// Path from the ingress to an instance.
 #[derive(Debug)]
 pub(super) struct Path {
+    pub(super) instance: InstanceId,
     pub(super) breaker: Breaker,
     pub(super) entries: Vec<Index>,
     /// Time of the breaker's pending timer.
--- a/crates/fescuemux-core/src/route/router.rs
+++ b/crates/fescuemux-core/src/route/router.rs
@@ -9,7 +9,7 @@
     Answered, BreakerState, Choice, Endpoint, EndpointHealth, RequestKind, RouterConfig, ServerLoad,
 };
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::{BinaryHeap, VecDeque};
 use std::time::Instant;
 
 /// Routes the requests of one ingress.
@@ -27,6 +27,8 @@
     by_server: HashMap<ServerId, Index>,
     by_instance: HashMap<InstanceId, usize>,
     timers: BinaryHeap<Reverse<(Instant, usize)>>,
+    /// Paths that became half-open, oldest first; some may have moved on since.
+    half_open: VecDeque<usize>,
 }
 
 impl Router {
@@ -42,6 +44,7 @@
             by_server: HashMap::default(),
             by_instance: HashMap::default(),
             timers: BinaryHeap::new(),
+            half_open: VecDeque::new(),
         }
     }
 
@@ -124,9 +127,7 @@
         let Some(path) = self.by_instance.get(instance).copied() else {
             return;
         };
-        self.paths[path].breaker.on_failure(cx, &self.cfg.breaker);
-        self.schedule(cx.now, path);
-        self.reclassify_path(path);
+        self.fail_path(cx, path);
     }
 
     /// Learns from outside of requests, such as from a membership probe or a connection, that
@@ -137,6 +138,31 @@
         }
     }
 
+    /// Returns an instance whose path waits for a trial, so that the daemon can try it with a
+    /// probe of its own and report to [`Router::on_path_probe`]. A daemon that asks a few
+    /// times a second keeps trials away from requests.
+    pub fn next_path_probe(&mut self, cx: &mut Cx) -> Option<InstanceId> {
+        self.tick(cx.now);
+        while let Some(path) = self.half_open.pop_front() {
+            if let BreakerState::HalfOpen(_) = self.paths[path].breaker.state() {
+                self.start_path_trial(cx.now, path);
+                return Some(self.paths[path].instance.clone());
+            }
+        }
+        None
+    }
+
+    /// Learns the result of a probe.
+    pub fn on_path_probe(&mut self, cx: &mut Cx, instance: &InstanceId, ok: bool) {
+        let Some(path) = self.by_instance.get(instance).copied() else {
+            return;
+        };
+        match ok {
+            true => self.close_path(path),
+            false => self.fail_path(cx, path),
+        }
+    }
+
     /// Ends a request whose caller left before the result was known.
     pub fn on_canceled(&mut self, cx: &mut Cx, server: &ServerId) {
         let Some(index) = self.by_server.get(server).copied() else {
@@ -148,6 +174,7 @@
         };
         let path = entry.path;
         self.paths[path].breaker.on_trial_void(cx.now);
+        self.schedule(cx.now, path);
         self.reclassify_path(path);
     }
 
@@ -237,7 +264,12 @@
             entry.ramp_start = Some(cx.now);
         }
         let health = endpoint.health;
+        let path = entry.path;
         entry.endpoint = endpoint;
+        if restarted {
+            // A new incarnation that membership heard of says more than failures of the old.
+            self.close_path(path);
+        }
         if health_changed {
             self.set_health(cx, index, health);
         }
@@ -293,8 +325,17 @@
         }
     }
 
+    fn fail_path(&mut self, cx: &mut Cx, path: usize) {
+        self.paths[path].breaker.on_failure(cx, &self.cfg.breaker);
+        self.schedule(cx.now, path);
+        self.reclassify_path(path);
+    }
+
     fn schedule(&mut self, now: Instant, path: usize) {
         let due = self.paths[path].breaker.tick(now);
+        if self.paths[path].breaker.state() == BreakerState::HalfOpen(now) {
+            self.half_open.push_back(path);
+        }
         if due == self.paths[path].scheduled {
             return;
         }
@@ -349,8 +390,10 @@
             return *known;
         }
         let breaker = Breaker::new(&self.cfg.breaker);
-        self.paths.push(Path { breaker, entries: vec![], scheduled: None });
-        self.by_instance.insert(instance.clone(), self.paths.len() - 1);
+        let instance = instance.clone();
+        let path = Path { instance: instance.clone(), breaker, entries: vec![], scheduled: None };
+        self.paths.push(path);
+        self.by_instance.insert(instance, self.paths.len() - 1);
         self.paths.len() - 1
     }
 
--- a/crates/fescuemux-core/src/route/tests/breaker.rs
+++ b/crates/fescuemux-core/src/route/tests/breaker.rs
@@ -79,12 +79,35 @@
         cx.now += Duration::from_millis(1_500).min(case.wait);
         choose(&mut router, &mut cx, false);
         cx.now += case.wait.saturating_sub(Duration::from_millis(1_500));
-        let trials = (0..50).filter_map(|_| choose(&mut router, &mut cx, case.idempotent));
+        let trials = (0..200).filter_map(|_| choose(&mut router, &mut cx, case.idempotent));
         let trials = trials.filter(|c| c.path_trial && c.server == "a").count();
         assert_eq!(trials, usize::from(case.trial), "{}", case.name);
     }
 }
 
+/// Guards against trials of many broken paths that take every request of a quiet ingress.
+#[test]
+fn path_trials_take_a_small_share() {
+    let (mut cx, mut router) = (cx(), router());
+    router.upsert(&mut cx, endpoint("ready", "d1"));
+    for n in 0..100 {
+        router.upsert(&mut cx, endpoint(&format!("s{n}"), "d1"));
+        fail(&mut router, &mut cx, &format!("s{n}"), 3);
+    }
+    cx.now += Duration::from_secs(2);
+    assert!(share(&mut router, &mut cx, 100, "ready") > 0.8);
+}
+
+/// Guards against a restarted instance that waits for its old path failures to be forgotten.
+#[test]
+fn a_new_incarnation_closes_the_breaker() {
+    let (mut cx, mut router) = (cx(), router());
+    router.upsert(&mut cx, endpoint("a", "d1"));
+    fail(&mut router, &mut cx, "a", 3);
+    router.upsert(&mut cx, crate::route::Endpoint { incarnation: 2, ..endpoint("a", "d1") });
+    assert_eq!(router.path_state(&"i-a".into()), Some(BreakerState::Closed));
+}
+
 /// Guards against a path that stays out after it was repaired, and against one that returns
 /// although its trial failed.
 #[test]
@@ -95,7 +118,8 @@
         router.upsert(&mut cx, endpoint("b", "d1"));
         fail(&mut router, &mut cx, "a", 3);
         cx.now += Duration::from_secs(2);
-        let trial = choose(&mut router, &mut cx, true).expect("a trial");
+        let mut choices = (0..200).filter_map(|_| choose(&mut router, &mut cx, true));
+        let trial = choices.find(|c| c.path_trial).expect("a trial");
         router.on_sent(&mut cx, &trial);
         match repaired {
             true => router.on_answer(&mut cx, &"a".into(), answered(0, 0)),
@@ -112,10 +136,17 @@
     router.upsert(&mut cx, endpoint("a", "d1"));
     router.upsert(&mut cx, endpoint("b", "d1"));
     fail(&mut router, &mut cx, "a", 3);
-    cx.now += Duration::from_secs(2);
-    assert!(choose(&mut router, &mut cx, true).expect("a trial").path_trial);
+    for wait in [2, 31] {
+        cx.now += Duration::from_secs(wait);
+        // The lost trial may be a request or a probe.
+        let trials = (0..200).filter_map(|_| choose(&mut router, &mut cx, true));
+        assert_eq!(trials.filter(|c| c.path_trial).count(), 1, "after {wait} s");
+    }
+    cx.now += Duration::from_secs(31);
+    assert_eq!(router.next_path_probe(&mut cx), Some("i-a".into()));
+    assert_eq!(router.next_path_probe(&mut cx), None);
     cx.now += Duration::from_secs(31);
-    assert!(choose(&mut router, &mut cx, true).expect("a second trial").path_trial);
+    assert_eq!(router.next_path_probe(&mut cx), Some("i-a".into()));
 }
 
 /// Guards against an ingress that refuses all work because its own link was broken.
--- a/crates/fescuemux-measure/examples/retry_storm.rs
+++ b/crates/fescuemux-measure/examples/retry_storm.rs
@@ -1,14 +1,18 @@
 //! Prints the retry storm measurements: `cargo run --release -p fescuemux-measure --example
-//! retry_storm [seeds]`.
+//! retry_storm [seeds [policy]]`.
 
 use fescuemux_measure::overload::{Fault, report, storm};
 
 fn main() -> anyhow::Result<()> {
     let seeds: u64 = std::env::args().nth(1).map_or(Ok(3), |text| text.parse())?;
+    let only = std::env::args().nth(2);
     let mut outages = vec![];
     let mut halves = vec![];
     for size in storm::SIZES {
         for policy in storm::POLICIES {
+            if only.as_ref().is_some_and(|name| name != policy.name) {
+                continue;
+            }
             outages.extend((1..=seeds).map(|seed| storm::outage(size, policy, seed)));
             for fault in [Fault::HalfDown, Fault::HalfSpeed] {
                 halves.extend((1..=seeds).map(|seed| storm::half(size, fault, policy, seed)));
--- a/crates/fescuemux-measure/src/overload/events.rs
+++ b/crates/fescuemux-measure/src/overload/events.rs
@@ -20,6 +20,10 @@
     Retry(usize),
     /// An attempt of a naive ingress took too long.
     Timeout(usize),
+    /// An ingress may probe a path.
+    Probe(usize),
+    /// The probe of a server's instance ends.
+    Probed(usize, usize),
     /// The caller's deadline passed.
     Deadline(usize),
 }
--- a/crates/fescuemux-measure/src/overload/ingress.rs
+++ b/crates/fescuemux-measure/src/overload/ingress.rs
@@ -98,6 +98,19 @@
         }
     }
 
+    pub(super) fn next_probe(&mut self, cx: &mut Cx) -> Option<usize> {
+        let Route::Router(router) = &mut self.route else {
+            return None;
+        };
+        router.next_path_probe(cx)?[1..].parse().ok()
+    }
+
+    pub(super) fn on_probe(&mut self, cx: &mut Cx, server: usize, ok: bool) {
+        if let Route::Router(router) = &mut self.route {
+            router.on_path_probe(cx, &format!("i{server}").into(), ok);
+        }
+    }
+
     /// Returns the wait before the next attempt of a request, if it gets one.
     pub(super) fn retry(
         &mut self,
--- a/crates/fescuemux-measure/src/overload/storm.rs
+++ b/crates/fescuemux-measure/src/overload/storm.rs
@@ -91,6 +91,8 @@
     /// Seconds from the return of the capacity until the goodput of every later second stays
     /// at 95%.
     pub recovery_s: Option<usize>,
+    /// Share of requests in time over the last 30 s, long after the return.
+    pub goodput_at_end: f64,
     /// Attempts started after the deadline of their caller.
     pub wasted: u64,
 }
@@ -145,7 +147,8 @@
     ];
     let stats = run(&setup);
     let in_fault = stats.sum(BEFORE..BEFORE + FAULT);
-    let after = &stats.seconds[BEFORE + FAULT..BEFORE + FAULT + AFTER];
+    let end = BEFORE + FAULT + AFTER;
+    let after = &stats.seconds[BEFORE + FAULT..end];
     let last_bad = after.iter().rposition(|s| s.goodput() < RECOVERED);
     let recovery = last_bad.map_or(0, |at| at + 1);
     HalfRow {
@@ -156,6 +159,7 @@
         goodput_in_fault: in_fault.goodput(),
         amplification: in_fault.amplification(),
         recovery_s: (recovery < AFTER).then_some(recovery),
+        goodput_at_end: stats.sum(end - 30..end).goodput(),
         wasted: stats.wasted,
     }
 }
--- a/crates/fescuemux-measure/src/overload/tests.rs
+++ b/crates/fescuemux-measure/src/overload/tests.rs
@@ -1,1 +1,53 @@
+//! Goals of the design page for overload, on the parts and on broken variants.
 
+use crate::overload::{Fault, Policy, report, storm};
+
+/// Bounds from section 9 of the design page.
+const MAX_AMPLIFICATION: f64 = 1.1;
+const MAX_RECOVERY_S: usize = 5;
+
+const SEED: u64 = 1;
+
+fn outage_meets_goal(policy: Policy) -> bool {
+    let sizes = storm::SIZES.iter();
+    let mut rows = sizes.map(|size| storm::outage(*size, policy, SEED));
+    rows.all(|row| row.amplification <= MAX_AMPLIFICATION)
+}
+
+fn recovery_meets_goal(policy: Policy) -> bool {
+    [Fault::HalfDown, Fault::HalfSpeed].into_iter().all(|fault| {
+        let row = storm::half(storm::SIZES[0], fault, policy, SEED);
+        row.recovery_s.is_some_and(|s| s <= MAX_RECOVERY_S)
+    })
+}
+
+#[test]
+fn a_total_outage_is_not_amplified() {
+    assert!(outage_meets_goal(Policy::PARTS));
+}
+
+#[test]
+fn goodput_returns_with_the_capacity() {
+    assert!(recovery_meets_goal(Policy::PARTS));
+}
+
+#[test]
+fn the_checks_catch_naive_retries_and_plain_queues() {
+    let [_, naive_retries, plain_queue, both] = storm::POLICIES;
+    for policy in [naive_retries, both] {
+        assert!(!outage_meets_goal(policy), "{}", policy.name);
+    }
+    for policy in [plain_queue, both] {
+        assert!(!recovery_meets_goal(policy), "{}", policy.name);
+    }
+}
+
+/// Guards against a table whose columns do not line up.
+#[test]
+fn tables_are_aligned() {
+    let rows =
+        [serde_json::json!({"a": "long text", "b": 1}), serde_json::json!({"a": "", "b": 2})];
+    let table = report::table("title", &rows).expect("rows are objects");
+    let columns: Vec<_> = table.lines().skip(2).map(|line| line.trim_end().len()).collect();
+    assert_eq!(columns, [12, 12]);
+}
--- a/crates/fescuemux-measure/src/overload/world.rs
+++ b/crates/fescuemux-measure/src/overload/world.rs
@@ -14,6 +14,9 @@
 /// One-way latency between an ingress and a guard.
 const HOP: Duration = Duration::from_millis(1);
 
+/// Time between two path probes of an ingress.
+const PROBE_INTERVAL: Duration = Duration::from_millis(100);
+
 #[derive(Debug)]
 struct Request {
     ingress: usize,
@@ -78,6 +81,7 @@
             at += phase.length;
         }
         events.push(Duration::ZERO, Event::Arrive);
+        (0..setup.ingresses).for_each(|ingress| events.push(Duration::ZERO, Event::Probe(ingress)));
         World {
             setup,
             cx,
@@ -104,6 +108,8 @@
             Event::Answer(attempt, reply) => self.answer(attempt, reply),
             Event::Retry(request) => self.send(request),
             Event::Timeout(attempt) => self.timeout(attempt),
+            Event::Probe(ingress) => self.probe(ingress),
+            Event::Probed(ingress, server) => self.probed(ingress, server),
             Event::Deadline(request) => self.deadline(request),
         }
     }
@@ -289,6 +295,18 @@
         self.requests[number].done = true;
     }
 
+    fn probe(&mut self, ingress: usize) {
+        if let Some(server) = self.ingresses[ingress].next_probe(&mut self.cx) {
+            self.events.push(self.now + 2 * HOP, Event::Probed(ingress, server));
+        }
+        self.events.push(self.now + PROBE_INTERVAL, Event::Probe(ingress));
+    }
+
+    fn probed(&mut self, ingress: usize, server: usize) {
+        let ok = !self.guards[server].dead;
+        self.ingresses[ingress].on_probe(&mut self.cx, server, ok);
+    }
+
     fn exponential(&mut self, mean: f64) -> Duration {
         let uniform: f64 = self.cx.rng.random_range(f64::MIN_POSITIVE..1.0);
         Duration::from_secs_f64(-uniform.ln() * mean)
