--- a/crates/fescuemux-core/src/route/breaker.rs
+++ b/crates/fescuemux-core/src/route/breaker.rs
@@ -22,8 +22,8 @@
     fn default() -> BreakerConfig {
         BreakerConfig {
             failures: 2.0,
-            open_min: Duration::from_secs(1),
-            open_max: Duration::from_secs(2),
+            open_min: Duration::from_millis(500),
+            open_max: Duration::from_secs(1),
         }
     }
 }
--- a/crates/fescuemux-measure/src/overload/tests.rs
+++ b/crates/fescuemux-measure/src/overload/tests.rs
@@ -31,6 +31,14 @@
     assert!(recovery_meets_goal(Policy::PARTS));
 }
 
+/// Guards against paths that stay open after their instances returned: each of 540 ingresses
+/// learns of 29 broken paths from 1.2 requests/s.
+#[test]
+fn goodput_returns_at_the_target_size() {
+    let row = storm::half(storm::SIZES[1], Fault::HalfDown, Policy::PARTS, SEED);
+    assert!(row.recovery_s.is_some_and(|s| s <= MAX_RECOVERY_S), "{row:?}");
+}
+
 #[test]
 fn the_checks_catch_naive_retries_and_plain_queues() {
     let [_, naive_retries, plain_queue, both] = storm::POLICIES;
