Bound answers to digest repairs

Cause: after a region cut every bucket differs between any two members, and the first member that repaired answered dozens of repairs with all standings.

--- a/crates/fescuemux-core/src/member/config.rs
+++ b/crates/fescuemux-core/src/member/config.rs
@@ -23,6 +23,10 @@
     pub sync_interval: Duration,
     /// Estimated bytes of records in one repair message.
     pub sync_bytes: usize,
+    /// Standings in one answer to a repair.
+    pub sync_standings: usize,
+    /// Answers to repairs that may follow at once; one more is allowed each probe period.
+    pub sync_burst: u32,
     /// Time between two attempts to reach a member held for dead.
     pub reconnect_interval: Duration,
     /// Time a dead record is kept. It exceeds a region cut, so that both sides still know each
@@ -48,6 +52,8 @@
             fanout: 3,
             sync_interval: Duration::from_secs(10),
             sync_bytes: 32 * 1024,
+            sync_standings: 160,
+            sync_burst: 8,
             reconnect_interval: Duration::from_secs(20),
             dead_retention: Duration::from_secs(6 * 3600),
             pause_threshold: Duration::from_secs(1),
--- a/crates/fescuemux-core/src/member/membership.rs
+++ b/crates/fescuemux-core/src/member/membership.rs
@@ -56,6 +56,8 @@
     pub(super) next_seq: u64,
     pub(super) next_probe: Instant,
     pub(super) next_sync: Instant,
+    /// Answers to repairs that are allowed now, and when they were last refilled.
+    pub(super) sync_tokens: (u32, Instant),
     pub(super) next_reconnect: Instant,
     pub(super) next_join: Instant,
     pub(super) next_sweep: Instant,
@@ -88,6 +90,7 @@
             next_seq: 0,
             next_probe,
             next_sync: now,
+            sync_tokens: (config.sync_burst, now),
             next_reconnect,
             next_join: now,
             next_sweep: now,
--- a/crates/fescuemux-core/src/member/message.rs
+++ b/crates/fescuemux-core/src/member/message.rs
@@ -97,6 +97,8 @@
         covered: u64,
         /// Standings of all records in these buckets.
         standings: Vec<Standing>,
+        /// Whether further buckets differ.
+        more: bool,
     },
     /// Carries updates and asks for whole records.
     Push {
--- a/crates/fescuemux-core/src/member/probing.rs
+++ b/crates/fescuemux-core/src/member/probing.rs
@@ -72,8 +72,8 @@
             Body::PingRequest { seq, target } => self.on_ping_request(cx, from, seq, &target, out),
             Body::IndirectAck { seq, reached } => self.on_indirect_ack(seq, reached),
             Body::SyncRequest { buckets } => self.on_sync_request(cx, from, &buckets, out),
-            Body::SyncResponse { covered, standings } => {
-                self.on_sync_response(cx, from, covered, standings, out);
+            Body::SyncResponse { covered, standings, more } => {
+                self.on_sync_response(cx, from, covered, standings, more, out);
             }
             Body::Push { want, truncated } => {
                 if !want.is_empty() {
--- a/crates/fescuemux-core/src/member/sync.rs
+++ b/crates/fescuemux-core/src/member/sync.rs
@@ -7,7 +7,7 @@
 use super::record::Standing;
 use crate::base::{Cx, HashMap, InstanceId};
 use rand::Rng as _;
-use rand::seq::IndexedRandom as _;
+use rand::seq::{IndexedRandom as _, SliceRandom as _};
 use std::net::SocketAddr;
 
 /// Most seed addresses kept.
@@ -76,7 +76,9 @@
         Body::SyncRequest { buckets: Box::new(*self.table.buckets()) }
     }
 
-    /// Answers a repair with the standings in all buckets that differ.
+    /// Answers a repair with the standings in buckets that differ, up to a bound. After a region
+    /// cut every bucket differs from every other member's, and unbounded answers put 62 KB/s on
+    /// the first member that repaired.
     pub(super) fn on_sync_request(
         &mut self,
         cx: &mut Cx,
@@ -85,10 +87,19 @@
         out: &mut Vec<Output>,
     ) {
         let own = self.table.buckets();
-        let differs = (0..BUCKETS).filter(|b| own[*b] != buckets[*b]);
-        let covered = differs.fold(0_u64, |bits, b| bits | 1 << b);
+        let mut differing: Vec<usize> = (0..BUCKETS).filter(|b| own[*b] != buckets[*b]).collect();
+        if !self.take_sync_token(cx) {
+            return;
+        }
+        // Random buckets, so that repairs with several members cover different ones.
+        differing.shuffle(&mut cx.rng);
+        let each = self.table.len().div_ceil(BUCKETS).max(1);
+        let fits = (self.config.sync_standings / each).max(1);
+        let more = differing.len() > fits;
+        differing.truncate(fits);
+        let covered = differing.iter().fold(0_u64, |bits, b| bits | 1 << b);
         let standings = self.table.listed_in(covered).map(|p| p.standing(cx.now)).collect();
-        let body = Body::SyncResponse { covered, standings };
+        let body = Body::SyncResponse { covered, standings, more };
         out.extend(self.send(cx, from, body).map(Output::Send));
     }
 
@@ -99,6 +110,7 @@
         from: &InstanceId,
         covered: u64,
         standings: Vec<Standing>,
+        more: bool,
         out: &mut Vec<Output>,
     ) {
         let theirs: HashMap<InstanceId, Standing> =
@@ -116,10 +128,23 @@
         if updates.is_empty() && want.is_empty() {
             return;
         }
+        if more && !want.is_empty() {
+            // A member that lacks content, such as one that just joined, does not wait.
+            self.next_sync = cx.now;
+        }
         let body = Body::Push { want, truncated };
         out.extend(self.send_with(cx, from, body, updates).map(Output::Send));
     }
 
+    fn take_sync_token(&mut self, cx: &Cx) -> bool {
+        let (tokens, refilled) = self.sync_tokens;
+        let period = self.config.probe_period;
+        let due = cx.now.saturating_duration_since(refilled).div_duration_f64(period) as u32;
+        let tokens = tokens.saturating_add(due).min(self.config.sync_burst);
+        self.sync_tokens = (tokens.saturating_sub(1), refilled + period * due);
+        tokens > 0
+    }
+
     /// Sends whole records that a member asked for.
     pub(super) fn on_want(
         &mut self,
--- a/crates/fescuemux-wire/src/member/message.rs
+++ b/crates/fescuemux-wire/src/member/message.rs
@@ -41,7 +41,7 @@
     /// Starts a repair.
     SyncRequest(Vec<[u8; 8]>),
     /// Answers a repair.
-    SyncResponse([u8; 8], Vec<Standing>),
+    SyncResponse([u8; 8], Vec<Standing>, bool),
     /// Carries updates and asks for whole records.
     Push(Vec<SmolStr>, bool),
     /// Tells of a new generation.
@@ -82,9 +82,10 @@
             member::Body::SyncRequest { buckets } => {
                 Body::SyncRequest(buckets.iter().map(|b| b.to_le_bytes()).collect())
             }
-            member::Body::SyncResponse { covered, standings } => Body::SyncResponse(
+            member::Body::SyncResponse { covered, standings, more } => Body::SyncResponse(
                 covered.to_le_bytes(),
                 standings.into_iter().map(Standing::from).collect(),
+                more,
             ),
             member::Body::Push { want, truncated } => Body::Push(want, truncated),
             member::Body::Notify => Body::Notify,
@@ -104,12 +105,12 @@
             }
             Body::IndirectAck(seq, reached) => member::Body::IndirectAck { seq, reached },
             Body::SyncRequest(list) => member::Body::SyncRequest { buckets: buckets(&list)? },
-            Body::SyncResponse(covered, standings) => {
+            Body::SyncResponse(covered, standings, more) => {
                 checked_len(standings.len(), MAX_STANDINGS)?;
                 let standings: Result<Vec<_>, _> =
                     standings.into_iter().map(TryInto::try_into).collect();
                 let covered = u64::from_le_bytes(covered);
-                member::Body::SyncResponse { covered, standings: standings? }
+                member::Body::SyncResponse { covered, standings: standings?, more }
             }
             Body::Push(want, truncated) => {
                 checked_len(want.len(), MAX_STANDINGS)?;
--- a/crates/fescuemux-wire/src/member/tests.rs
+++ b/crates/fescuemux-wire/src/member/tests.rs
@@ -45,7 +45,7 @@
         Body::PingRequest { seq: 3, target: "b".into() },
         Body::IndirectAck { seq: 4, reached: true },
         Body::SyncRequest { buckets: Box::new([5; BUCKETS]) },
-        Body::SyncResponse { covered: 6, standings: Vec::new() },
+        Body::SyncResponse { covered: 6, standings: Vec::new(), more: true },
         Body::Push { want: vec!["c".into()], truncated: true },
         Body::Notify,
     ];
