Keep queued updates off messages to members that are gone

Cause: in a region cut each member asks about 230 suspects a last time, and each of these pings carried up to 1200 bytes of queued updates that nobody received.

Conclusion: the last question carries only the claim, and dead receivers get no queued updates.

--- a/crates/fescuemux-core/src/member/probing.rs
+++ b/crates/fescuemux-core/src/member/probing.rs
@@ -257,8 +257,9 @@
                 peer.asked_last = true;
                 // A late tick must leave time for the answer.
                 peer.since = peer.since.max(cx.now - ask_after);
-                let seq = self.take_seq();
-                out.extend(self.send(cx, &instance, Body::Ping { seq }).map(Output::Send));
+                let body = Body::Ping { seq: self.take_seq() };
+                let claim = self.update_about(cx, &instance, false).into_iter().collect();
+                out.extend(self.send_with(cx, &instance, body, claim).map(Output::Send));
             }
         }
     }
--- a/crates/fescuemux-core/src/member/spread.rs
+++ b/crates/fescuemux-core/src/member/spread.rs
@@ -116,6 +116,10 @@
         if let Some(peer) = self.table.get_mut(to) {
             peer.doubts_own = false;
         }
+        // A dead receiver would use up transmissions for nothing.
+        if self.table.get(to).is_some_and(|p| p.record.state == MemberState::Dead) {
+            return updates;
+        }
         let limit = self.config.transmits(self.table.present());
         let table = &self.table;
         let cost = |instance: &InstanceId, full: bool| {
