Check fleet rows against the control bounds

Cause: the measurement printed figures without saying which of them exceed the bounds.

Conclusion: the check takes its limits from the requirements, and rows just past each limit are caught.

--- a/crates/fescuemux-measure/examples/fleet.rs
+++ b/crates/fescuemux-measure/examples/fleet.rs
@@ -1,7 +1,7 @@
 //! Measures the control traffic of fleets of 60, 180 and 540 daemons.
 //!
 //! `cargo run --release -p fescuemux-measure --example fleet -- [nodes ...] [--json FILE]
-//! [--only WORD]` prints a table, slopes and the values that follow at larger sizes.
+//! [--only WORD] [--seed NUMBER]` prints a table, slopes and the values that follow at larger sizes.
 
 use anyhow::Context as _;
 use fescuemux_measure::fleet::{
@@ -10,7 +10,6 @@
 };
 
 const SERVERS_EACH: usize = 8;
-const SEED: u64 = 1;
 
 const SCENARIOS: [(&str, Scenario); 5] = [
     ("steady", steady),
@@ -24,10 +23,12 @@
     let mut sizes = Vec::new();
     let mut json = None;
     let mut only = None;
+    let mut seed = 1;
     let mut args = std::env::args().skip(1);
     while let Some(arg) = args.next() {
         match arg.as_str() {
             "--json" => json = Some(args.next().context("--json needs a file")?),
+            "--seed" => seed = args.next().context("--seed needs a number")?.parse()?,
             "--only" => only = Some(args.next().context("--only needs a word")?),
             size => sizes.push(size.parse::<usize>().context("sizes are numbers")?),
         }
@@ -35,10 +36,10 @@
     if sizes.is_empty() {
         sizes = vec![60, 180, 540];
     }
-    let memory = measure_memory(&sizes, SERVERS_EACH, SEED);
+    let memory = measure_memory(&sizes, SERVERS_EACH, seed);
     let mut rows: Vec<Row> = Vec::new();
     for nodes in &sizes {
-        let (settled, joined) = join(*nodes, SERVERS_EACH, SEED);
+        let (settled, joined) = join(*nodes, SERVERS_EACH, seed);
         rows.extend(joined);
         for (name, scenario) in SCENARIOS {
             if only.as_ref().is_none_or(|o| o == name) {
@@ -52,9 +53,14 @@
         println!("memory of a node at {nodes:.0}: {:.0} KiB", bytes / 1024.0);
     }
     print_slopes(&rows, &memory);
+    for row in &rows {
+        for what in Bounds::TARGET.exceeded_by(row) {
+            println!("exceeds the bounds: {} at {} nodes, {what}", row.scenario, row.nodes);
+        }
+    }
     if let Some(file) = json {
         let value = serde_json::json!({
-            "seed": SEED,
+            "seed": seed,
             "servers_each": SERVERS_EACH,
             "bounds": Bounds::TARGET,
             "rows": rows,
--- a/crates/fescuemux-measure/src/fleet/report.rs
+++ b/crates/fescuemux-measure/src/fleet/report.rs
@@ -3,6 +3,9 @@
 use super::meter::Traffic;
 use serde::Serialize;
 
+/// Name of the scenario that the configuration bounds apply to.
+pub(super) const CONFIG: &str = "configuration, 1% loss";
+
 /// Control bounds of one node at the target scale.
 #[derive(Clone, Copy, Debug, Serialize)]
 pub struct Bounds {
@@ -27,6 +30,23 @@
         config_median_secs: 2.0,
         config_max_secs: 6.0,
     };
+
+    /// Returns in what `row` exceeds the bounds.
+    pub fn exceeded_by(&self, row: &Row) -> Vec<String> {
+        let config = row.scenario == CONFIG;
+        let unfinished = row.converged_max < 0.0;
+        let checks = [
+            (row.bytes_mean > self.bytes, "bytes/s, mean of all nodes"),
+            (row.bytes_max > self.bytes, "bytes/s, busiest node"),
+            (row.bytes_peak > self.bytes, "bytes/s, busiest node in its busiest 10 s"),
+            (row.cpu_us > self.cpu_us, "processor time"),
+            (row.false_deaths > 0, "false deaths"),
+            (unfinished, "views that never converged"),
+            (config && row.converged_p50 > self.config_median_secs, "median time in force"),
+            (config && row.converged_max > self.config_max_secs, "longest time in force"),
+        ];
+        checks.iter().filter(|(exceeded, _)| *exceeded).map(|(_, what)| what.to_string()).collect()
+    }
 }
 
 /// Result of one scenario at one size.
--- a/crates/fescuemux-measure/src/fleet/scenarios.rs
+++ b/crates/fescuemux-measure/src/fleet/scenarios.rs
@@ -1,7 +1,7 @@
 //! The measured scenarios.
 
 use super::names::{DOMAINS, domain, name, region};
-use super::report::Row;
+use super::report::{CONFIG, Row};
 use super::sim::Fleet;
 use fescuemux_core::member::MemberState;
 use std::collections::HashSet;
@@ -128,7 +128,7 @@
             times.push(if behind { f64::INFINITY } else { secs });
         }
     }
-    vec![row("configuration, 1% loss", &mut fleet, &times)]
+    vec![row(CONFIG, &mut fleet, &times)]
 }
 
 /// Returns bytes of memory of a node at each size. The fleets are kept until the end, because
--- /dev/null
+++ b/crates/fescuemux-measure/tests/fleet.rs
@@ -0,0 +1,61 @@
+//! Checks of the fleet measurement that do not depend on processor time.
+
+use fescuemux_measure::fleet::{
+    Bounds, Row, Scenario, config_spread, domain_lost, fit, join, rack_lost, region_cut,
+};
+
+const SERVERS_EACH: usize = 8;
+
+/// Guards against traffic, false deaths or a spread of configuration past the stated bounds in
+/// a small fleet.
+#[test]
+fn a_small_fleet_stays_within_bounds() {
+    let (settled, _) = join(60, SERVERS_EACH, 3);
+    let scenarios: [Scenario; 4] = [rack_lost, domain_lost, config_spread, region_cut];
+    for scenario in scenarios {
+        for mut row in scenario(&settled) {
+            // Processor time depends on the machine and decides nothing here.
+            row.cpu_us = 0.0;
+            let exceeded = Bounds::TARGET.exceeded_by(&row);
+            assert!(exceeded.is_empty(), "{}: {exceeded:?}", row.scenario);
+        }
+    }
+}
+
+/// Guards against a check of bounds that finds nothing.
+#[test]
+fn rows_past_the_bounds_are_caught() {
+    let good = Row {
+        scenario: "configuration, 1% loss".to_owned(),
+        nodes: 540,
+        bytes_mean: 15_000.0,
+        bytes_max: 15_000.0,
+        bytes_peak: 15_000.0,
+        messages: 2.0,
+        converged_p50: 2.0,
+        converged_max: 6.0,
+        false_deaths: 0,
+        cpu_us: 13_000.0,
+    };
+    assert!(Bounds::TARGET.exceeded_by(&good).is_empty());
+    let bad = [
+        Row { bytes_mean: 15_361.0, ..good.clone() },
+        Row { bytes_peak: 15_361.0, ..good.clone() },
+        Row { converged_p50: 2.1, ..good.clone() },
+        Row { converged_max: 6.1, ..good.clone() },
+        Row { converged_max: -1.0, ..good.clone() },
+        Row { false_deaths: 1, ..good.clone() },
+        Row { cpu_us: 13_001.0, ..good.clone() },
+    ];
+    for row in bad {
+        assert_eq!(Bounds::TARGET.exceeded_by(&row).len(), 1, "{row:?}");
+    }
+}
+
+/// Guards against slopes that do not fit their points.
+#[test]
+fn slopes_fit_a_line() {
+    let line = fit(&[(60.0, 160.0), (180.0, 400.0), (540.0, 1120.0)]);
+    assert!((line.base - 40.0).abs() < 1e-9 && (line.slope - 2.0).abs() < 1e-9, "{line:?}");
+    assert!((line.at(1080.0) - 2200.0).abs() < 1e-9);
+}
