--- a/crates/fescuemux-core/src/member/probing.rs
+++ b/crates/fescuemux-core/src/member/probing.rs
@@ -72,8 +72,8 @@
             Body::PingRequest { seq, target } => self.on_ping_request(cx, from, seq, &target, out),
             Body::IndirectAck { seq, reached } => self.on_indirect_ack(seq, reached),
             Body::SyncRequest { buckets } => self.on_sync_request(cx, from, &buckets, out),
-            Body::SyncResponse { covered, standings } => {
-                self.on_sync_response(cx, from, covered, standings, out);
+            Body::SyncResponse { covered, standings, more } => {
+                self.on_sync_response(cx, from, covered, standings, more, out);
             }
             Body::Push { want, truncated } => {
                 if !want.is_empty() {
@@ -257,8 +257,9 @@
                 peer.asked_last = true;
                 // A late tick must leave time for the answer.
                 peer.since = peer.since.max(cx.now - ask_after);
-                let seq = self.take_seq();
-                out.extend(self.send(cx, &instance, Body::Ping { seq }).map(Output::Send));
+                let body = Body::Ping { seq: self.take_seq() };
+                let claim = self.update_about(cx, &instance, false).into_iter().collect();
+                out.extend(self.send_with(cx, &instance, body, claim).map(Output::Send));
             }
         }
     }
