--- /dev/null
+++ b/crates/fescuemux-store/tests/http.rs
@@ -0,0 +1,158 @@
+//! Guards against a client that reports a wrong effect, or that repeats a write which may have
+//! taken effect at another address.
+
+use fescuemux_standins::store::{StandInStore, StoreFault};
+use fescuemux_store::{
+    CallKind, Change, Effect, Expect, Failure, HttpStore, HttpStoreSettings, Store, StoreError,
+    Watched,
+};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+const PUT: Change<'static> = Change::Put { value: b"v", lease: None };
+
+fn start() -> StandInStore {
+    StandInStore::start("127.0.0.1:0").unwrap()
+}
+
+fn client(addrs: &[SocketAddr]) -> HttpStore {
+    HttpStore::new(HttpStoreSettings::new(addrs.to_vec())).unwrap()
+}
+
+/// Returns an address that refuses connections. A port freed by this test could be taken by
+/// another one that runs at the same time; no test can take port 1.
+fn closed_addr() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1))
+}
+
+struct Case {
+    fault: StoreFault,
+    write: Result<(), Effect>,
+    read: Result<(), Effect>,
+    /// Whether the key exists after the write.
+    exists: bool,
+}
+
+#[test]
+fn effect_of_each_fault() {
+    let cases = [
+        Case { fault: StoreFault::None, write: Ok(()), read: Ok(()), exists: true },
+        Case {
+            fault: StoreFault::Down,
+            write: Err(Effect::None),
+            read: Err(Effect::None),
+            exists: false,
+        },
+        Case {
+            fault: StoreFault::LoseReplies(1),
+            write: Err(Effect::Unknown),
+            read: Ok(()),
+            exists: true,
+        },
+        Case {
+            fault: StoreFault::LoseWrites(1),
+            write: Err(Effect::Unknown),
+            read: Ok(()),
+            exists: false,
+        },
+        Case {
+            fault: StoreFault::OneWayLoss,
+            write: Err(Effect::Unknown),
+            read: Err(Effect::None),
+            exists: true,
+        },
+        Case { fault: StoreFault::StaleReads, write: Ok(()), read: Ok(()), exists: true },
+    ];
+    for Case { fault, write, read, exists } in cases {
+        let served = start();
+        let client = client(&[served.addr()]);
+        served.set_fault(fault);
+        let effect = |error: StoreError| error.effect;
+        let written = client.compare_and_swap("k", Expect::Absent, PUT);
+        assert_eq!(written.map(drop).map_err(effect), write, "{fault:?}");
+        assert_eq!(client.get("k").map(drop).map_err(effect), read, "{fault:?}");
+        assert_eq!(served.memory().peek("k").is_some(), exists, "{fault:?}");
+        served.stop();
+    }
+}
+
+#[test]
+fn silent_store_leaves_the_effect_unknown() {
+    let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+    let settings = HttpStoreSettings {
+        call_timeout: Duration::from_millis(50),
+        ..HttpStoreSettings::new(vec![silent.local_addr().unwrap()])
+    };
+    let client = HttpStore::new(settings).unwrap();
+    let error = client.compare_and_swap("k", Expect::Absent, PUT).unwrap_err();
+    assert_eq!((error.effect, error.failure), (Effect::Unknown, Failure::NoAnswer));
+    let error = client.get("k").unwrap_err();
+    assert_eq!((error.effect, error.failure), (Effect::None, Failure::NoAnswer));
+}
+
+#[test]
+fn other_addresses_are_tried_only_when_safe() {
+    let (broken, healthy) = (start(), start());
+    let client = client(&[closed_addr(), broken.addr(), healthy.addr()]);
+    broken.set_fault(StoreFault::OneWayLoss);
+    let error = client.compare_and_swap("k", Expect::Absent, PUT).unwrap_err();
+    assert_eq!(error.effect, Effect::Unknown);
+    assert!(broken.memory().peek("k").is_some());
+    assert!(healthy.memory().peek("k").is_none(), "the write is not repeated");
+    assert_eq!(client.get("k").unwrap(), None, "a read goes on to the healthy address");
+
+    broken.set_fault(StoreFault::None);
+    assert!(client.compare_and_swap("k", Expect::Absent, PUT).is_ok());
+    assert!(healthy.memory().peek("k").is_some(), "the address that answered last comes first");
+    broken.stop();
+    healthy.stop();
+}
+
+#[test]
+fn unreachable_store_has_no_effect() {
+    let client = client(&[closed_addr(), closed_addr()]);
+    let error = client.compare_and_swap("k", Expect::Absent, PUT).unwrap_err();
+    assert_eq!((error.effect, error.failure), (Effect::None, Failure::Unreachable));
+    let no_address = HttpStore::new(HttpStoreSettings::new(Vec::new()));
+    assert_eq!(no_address.err().map(|error| error.failure), Some(Failure::Refused));
+}
+
+#[test]
+fn calls_are_counted_as_the_store_counts_them() {
+    let served = start();
+    let counts: Arc<[AtomicU64; 2]> = Arc::default();
+    let hook = Arc::clone(&counts);
+    let client = client(&[served.addr()]).with_hook(Arc::new(move |kind| {
+        let place = usize::from(kind == CallKind::Write);
+        hook[place].fetch_add(1, Ordering::Relaxed);
+    }));
+    client.compare_and_swap("k", Expect::Absent, PUT).unwrap();
+    client.list("").unwrap();
+    let lease = client.lease_grant(Duration::from_secs(9)).unwrap();
+    client.lease_renew(lease).unwrap();
+    client.watch("k", 0, Duration::from_secs(9)).unwrap();
+    let counters = served.counters();
+    assert_eq!((counters.reads, counters.writes), (2, 3));
+    assert_eq!(counts.each_ref().map(|count| count.load(Ordering::Relaxed)), [2, 3]);
+    served.stop();
+}
+
+/// Guards against a watch that polls, and against one that misses the change it waits for.
+#[test]
+fn waiting_watch_is_one_call() {
+    let served = start();
+    let client = client(&[served.addr()]);
+    std::thread::scope(|scope| {
+        let watch = scope.spawn(|| client.watch("k", 0, Duration::from_secs(30)));
+        while served.counters().reads == 0 {
+            std::thread::yield_now();
+        }
+        served.memory().compare_and_swap("k", Expect::Absent, PUT).unwrap();
+        let seen = watch.join().unwrap().unwrap();
+        assert!(matches!(seen, Watched::Changed(entry) if entry.value == b"v"));
+    });
+    assert_eq!(served.counters().reads, 1);
+    served.stop();
+}
