--- a/crates/fescuemux-core/src/config/confirm.rs
+++ b/crates/fescuemux-core/src/config/confirm.rs
@@ -14,7 +14,6 @@
 use super::layout::Part;
 use super::names::Digest;
 use crate::base::{Generation, PlanId};
-use crate::config::Names;
 use smol_str::SmolStr;
 use std::time::SystemTime;
 
@@ -39,8 +38,10 @@
 pub enum Step {
     /// Read the head.
     ReadHead,
-    /// Write the chunks that the plan changes on the content of these names.
-    WriteChunks(Box<Names>),
+    /// Write the chunks that the plan changes on the content of this head; `None` for empty
+    /// content. Chunks that the head remembers need no write. All others must be written after
+    /// the head was read, even if they exist, or a sweep may delete them.
+    WriteChunks(Option<Box<Head>>),
     /// Compare-and-swap the head. `None` expects that there is none.
     SwapHead(Option<u64>, Box<Head>),
     /// Report the outcome.
@@ -187,9 +188,9 @@
     }
 
     fn on_base(&mut self, head: Option<(u64, Box<Head>)>) -> Step {
-        let names = head.as_ref().map(|(_, head)| head.names.clone()).unwrap_or_default();
+        let step = Step::WriteChunks(head.as_ref().map(|(_, head)| head.clone()));
         self.base = head;
-        Step::WriteChunks(Box::new(names))
+        step
     }
 
     fn swap_of(&self, changed: &[(Part, Option<Digest>)]) -> Step {
--- a/crates/fescuemux-core/src/config/head.rs
+++ b/crates/fescuemux-core/src/config/head.rs
@@ -2,7 +2,7 @@
 
 use super::layout::Part;
 use super::{Digest, Names};
-use crate::base::{Generation, PlanId};
+use crate::base::{Generation, HashSet, PlanId};
 use smol_str::SmolStr;
 use std::time::SystemTime;
 
@@ -68,6 +68,13 @@
         self.latest.plan
     }
 
+    /// Returns the chunks of all generations that the head remembers.
+    pub fn chunks(&self) -> HashSet<Digest> {
+        let replaced = self.records().flat_map(|record| &record.replaced);
+        let older = replaced.filter_map(|(_, name)| *name);
+        self.names.iter().map(|(_, name)| name).chain(older).collect()
+    }
+
     /// Returns the known generations, newest first.
     pub fn records(&self) -> impl Iterator<Item = &Record> {
         std::iter::once(&self.latest).chain(&self.history)
--- a/crates/fescuemux-store/src/config_store.rs
+++ b/crates/fescuemux-store/src/config_store.rs
@@ -8,10 +8,12 @@
 mod error;
 mod load;
 mod plans;
+mod sweep;
 
 pub use confirm::Confirmation;
 pub use error::ConfigStoreError;
 pub use load::{Loaded, Snapshot};
+pub use sweep::Swept;
 
 use crate::Store;
 use fescuemux_wire::config::ChunkSet;
--- a/crates/fescuemux-store/src/config_store/confirm.rs
+++ b/crates/fescuemux-store/src/config_store/confirm.rs
@@ -1,16 +1,24 @@
 //! Confirming of plans.
 
 use super::{ConfigStore, ConfigStoreError};
-use crate::{Change, Effect, Expect, Store, Swap};
+use crate::{Change, Effect, Expect, Failure, Store, StoreError, Swap};
 use fescuemux_core::base::PlanId;
 use fescuemux_core::config::{
-    Confirm, Digest, HEAD_KEY, Head, Names, Outcome, Part, Plan, Reason, Reply, Stale, Step,
+    Confirm, Digest, HEAD_KEY, Head, Outcome, Part, Plan, Reason, Reply, Stale, Step,
     UnknownReason, Update, chunk_key, explain_stale, parts_of, split_parts,
 };
 use fescuemux_wire::config::{ConfigError, encode_chunk, encode_head};
 use smol_str::SmolStr;
 use std::time::SystemTime;
 
+/// Generations between two sweeps. As many as the history holds, so that a sweep finds about as
+/// many chunks to delete as are kept.
+const SWEEP_INTERVAL: u64 = 32;
+
+/// Tries to write one chunk: two for a chunk that exists, one for a sweep in between, and one
+/// for a lost reply.
+const WRITE_TRIES: usize = 4;
+
 /// Result of a confirm.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Confirmation {
@@ -43,6 +51,12 @@
             return Ok(Outcome::NotConfirmed(Reason::Refused).into());
         }
         let outcome = self.run(&found, author, time)?;
+        if let Outcome::Confirmed(generation) = outcome
+            && generation % SWEEP_INTERVAL == 0
+        {
+            // The confirm stands whether or not old chunks can be deleted now.
+            let _ = self.sweep();
+        }
         let stale = match outcome {
             Outcome::NotConfirmed(Reason::Stale(_)) => self.explain(&found),
             _ => None,
@@ -76,7 +90,7 @@
             let reply = match confirm.step() {
                 Step::Done(outcome) => return Ok(*outcome),
                 Step::ReadHead => self.reply_head(),
-                Step::WriteChunks(names) => self.reply_chunks(plan, names),
+                Step::WriteChunks(base) => self.reply_chunks(plan, base.as_deref()),
                 Step::SwapHead(version, head) => Ok(self.reply_swap(*version, head)),
             };
             // After a swap with unknown effect, a record that cannot be used is one more reason
@@ -106,8 +120,8 @@
         }
     }
 
-    fn reply_chunks(&self, plan: &Plan, names: &Names) -> Result<Reply, ConfigStoreError> {
-        match self.write_chunks(plan, names) {
+    fn reply_chunks(&self, plan: &Plan, base: Option<&Head>) -> Result<Reply, ConfigStoreError> {
+        match self.write_chunks(plan, base) {
             Ok(changed) => Ok(Reply::Chunks(changed)),
             // A replica that answers old values lacks the newest chunks.
             Err(ConfigStoreError::Store(_))
@@ -128,12 +142,14 @@
         }
     }
 
-    /// Writes the chunks that the plan changes on the content of `names`.
+    /// Writes the chunks that the plan changes on the content of `base`.
     fn write_chunks(
         &self,
         plan: &Plan,
-        names: &Names,
+        base: Option<&Head>,
     ) -> Result<Vec<(Part, Option<Digest>)>, ConfigStoreError> {
+        let names = &base.map(|head| head.names.clone()).unwrap_or_default();
+        let kept = base.map(Head::chunks).unwrap_or_default();
         let mut config = self.config_of(names)?;
         self.chunks().check_format(names)?;
         config.apply(&plan.changes)?;
@@ -145,7 +161,9 @@
                 Some(chunk) => {
                     let encoded = encode_chunk(&chunk)?;
                     let name = encoded.name;
-                    self.create(&chunk_key(&name), &encoded.bytes, None)?;
+                    if !kept.contains(&name) {
+                        self.write_afresh(&chunk_key(&name), &encoded.bytes)?;
+                    }
                     self.chunks().insert_own(encoded, chunk);
                     Some(name)
                 }
@@ -161,6 +179,27 @@
         Ok(changed)
     }
 
+    /// Writes a chunk that no generation of the base names, even if it exists: the new version
+    /// keeps a sweep that listed the old one from deleting it. When another writer comes in
+    /// between, its version is as new.
+    fn write_afresh(&self, key: &str, value: &[u8]) -> Result<(), StoreError> {
+        let change = Change::Put { value, lease: None };
+        let mut expect = Expect::Absent;
+        for _ in 0..WRITE_TRIES {
+            match (self.store.compare_and_swap(key, expect, change), expect) {
+                (Ok(Swap::Done(_)), _) => return Ok(()),
+                (Ok(Swap::Conflict(Some(_))), Expect::Version(_)) => return Ok(()),
+                (Ok(Swap::Conflict(Some(version))), Expect::Absent) => {
+                    expect = Expect::Version(version);
+                }
+                (Ok(Swap::Conflict(None)), _) => expect = Expect::Absent,
+                (Err(error), _) if !error.is_transient() => return Err(error),
+                (Err(_), _) => {}
+            }
+        }
+        Err(StoreError::unknown(Failure::NoAnswer, format!("{key}: too many tries")))
+    }
+
     /// The explanation is a help for the operator, so a store that fails now only leaves it out.
     fn explain(&self, plan: &Plan) -> Option<Stale> {
         let (_, head) = self.read_head().ok()??;
--- a/crates/fescuemux-store/tests/common/mod.rs
+++ b/crates/fescuemux-store/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Short forms for tests of the configuration in a store.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub(crate) mod turns;
+
 use fescuemux_core::base::{Cx, PlanId};
 use fescuemux_core::config::{
     CallerLimit, CapacityReport, Change, Config, Intent, Outcome, Plan, Route, Service,
