Refuse an emptied store and repeated plan ids, split large plans, restore a lost head

Cause: on a store that lost its content a plan would become generation 1, which no daemon takes, and a generator seeded twice alike repeats a plan id, so that a confirm of the second plan reports the first. Both were found by a test of a lost store. Before: such a confirm answered Confirmed(1) for content that was never in force. Conclusion: an operator is told when the store is behind.

--- a/crates/fescuemux-core/src/config/review.rs
+++ b/crates/fescuemux-core/src/config/review.rs
@@ -7,6 +7,10 @@
 };
 use std::collections::BTreeMap;
 
+/// Most warnings, and most refusals, that a plan lists. Removing a service can break thousands of
+/// routes at once.
+const MAX_FINDINGS: usize = 100;
+
 /// Returns the warnings and the refusals of changes that lead to `target`.
 pub(super) fn review(
     target: &Config,
@@ -32,7 +36,18 @@
     findings.check_services_of_routes(target);
     findings.check_selectors(target);
     findings.warn_of_size(target, changes);
-    (findings.warnings, findings.refusals)
+    (shorten(findings.warnings), shorten(findings.refusals))
+}
+
+/// Keeps the first findings and counts the others.
+fn shorten(mut findings: Vec<Finding>) -> Vec<Finding> {
+    let more = findings.len().saturating_sub(MAX_FINDINGS);
+    if more > 0 {
+        findings.truncate(MAX_FINDINGS);
+        let text = format!("{more} more findings are left out");
+        findings.push(Finding { kind: findings[0].kind, text });
+    }
+    findings
 }
 
 #[derive(Default)]
--- a/crates/fescuemux-core/tests/config_plan.rs
+++ b/crates/fescuemux-core/tests/config_plan.rs
@@ -111,6 +111,18 @@
     }
 }
 
+#[test]
+fn findings_are_bounded() {
+    let mut base = base_config();
+    (0..500)
+        .map(|i| route(&format!("r{i}"), &format!("/r{i}"), "permits", false))
+        .for_each(|change| base.apply_change(&change));
+    let remove = Intent::Changes(vec![Change::RemoveService("permits".into())]);
+    let refusals = plan_on(&base, &remove).unwrap().refusals;
+    assert_eq!(refusals.len(), 101);
+    assert_eq!(refusals[100].text, "401 more findings are left out");
+}
+
 #[test]
 fn plan_shows_floors_and_leads_to_the_content() {
     let base = base_config();
--- a/crates/fescuemux-store/src/config_store.rs
+++ b/crates/fescuemux-store/src/config_store.rs
@@ -8,6 +8,7 @@
 mod error;
 mod load;
 mod plans;
+mod restore;
 mod sweep;
 
 pub use confirm::Confirmation;
@@ -16,7 +17,9 @@
 pub use sweep::Swept;
 
 use crate::Store;
+use fescuemux_core::base::Generation;
 use fescuemux_wire::config::ChunkSet;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -24,6 +27,8 @@
 pub struct ConfigStore<S> {
     store: S,
     retry_pause: Duration,
+    /// Newest generation that this process has seen, in the store or from a peer.
+    known: AtomicU64,
     /// Chunks read or written last, so that a plan and its confirm read each chunk once.
     chunks: Mutex<ChunkSet>,
 }
@@ -35,10 +40,21 @@
         ConfigStore {
             store,
             retry_pause: Duration::from_millis(200),
+            known: AtomicU64::new(0),
             chunks: Mutex::new(ChunkSet::new()),
         }
     }
 
+    /// Tells the driver of a generation that is in force, for example one from a peer. No plan
+    /// is made or confirmed on an older one: daemons would never take its generation.
+    pub fn note_generation(&self, generation: Generation) {
+        self.known.fetch_max(generation, Ordering::Relaxed);
+    }
+
+    fn known(&self) -> Generation {
+        self.known.load(Ordering::Relaxed)
+    }
+
     /// Sets the pause after the first failed call of a confirm.
     #[must_use]
     pub fn with_retry_pause(mut self, pause: Duration) -> ConfigStore<S> {
--- a/crates/fescuemux-store/src/config_store/confirm.rs
+++ b/crates/fescuemux-store/src/config_store/confirm.rs
@@ -115,7 +115,9 @@
     fn reply_head(&self) -> Result<Reply, ConfigStoreError> {
         match self.read_head_to_follow() {
             Ok(head) => Ok(Reply::Head(head.map(|(version, head)| (version, Box::new(head))))),
-            Err(ConfigStoreError::Store(_)) => Ok(Reply::NoHead),
+            Err(ConfigStoreError::Store(_) | ConfigStoreError::StoreBehind { .. }) => {
+                Ok(Reply::NoHead)
+            }
             Err(error) => Err(error),
         }
     }
--- a/crates/fescuemux-store/src/config_store/error.rs
+++ b/crates/fescuemux-store/src/config_store/error.rs
@@ -1,6 +1,7 @@
 //! Errors of the driver.
 
 use crate::StoreError;
+use fescuemux_core::base::{Generation, PlanId};
 use fescuemux_core::config::{Mismatch, PlanError};
 use fescuemux_wire::config::ConfigError;
 
@@ -11,6 +12,19 @@
     /// The store failed. For a proposal this means that there is no plan.
     #[error(transparent)]
     Store(#[from] StoreError),
+    /// The store answered an older generation than the one in force. Either a replica is behind,
+    /// or the store lost its content; see [`super::ConfigStore::restore`].
+    #[error("the store answers generation {found}, but generation {known} is in force")]
+    StoreBehind {
+        /// Generation in force.
+        known: Generation,
+        /// Generation that the store answers; zero for none.
+        found: Generation,
+    },
+    /// The random id of the plan belongs to another plan. Proposing again draws a new one; if it
+    /// repeats, the generator is not seeded from randomness.
+    #[error("plan id {0:032x} is taken")]
+    PlanIdTaken(PlanId),
     /// A record in the store cannot be used.
     #[error("record in the store is damaged: {0}")]
     Record(#[from] ConfigError),
--- a/crates/fescuemux-store/src/config_store/load.rs
+++ b/crates/fescuemux-store/src/config_store/load.rs
@@ -76,8 +76,17 @@
 
     /// Returns the head as the base of a plan or confirm.
     pub(super) fn read_head_to_follow(&self) -> Result<Option<(Version, Head)>, ConfigStoreError> {
-        let Some(entry) = self.store.get(HEAD_KEY)? else { return Ok(None) };
-        Ok(Some((entry.version, decode_head_to_follow(&entry.value)?)))
+        let head = match self.store.get(HEAD_KEY)? {
+            Some(entry) => Some((entry.version, decode_head_to_follow(&entry.value)?)),
+            None => None,
+        };
+        let found = head.as_ref().map_or(0, |(_, head)| head.generation());
+        let known = self.known();
+        if found < known {
+            return Err(ConfigStoreError::StoreBehind { known, found });
+        }
+        self.note_generation(found);
+        Ok(head)
     }
 
     pub(super) fn read_head(&self) -> Result<Option<(Version, Head)>, ConfigStoreError> {
--- a/crates/fescuemux-store/src/config_store/plans.rs
+++ b/crates/fescuemux-store/src/config_store/plans.rs
@@ -40,6 +40,9 @@
         let generation = head.as_ref().map_or(0, |head| head.generation());
         let base = Base { generation, config: &config, older: older.as_ref() };
         let plan = plan(cx, base, capacity, intent, author)?;
+        if head.is_some_and(|head| head.generation_of(plan.id).is_some()) {
+            return Err(ConfigStoreError::PlanIdTaken(plan.id));
+        }
         if plan.refusals.is_empty() {
             self.store_plan(&plan)?;
         }
@@ -51,29 +54,37 @@
         let bytes = encode_plan(plan);
         let lease = self.store.lease_grant(PLAN_TTL)?;
         let key = plan_key(plan.id);
-        if bytes.len() <= RECORD_BYTES {
-            return Ok(self.create(&key, &bytes, Some(lease))?);
-        }
         let records: Vec<&[u8]> = bytes.chunks(RECORD_BYTES).collect();
-        for (i, record) in records.iter().enumerate() {
-            self.create(&format!("{key}/{i}"), record, Some(lease))?;
+        let index = encode_plan_index(records.len());
+        let mut writes: Vec<(String, &[u8])> = match records.len() {
+            1 => Vec::new(),
+            _ => (0..).map(|i| format!("{key}/{i}")).zip(records.iter().copied()).collect(),
+        };
+        writes.push((key, if records.len() == 1 { &bytes } else { &index }));
+        for (key, value) in writes {
+            if !self.create(&key, value, Some(lease))? && !self.holds(&key, value)? {
+                return Err(ConfigStoreError::PlanIdTaken(plan.id));
+            }
         }
-        Ok(self.create(&key, &encode_plan_index(records.len()), Some(lease))?)
+        Ok(())
     }
 
-    /// Creates a key whose content belongs to its name. A key that exists already holds the same
-    /// content, so the second try after an unknown effect is safe.
+    fn holds(&self, key: &str, value: &[u8]) -> Result<bool, StoreError> {
+        Ok(self.store.get(key)?.is_some_and(|entry| entry.value == value))
+    }
+
+    /// Creates a key and returns whether it did. After an unknown effect it tries once more; the
+    /// key may then exist with this content.
     pub(super) fn create(
         &self,
         key: &str,
         value: &[u8],
         lease: Option<LeaseId>,
-    ) -> Result<(), StoreError> {
+    ) -> Result<bool, StoreError> {
         let change = Change::Put { value, lease };
         let create = || self.store.compare_and_swap(key, Expect::Absent, change);
-        match create().or_else(|error| if error.is_transient() { create() } else { Err(error) })? {
-            Swap::Done(_) | Swap::Conflict(_) => Ok(()),
-        }
+        let swap = create().or_else(|e| if e.is_transient() { create() } else { Err(e) })?;
+        Ok(matches!(swap, Swap::Done(_)))
     }
 
     /// Returns the plan with this id, if it is stored.
--- a/crates/fescuemux-store/tests/config_faults.rs
+++ b/crates/fescuemux-store/tests/config_faults.rs
@@ -5,7 +5,9 @@
 
 use common::{author, changes, fleet, limit, service, time};
 use fescuemux_core::base::{Cx, PlanId};
-use fescuemux_core::config::{CapacityReport, HEAD_KEY, Intent, Outcome, Reason, UnknownReason};
+use fescuemux_core::config::{
+    CapacityReport, HEAD_KEY, Intent, Outcome, PLAN_PREFIX, Reason, UnknownReason,
+};
 use fescuemux_standins::store::{MemoryStore, StoreFault};
 use fescuemux_store::config_store::{ConfigStore, ConfigStoreError};
 use fescuemux_store::{
@@ -182,6 +184,61 @@
     assert_eq!(fleet.confirm(plan), Outcome::Confirmed(2));
 }
 
+/// Guards against a generation that daemons would never take, after the store lost its content.
+#[test]
+fn store_that_lost_its_content_is_refused_and_restored() {
+    let fleet = fleet();
+    fleet.confirm_new(changes([service("permits", 8)]));
+    fleet.confirm_new(changes([service("permits", 9)]));
+    let mut chunks = ChunkSet::new();
+    let held = fleet.config.load(None, &mut chunks).unwrap().newer.unwrap();
+
+    let emptied = common::fleet();
+    emptied.config.note_generation(2);
+    let mut cx = Cx::new(Instant::now(), 5);
+    let intent = changes([service("permits", 10)]);
+    let plan = emptied.config.propose(&mut cx, &intent, &CapacityReport::default(), author());
+    assert_eq!(plan, Err(ConfigStoreError::StoreBehind { known: 2, found: 0 }));
+
+    assert_eq!(emptied.config.restore(&held.head, &chunks), Ok(true));
+    assert_eq!(emptied.config.restore(&held.head, &chunks), Ok(false), "a head is never replaced");
+    assert_eq!(emptied.content(), held.config);
+    let plan = emptied.config.propose(&mut cx, &intent, &CapacityReport::default(), author());
+    assert_eq!(emptied.confirm(plan.unwrap().id), Outcome::Confirmed(3));
+}
+
+/// Guards against a plan that is taken for an earlier one, and never confirmed, because a badly
+/// seeded generator repeats its id.
+#[test]
+fn repeated_plan_id_is_refused() {
+    let fleet = fleet();
+    let propose = |floor| {
+        let mut cx = Cx::new(Instant::now(), 21);
+        let intent = changes([service("permits", floor)]);
+        fleet.config.propose(&mut cx, &intent, &CapacityReport::default(), author())
+    };
+    let first = propose(8).unwrap().id;
+    assert_eq!(propose(9), Err(ConfigStoreError::PlanIdTaken(first)), "stored");
+    assert_eq!(fleet.confirm(first), Outcome::Confirmed(1));
+    fleet.memory.pass_time(Duration::from_secs(3_601));
+    assert_eq!(propose(9), Err(ConfigStoreError::PlanIdTaken(first)), "confirmed");
+}
+
+/// Guards against a plan with thousands of items that does not fit one value of the store.
+#[test]
+fn large_plan_is_split_and_confirmed() {
+    let fleet = fleet();
+    let limits = (0..9_000).map(|i| limit(&format!("{}-{i}", "customer".repeat(12)), 1));
+    let plan = fleet.propose(Intent::Changes(limits.collect()));
+    let records = fleet.memory.peek_keys(PLAN_PREFIX).len();
+    assert!(records > 2, "{records} records");
+    assert_eq!(fleet.confirm(plan), Outcome::Confirmed(1));
+    assert_eq!(fleet.content().callers.len(), 9_000);
+    fleet.memory.pass_time(Duration::from_secs(3_601));
+    fleet.config.history().unwrap();
+    assert_eq!(fleet.memory.peek_keys(PLAN_PREFIX), Vec::<String>::new(), "plans lapse whole");
+}
+
 /// Guards against lost updates when operators race on several daemons.
 #[test]
 fn racing_operators_lose_no_change() {
