Check the effect of each answer and give outcomes a wire type

Cause: front ends answer for the store; 429 was taken for a refusal that no later call can pass, and 408 for a promise of no effect although the request may have been passed on. The operator API had no type for the outcome of a confirm. Before: 408 and 429 gave Refused with effect none. OutcomeBody, StaleBody and RecordBody carry confirms and history.

--- a/crates/fescuemux-store/src/config_store/error.rs
+++ b/crates/fescuemux-store/src/config_store/error.rs
@@ -35,3 +35,18 @@
     #[error(transparent)]
     Mismatch(#[from] Mismatch),
 }
+
+impl ConfigStoreError {
+    /// Returns whether the same call can succeed later. A missing chunk counts: a replica that
+    /// is behind lacks the newest ones.
+    pub fn is_transient(&self) -> bool {
+        match self {
+            ConfigStoreError::Store(error) => error.is_transient(),
+            ConfigStoreError::StoreBehind { .. } => true,
+            ConfigStoreError::Record(error) => matches!(error, ConfigError::MissingChunk(_)),
+            ConfigStoreError::PlanIdTaken(_)
+            | ConfigStoreError::Plan(_)
+            | ConfigStoreError::Mismatch(_) => false,
+        }
+    }
+}
--- a/crates/fescuemux-store/src/http.rs
+++ b/crates/fescuemux-store/src/http.rs
@@ -180,6 +180,10 @@
     let detail = format!("{addr}: status {status} {reason}");
     let promised = body.is_some_and(|b| b.no_effect);
     match status {
+        // Front ends answer 408 to a request that they passed on, and 429 to one that they did
+        // not.
+        408 => failure(call, Failure::Unavailable, detail),
+        429 => StoreError::none(Failure::Unavailable, detail),
         400..=499 => StoreError::none(Failure::Refused, detail),
         _ if promised => StoreError::none(Failure::Unavailable, detail),
         _ => failure(call, Failure::Unavailable, detail),
--- a/crates/fescuemux-store/tests/http.rs
+++ b/crates/fescuemux-store/tests/http.rs
@@ -6,6 +6,7 @@
     CallKind, Change, Effect, Expect, Failure, HttpStore, HttpStoreSettings, Store, StoreError,
     Watched,
 };
+use std::io::{Read as _, Write as _};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -92,6 +93,50 @@
     assert_eq!((error.effect, error.failure), (Effect::None, Failure::NoAnswer));
 }
 
+/// Answers one call with the given head and body.
+fn answer_once(listener: &TcpListener, answer: &str) {
+    let (mut stream, _) = listener.accept().unwrap();
+    let mut request = Vec::new();
+    let mut buf = [0; 1024];
+    while !request.ends_with(b"}") {
+        let len = stream.read(&mut buf).unwrap();
+        assert!(len > 0, "the request ends early");
+        request.extend_from_slice(&buf[..len]);
+    }
+    stream.write_all(answer.as_bytes()).unwrap();
+}
+
+#[test]
+fn effect_of_each_answer() {
+    let ok = r#"{"done":true,"version":3}"#;
+    let none = r#"{"error":"x","no_effect":true}"#;
+    let cases = [
+        ("200 OK", ok, None),
+        ("200 OK", "{", Some((Effect::Unknown, Failure::BadAnswer))),
+        ("200 OK", r#"{"done":"yes"}"#, Some((Effect::Unknown, Failure::BadAnswer))),
+        ("400 Bad Request", "", Some((Effect::None, Failure::Refused))),
+        ("408 Request Timeout", "", Some((Effect::Unknown, Failure::Unavailable))),
+        ("429 Too Many Requests", "", Some((Effect::None, Failure::Unavailable))),
+        ("302 Found", "", Some((Effect::Unknown, Failure::Unavailable))),
+        ("502 Bad Gateway", ok, Some((Effect::Unknown, Failure::Unavailable))),
+        ("503 Service Unavailable", "", Some((Effect::Unknown, Failure::Unavailable))),
+        ("503 Service Unavailable", none, Some((Effect::None, Failure::Unavailable))),
+        ("NOT HTTP", "", Some((Effect::Unknown, Failure::BadAnswer))),
+    ];
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let client = client(&[listener.local_addr().unwrap()]);
+    for (status, body, expected) in cases {
+        let len = body.len();
+        let answer = format!("HTTP/1.1 {status}\r\ncontent-length: {len}\r\n\r\n{body}");
+        let found = std::thread::scope(|scope| {
+            scope.spawn(|| answer_once(&listener, &answer));
+            client.compare_and_swap("k", Expect::Absent, PUT)
+        });
+        let found = found.err().map(|error| (error.effect, error.failure));
+        assert_eq!(found, expected, "{status} {body}");
+    }
+}
+
 #[test]
 fn other_addresses_are_tried_only_when_safe() {
     let (broken, healthy) = (start(), start());
--- a/crates/fescuemux-wire/src/config/head.rs
+++ b/crates/fescuemux-wire/src/config/head.rs
@@ -22,13 +22,19 @@
     history: Vec<RecordBody>,
 }
 
-#[derive(Serialize, Deserialize)]
-struct RecordBody {
-    generation: u64,
-    plan: String,
-    author: SmolStr,
-    time_ms: u64,
-    replaced: BTreeMap<String, Option<String>>,
+/// One confirmed generation.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct RecordBody {
+    /// Number.
+    pub generation: u64,
+    /// Plan, as 32 hexadecimal digits.
+    pub plan: String,
+    /// Operator who confirmed it.
+    pub author: SmolStr,
+    /// Wall-clock time, in milliseconds since 1970.
+    pub time_ms: u64,
+    /// Chunk names that it replaced, by part.
+    pub replaced: BTreeMap<String, Option<String>>,
 }
 
 /// Encodes a head.
--- /dev/null
+++ b/crates/fescuemux-wire/src/config/outcome.rs
@@ -0,0 +1,127 @@
+//! Outcomes of confirms in JSON, for the operator API.
+
+use super::ConfigError;
+use super::digest::{format_plan_id, plan_id_of};
+use super::plan::DifferenceBody;
+use fescuemux_core::config::{Outcome, Reason, Stale, UnknownReason};
+use serde::{Deserialize, Serialize};
+
+/// Outcome of a confirm.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "outcome")]
+pub enum OutcomeBody {
+    /// The plan is in force, or was before a later one.
+    Confirmed {
+        /// Generation that the plan became.
+        generation: u64,
+    },
+    /// The plan is not in force and never will be.
+    NotConfirmed {
+        /// Why.
+        reason: ReasonBody,
+    },
+    /// The plan may be in force; ask again with this id.
+    Unknown {
+        /// The plan, as 32 hexadecimal digits.
+        plan: String,
+        /// Whether this call sent the change.
+        swap_sent: bool,
+        /// Why.
+        reason: UnknownReasonBody,
+    },
+}
+
+/// Why a plan is not confirmed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ReasonBody {
+    /// Another plan was confirmed on the same base; holds the generation in force.
+    Stale(u64),
+    /// The plan carries refusals.
+    Refused,
+}
+
+/// Why an outcome is not known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum UnknownReasonBody {
+    /// The store failed or gave outdated answers.
+    StoreAway,
+    /// The history no longer reaches back to the base.
+    HistoryTooShort,
+    /// The store holds no such plan.
+    NoSuchPlan,
+}
+
+/// What changed since a plan was made.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct StaleBody {
+    /// Generation that the plan was made on.
+    pub base: u64,
+    /// Generation in force.
+    pub current: u64,
+    /// What changed since; `None` if the history no longer reaches back.
+    pub since: Option<Vec<DifferenceBody>>,
+    /// Items that both touch, such as `service permits`.
+    pub overlap: Vec<String>,
+}
+
+impl From<Outcome> for OutcomeBody {
+    fn from(outcome: Outcome) -> OutcomeBody {
+        match outcome {
+            Outcome::Confirmed(generation) => OutcomeBody::Confirmed { generation },
+            Outcome::NotConfirmed(Reason::Stale(current)) => {
+                OutcomeBody::NotConfirmed { reason: ReasonBody::Stale(current) }
+            }
+            Outcome::NotConfirmed(Reason::Refused) => {
+                OutcomeBody::NotConfirmed { reason: ReasonBody::Refused }
+            }
+            Outcome::Unknown { plan, swap_sent, reason } => OutcomeBody::Unknown {
+                plan: format_plan_id(plan),
+                swap_sent,
+                reason: match reason {
+                    UnknownReason::StoreAway => UnknownReasonBody::StoreAway,
+                    UnknownReason::HistoryTooShort => UnknownReasonBody::HistoryTooShort,
+                    UnknownReason::NoSuchPlan => UnknownReasonBody::NoSuchPlan,
+                },
+            },
+        }
+    }
+}
+
+impl TryFrom<OutcomeBody> for Outcome {
+    type Error = ConfigError;
+
+    fn try_from(body: OutcomeBody) -> Result<Outcome, ConfigError> {
+        Ok(match body {
+            OutcomeBody::Confirmed { generation } => Outcome::Confirmed(generation),
+            OutcomeBody::NotConfirmed { reason: ReasonBody::Stale(current) } => {
+                Outcome::NotConfirmed(Reason::Stale(current))
+            }
+            OutcomeBody::NotConfirmed { reason: ReasonBody::Refused } => {
+                Outcome::NotConfirmed(Reason::Refused)
+            }
+            OutcomeBody::Unknown { plan, swap_sent, reason } => Outcome::Unknown {
+                plan: plan_id_of("plan", &plan)?,
+                swap_sent,
+                reason: match reason {
+                    UnknownReasonBody::StoreAway => UnknownReason::StoreAway,
+                    UnknownReasonBody::HistoryTooShort => UnknownReason::HistoryTooShort,
+                    UnknownReasonBody::NoSuchPlan => UnknownReason::NoSuchPlan,
+                },
+            },
+        })
+    }
+}
+
+impl From<&Stale> for StaleBody {
+    fn from(stale: &Stale) -> StaleBody {
+        let since = stale.since.as_ref();
+        StaleBody {
+            base: stale.base,
+            current: stale.current,
+            since: since.map(|since| since.iter().map(DifferenceBody::from).collect()),
+            overlap: stale.overlap.iter().map(ToString::to_string).collect(),
+        }
+    }
+}
--- a/crates/fescuemux-wire/tests/config.rs
+++ b/crates/fescuemux-wire/tests/config.rs
@@ -6,8 +6,8 @@
     CallerLimit, Change, Chunk, Config, Head, Intent, Names, Part, Route, Service, split,
 };
 use fescuemux_wire::config::{
-    ChunkSet, ConfigError, decode_chunk, decode_head, decode_head_to_follow, decode_intent,
-    decode_plan, encode_chunk, encode_head, encode_intent,
+    ChunkSet, ConfigError, OutcomeBody, decode_chunk, decode_head, decode_head_to_follow,
+    decode_intent, decode_plan, encode_chunk, encode_head, encode_intent,
 };
 use proptest::collection::vec;
 use proptest::option;
@@ -185,6 +185,28 @@
     intents.iter().for_each(|intent| assert!(intent.is_ok(), "{intent:?}"));
 }
 
+/// Guards against an outcome that the operator's tool reads as another one.
+#[test]
+fn outcomes_keep_their_meaning() {
+    use fescuemux_core::config::{Outcome, Reason, UnknownReason};
+    let unknown = |reason| Outcome::Unknown { plan: 7, swap_sent: true, reason };
+    let outcomes = [
+        Outcome::Confirmed(3),
+        Outcome::NotConfirmed(Reason::Stale(4)),
+        Outcome::NotConfirmed(Reason::Refused),
+        unknown(UnknownReason::StoreAway),
+        unknown(UnknownReason::HistoryTooShort),
+        unknown(UnknownReason::NoSuchPlan),
+    ];
+    for outcome in outcomes {
+        let text = serde_json::to_vec(&OutcomeBody::from(outcome)).unwrap();
+        let body: OutcomeBody = serde_json::from_slice(&text).unwrap();
+        assert_eq!(Outcome::try_from(body), Ok(outcome));
+    }
+    let text = serde_json::to_string(&OutcomeBody::from(outcomes[1])).unwrap();
+    assert_eq!(text, r#"{"outcome":"not_confirmed","reason":{"stale":4}}"#);
+}
+
 /// Guards a rolling upgrade: an older daemon reads what a newer one wrote, but does not write
 /// it back.
 #[test]
