--- a/crates/fescuemux-cli/src/demo.rs
+++ b/crates/fescuemux-cli/src/demo.rs
@@ -27,6 +27,9 @@
     /// Print the daemons' logs
     #[arg(long)]
     logs: bool,
+    /// Time in milliseconds that a backend server takes for a request, up to two thirds more
+    #[arg(long, default_value_t = 15, value_parser = clap::value_parser!(u64).range(0..=1_000))]
+    service_ms: u64,
     /// Seed of the stand-ins
     #[arg(long, default_value_t = 1)]
     seed: u64,
@@ -40,7 +43,7 @@
             .init();
     }
     eprintln!("starting a store, 3 daemons, and 3 backend servers of each of 2 services");
-    let mut fleet = Fleet::start(args.seed)?;
+    let mut fleet = Fleet::start(args.seed, Duration::from_millis(args.service_ms))?;
     fleet.confirm_configuration()?;
     if args.hold {
         return hold(&fleet);
--- a/crates/fescuemux-cli/src/demo/fleet.rs
+++ b/crates/fescuemux-cli/src/demo/fleet.rs
@@ -35,7 +35,7 @@
 }
 
 impl Fleet {
-    pub(super) fn start(seed: u64) -> anyhow::Result<Fleet> {
+    pub(super) fn start(seed: u64, service_time: Duration) -> anyhow::Result<Fleet> {
         let store = StandInStore::start("127.0.0.1:0")?;
         let mut fleet = Fleet {
             store,
@@ -57,8 +57,8 @@
                 let server = StandInServer::start(ServerOptions {
                     server: name.clone(),
                     service: service.to_owned(),
-                    service_time: Duration::from_millis(15),
-                    jitter: Duration::from_millis(10),
+                    service_time,
+                    jitter: service_time * 2 / 3,
                     seed: seed + number as u64,
                     announce_to: Some(addresses.local),
                     ..ServerOptions::default()
--- a/crates/fescuemux-daemon/src/daemon.rs
+++ b/crates/fescuemux-daemon/src/daemon.rs
@@ -227,6 +227,7 @@
             clients,
         ));
         tokio::spawn(expire_connections(hop_pool));
+        tokio::spawn(Arc::clone(&ingress).probe_paths());
         members.join(settings.seeds.clone());
         members.publish();
         let watch = WatchThread {
--- a/crates/fescuemux-daemon/src/ingress.rs
+++ b/crates/fescuemux-daemon/src/ingress.rs
@@ -10,6 +10,7 @@
 mod failure;
 mod incoming;
 mod keyed;
+mod path_probe;
 mod sent;
 mod service_parts;
 
--- a/crates/fescuemux-daemon/src/operators/plans.rs
+++ b/crates/fescuemux-daemon/src/operators/plans.rs
@@ -145,7 +145,11 @@
 
 fn store_error(e: &ConfigStoreError) -> Response {
     match e {
-        ConfigStoreError::Store(_) => error(503, &format!("{e}; nothing changed, try again later")),
+        ConfigStoreError::Store(_)
+        | ConfigStoreError::StoreBehind { .. }
+        | ConfigStoreError::PlanIdTaken(_) => {
+            error(503, &format!("{e}; nothing changed, try again later"))
+        }
         ConfigStoreError::Record(_) => error(500, &e.to_string()),
         ConfigStoreError::Plan(_) | ConfigStoreError::Mismatch(_) => error(400, &e.to_string()),
     }
