--- a/crates/fescuemux-daemon/src/ingress.rs
+++ b/crates/fescuemux-daemon/src/ingress.rs
@@ -36,7 +36,7 @@
 use rand::Rng;
 use std::sync::{Arc, PoisonError, RwLock};
 use std::time::{Duration, Instant};
-use tokio::sync::Semaphore;
+use tokio::sync::{Semaphore, SemaphorePermit};
 
 /// Name in the configuration of the limit that callers without a limit of their own share.
 const OTHER_CALLERS: &str = "*";
@@ -124,24 +124,42 @@
         req: Request<Incoming>,
         service: &mut ServiceId,
     ) -> Result<Response<OutBody>, Failure> {
+        let (parts, body) = req.into_parts();
+        let checked = self.check(id, parts, service);
+        let (_permit, req) = match checked {
+            Ok(checked) => checked,
+            Err(failure) => {
+                caller_body::discard(body, &self.cx.limits);
+                return Err(failure);
+            }
+        };
+        let mut body = CallerBody::take(body, &self.cx.limits, req.deadline).await?;
+        let result = self.run_once(&req, &mut body).await;
+        if result.is_err() {
+            body.discard();
+        }
+        result
+    }
+
+    /// Makes all checks that come before the body.
+    fn check(
+        &self,
+        id: RequestId,
+        parts: http::request::Parts,
+        service: &mut ServiceId,
+    ) -> Result<(SemaphorePermit<'_>, IncomingRequest), Failure> {
         if self.cx.stop.phase() >= StopPhase::Closing {
             return Err(Failure::unavailable("this instance is stopping"));
         }
         let permit = self.under_way.try_acquire();
-        let _permit = permit.map_err(|_| Failure::unavailable("too many requests under way"))?;
+        let permit = permit.map_err(|_| Failure::unavailable("too many requests under way"))?;
         let effective = self.effective();
         let effective =
             effective.ok_or_else(|| Failure::unavailable("no configuration is in force yet"))?;
-        let (parts, body) = req.into_parts();
         let req = IncomingRequest::new(id, parts, &effective, self.cx.clock.now())?;
         service.clone_from(&req.service.id);
         self.admit_caller(&req.caller)?;
-        let mut body = CallerBody::take(body, &self.cx.limits, req.deadline).await?;
-        let result = self.run_once(&req, &mut body).await;
-        if result.is_err() {
-            body.discard();
-        }
-        result
+        Ok((permit, req))
     }
 
     fn admit_caller(&self, caller: &CallerId) -> Result<(), Failure> {
--- a/crates/fescuemux-daemon/src/ingress/caller_body.rs
+++ b/crates/fescuemux-daemon/src/ingress/caller_body.rs
@@ -2,7 +2,7 @@
 
 use super::Failure;
 use crate::http::{
-    BodyError, HeldBody, HttpLimits, OutBody, PumpLimits, collect, empty, full, gated,
+    BodyError, HeldBody, HttpLimits, OutBody, PumpLimits, RelayedBody, collect, empty, full, gated,
     is_replayable, relay,
 };
 use bytes::Bytes;
@@ -55,15 +55,13 @@
         }
     }
 
-    /// Reads and drops what the caller still sends, in the background.
-    ///
-    /// Closing a connection with unread bytes resets it, and the caller then loses the answer
-    /// that told it that its upload did not run.
+    /// Reads and drops what the caller still sends, see [`discard`].
     pub(super) fn discard(&self) {
         let CallerBody::Streamed(held) = self else { return };
         let rest = held.lock().unwrap_or_else(PoisonError::into_inner).take();
-        let Some(mut rest) = rest else { return };
-        tokio::spawn(async move { while let Some(Ok(_)) = rest.frame().await {} });
+        if let Some(rest) = rest {
+            read_and_drop(rest);
+        }
     }
 
     /// Returns whether the body can be sent from its beginning.
@@ -88,3 +86,19 @@
         }
     }
 }
+
+/// Reads and drops a body in the background, within the limits.
+///
+/// Closing a connection with unread bytes resets it, and the caller then loses the answer that
+/// told it that its upload did not run.
+pub(super) fn discard(body: Incoming, limits: &HttpLimits) {
+    if body.is_end_stream() || body.size_hint().lower() > limits.body_bytes {
+        return;
+    }
+    let pump = PumpLimits { idle: limits.idle_timeout, bytes: limits.body_bytes };
+    read_and_drop(relay(body, pump));
+}
+
+fn read_and_drop(mut body: RelayedBody) {
+    tokio::spawn(async move { while let Some(Ok(_)) = body.frame().await {} });
+}
--- a/crates/fescuemux-daemon/src/main.rs
+++ b/crates/fescuemux-daemon/src/main.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// Exit code when requests were cut by the stop.
 const EXIT_CUT: u8 = 3;
@@ -54,20 +54,20 @@
     let count = Arc::new(AtomicU32::new(0));
     let counted = Arc::clone(&count);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    // The handlers are in place before the daemon answers anything: a signal that comes earlier
+    // would end the process at once.
+    let (term, int) = {
+        let _entered = runtime.enter();
+        (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?)
+    };
     std::thread::Builder::new()
         .name("signals".to_owned())
-        .spawn(move || runtime.block_on(receive_signals(&counted)))
+        .spawn(move || runtime.block_on(receive_signals(term, int, &counted)))
         .context("cannot start the thread for signals")?;
     Ok(count)
 }
 
-async fn receive_signals(count: &AtomicU32) {
-    let (Ok(mut term), Ok(mut int)) =
-        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
-    else {
-        tracing::error!("signals cannot be received");
-        return;
-    };
+async fn receive_signals(mut term: Signal, mut int: Signal, count: &AtomicU32) {
     loop {
         tokio::select! {
             _ = term.recv() => {}
--- /dev/null
+++ b/crates/fescuemux-daemon/tests/processes.rs
@@ -0,0 +1,172 @@
+//! Daemons as processes of their own: memory of uploads, signals, kills.
+
+mod support;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+use support::{CLUSTER_KEY, PATIENCE, TOKEN, get, intent, post, server};
+
+/// Growth of a daemon's peak memory that an upload may cause, in KiB.
+const MAX_GROWTH_KIB: u64 = 8 * 1_024;
+const UPLOAD_BYTES: usize = 200 << 20;
+
+struct Process {
+    child: Child,
+    callers: SocketAddr,
+    local: SocketAddr,
+    rpc: SocketAddr,
+    operators: SocketAddr,
+    settings: PathBuf,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
+
+/// Returns addresses that were free a moment ago.
+fn free_addrs<const N: usize>() -> [SocketAddr; N] {
+    let listeners: [TcpListener; N] =
+        std::array::from_fn(|_| TcpListener::bind("127.0.0.1:0").unwrap());
+    listeners.map(|listener| listener.local_addr().unwrap())
+}
+
+fn start(name: &str, store: SocketAddr, seeds: &[SocketAddr]) -> Process {
+    let [callers, hop, rpc, local, operators] = free_addrs();
+    let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+    let text = format!(
+        r#"{{ // settings of a test
+            "instance": "{name}", "domain": "d", "region": "r",
+            "listen": {{ "callers": "{callers}", "hop": "{hop}", "rpc": "{rpc}",
+                        "local": "{local}", "operators": "{operators}" }},
+            "store": {{ "addresses": ["{store}"] }},
+            "cluster_keys": ["{CLUSTER_KEY}"],
+            "operators": [{{ "name": "test", "token": "{TOKEN}" }}],
+            "seeds": [{}], "log": {{ "level": "warn" }} }}"#,
+        seeds.join(",")
+    );
+    let unique = format!("fescuemuxd-{}-{name}.jsonc", std::process::id());
+    let settings = std::env::temp_dir().join(unique);
+    std::fs::write(&settings, text).unwrap();
+    let child = Command::new(env!("CARGO_BIN_EXE_fescuemuxd"))
+        .arg("--config")
+        .arg(&settings)
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap();
+    Process { child, callers, local, rpc, operators, settings }
+}
+
+fn wait_for(what: &str, done: impl Fn() -> bool) {
+    let started = Instant::now();
+    while !done() {
+        assert!(started.elapsed() < PATIENCE, "waited too long for {what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+fn is_up(process: &Process) -> bool {
+    TcpStream::connect(process.operators).is_ok()
+}
+
+/// Returns the peak resident memory of a process in KiB.
+fn peak_kib(child: &Child) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap();
+    let line = status.lines().find(|line| line.starts_with("VmHWM:")).unwrap();
+    line.split_whitespace().nth(1).unwrap().parse().unwrap()
+}
+
+fn upload(addr: SocketAddr, bytes: usize) -> String {
+    let mut stream = TcpStream::connect(addr).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    let head = format!(
+        "POST /orders HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: {bytes}\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).unwrap();
+    let piece = vec![b'x'; 1 << 20];
+    for _ in 0..bytes >> 20 {
+        stream.write_all(&piece).unwrap();
+    }
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    answer
+}
+
+fn signal(child: &Child, name: &str) {
+    let status = Command::new("kill").arg(name).arg(child.id().to_string()).status().unwrap();
+    assert!(status.success());
+}
+
+#[test]
+fn an_upload_passes_two_hops_in_bounded_memory() {
+    let store = fescuemux_standins::store::StandInStore::start("127.0.0.1:0").unwrap();
+    let ingress = start("ingress", store.addr(), &[]);
+    wait_for("the ingress", || is_up(&ingress));
+    let guard = start("guard", store.addr(), &[ingress.rpc]);
+    wait_for("the guard", || is_up(&guard));
+    let _server = server(0, guard.local);
+    let plan = post(ingress.operators, "/v1/plans", intent().to_string().as_bytes());
+    let id = plan["id"].as_str().unwrap().to_owned();
+    post(ingress.operators, &format!("/v1/plans/{id}/confirm"), b"");
+    wait_for("the route", || upload(ingress.callers, 1 << 20).starts_with("HTTP/1.1 200"));
+    let before = [peak_kib(&ingress.child), peak_kib(&guard.child)];
+    let answer = upload(ingress.callers, UPLOAD_BYTES);
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(answer.contains(&UPLOAD_BYTES.to_string()), "{answer}");
+    let growth = [peak_kib(&ingress.child) - before[0], peak_kib(&guard.child) - before[1]];
+    println!("growth of peak memory in KiB: ingress {}, guard {}", growth[0], growth[1]);
+    assert!(growth.iter().all(|kib| *kib < MAX_GROWTH_KIB), "{growth:?} KiB");
+}
+
+#[test]
+fn signals_stop_a_daemon_and_tell_what_was_cut() {
+    let store = fescuemux_standins::store::StandInStore::start("127.0.0.1:0").unwrap();
+    let mut idle = start("idle", store.addr(), &[]);
+    wait_for("the daemon", || is_up(&idle));
+    signal(&idle.child, "-TERM");
+    assert_eq!(idle.child.wait().unwrap().code(), Some(0), "an idle daemon cuts nothing");
+
+    let mut busy = start("busy", store.addr(), &[]);
+    wait_for("the daemon", || is_up(&busy));
+    let server = server(0, busy.local);
+    let plan = post(busy.operators, "/v1/plans", intent().to_string().as_bytes());
+    let id = plan["id"].as_str().unwrap().to_owned();
+    post(busy.operators, &format!("/v1/plans/{id}/confirm"), b"");
+    wait_for("the route", || upload(busy.callers, 0).starts_with("HTTP/1.1 200"));
+    server.set_fault(fescuemux_standins::server::ServerFault::BlackHole);
+    let callers = busy.callers;
+    let stuck = std::thread::spawn(move || {
+        let mut stream = TcpStream::connect(callers).unwrap();
+        stream.write_all(b"POST /orders HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n\r\n").unwrap();
+        let mut answer = Vec::new();
+        let _ = stream.read_to_end(&mut answer);
+    });
+    wait_for("the request", || {
+        get(busy.operators, "/v1/dump")["requests_in_flight"].as_u64() == Some(1)
+    });
+    signal(&busy.child, "-TERM");
+    wait_for("the stop", || get(busy.operators, "/v1/dump")["stop_phase"] != "running");
+    signal(&busy.child, "-TERM");
+    assert_eq!(busy.child.wait().unwrap().code(), Some(3), "a second signal cuts one request");
+    stuck.join().unwrap();
+}
+
+#[test]
+fn a_wrong_settings_file_names_its_fields() {
+    let path = std::env::temp_dir().join(format!("fescuemuxd-{}-bad.jsonc", std::process::id()));
+    std::fs::write(&path, r#"{ "instance": "", "odd": 1 }"#).unwrap();
+    let output =
+        Command::new(env!("CARGO_BIN_EXE_fescuemuxd")).arg("--config").arg(&path).output().unwrap();
+    let _ = std::fs::remove_file(&path);
+    let text = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(1));
+    for part in ["bad.jsonc", "instance", "odd", "1 to 64"] {
+        assert!(text.contains(part), "{part}: {text}");
+    }
+}
--- a/crates/fescuemux-daemon/tests/requests.rs
+++ b/crates/fescuemux-daemon/tests/requests.rs
@@ -17,15 +17,16 @@
     send_raw(addr, request.as_bytes())
 }
 
-/// Sends keyed orders until the homes are old enough to know that the key is new.
-fn first_order(addr: SocketAddr) -> (String, String) {
+/// Sends orders with fresh keys until one is run. A home refuses keys that it cannot know to be
+/// new, which it does for two seconds after it began.
+fn first_order(addr: SocketAddr) -> (String, support::Raw) {
     for _ in 0..200 {
         let key = Uuid::now_v7().to_string();
         let raw = post_order(addr, &key, &key);
-        if raw.status == Some(200) {
-            return (key.clone(), key);
+        if raw.status != Some(409) {
+            return (key, raw);
         }
-        assert_eq!(raw.status, Some(409), "{raw:?}");
+        assert_eq!(raw.verdict.as_deref(), Some("may-have-run"), "{raw:?}");
         std::thread::sleep(Duration::from_millis(50));
     }
     panic!("no order was accepted");
@@ -34,24 +35,23 @@
 #[test]
 fn a_key_runs_once_whichever_daemon_takes_it() {
     let fleet = Fleet::start(3);
-    let (key, tag) = first_order(fleet.callers(0));
+    let (key, first) = first_order(fleet.callers(0));
+    assert_eq!((first.status, first.verdict.as_deref()), (Some(200), Some("ran")), "{first:?}");
     for daemon in 0..3 {
-        let raw = post_order(fleet.callers(daemon), &key, &tag);
+        let raw = post_order(fleet.callers(daemon), &key, &key);
         assert_eq!((raw.status, raw.verdict.as_deref()), (Some(409), Some("ran")), "{raw:?}");
         assert!(raw.text.contains("fescuemux-first-status: 200"), "{raw:?}");
     }
-    assert_eq!(fleet.runs(&tag), 1);
+    assert_eq!(fleet.runs(&key), 1);
 }
 
 #[test]
 fn a_key_whose_answer_was_lost_is_not_run_again() {
     let fleet = Fleet::start(2);
-    first_order(fleet.callers(0));
     for server in &fleet.servers {
         server.set_fault(ServerFault::LostReply(1.0));
     }
-    let key = Uuid::now_v7().to_string();
-    let first = post_order(fleet.callers(0), &key, &key);
+    let (key, first) = first_order(fleet.callers(0));
     assert_eq!((first.status, first.verdict.as_deref()), (Some(502), Some("may-have-run")));
     for server in &fleet.servers {
         server.set_fault(ServerFault::None);
@@ -116,6 +116,17 @@
     assert_eq!((raw.status, raw.verdict.as_deref()), (Some(503), Some("not-run")), "{raw:?}");
 }
 
+#[test]
+fn an_upload_without_a_route_keeps_its_answer() {
+    let fleet = Fleet::start(1);
+    let mut request = b"POST /unknown HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\
+                        content-length: 20000000\r\n\r\n"
+        .to_vec();
+    request.resize(request.len() + 20_000_000, b'x');
+    let raw = send_raw(fleet.callers(0), &request);
+    assert_eq!((raw.status, raw.verdict.as_deref()), (Some(404), Some("not-run")), "{raw:?}");
+}
+
 #[test]
 fn a_large_answer_that_is_cut_never_looks_whole() {
     let fleet = Fleet::start(1);
