Check large content over HTTP and a store that stops and comes back

Cause: plans are split by the store's value bound, which only HTTP adds base64 to. Before: checked in process only.

--- a/crates/fescuemux-store/tests/config_store.rs
+++ b/crates/fescuemux-store/tests/config_store.rs
@@ -3,8 +3,13 @@
 mod common;
 
 use common::{author, changes, fleet, limit, service, time};
-use fescuemux_core::config::{Intent, Outcome};
+use fescuemux_core::base::Cx;
+use fescuemux_core::config::{CapacityReport, Intent, Outcome};
+use fescuemux_standins::store::StandInStore;
+use fescuemux_store::config_store::ConfigStore;
+use fescuemux_store::{HttpStore, HttpStoreSettings};
 use fescuemux_wire::config::ChunkSet;
+use std::time::{Duration, Instant};
 
 #[test]
 fn confirmed_content_is_loaded() {
@@ -29,3 +34,22 @@
     assert_eq!(outcome, Outcome::Confirmed(3));
     assert_eq!(fleet.content().services["permits"].floor_slots, 8);
 }
+
+/// Guards against records that fit in process and not over HTTP.
+#[test]
+fn large_content_is_confirmed_over_http() {
+    let served = StandInStore::start("127.0.0.1:0").unwrap();
+    let client = HttpStore::new(HttpStoreSettings::new(vec![served.addr()])).unwrap();
+    let config = ConfigStore::new(client);
+    let limits = (0..9_000).map(|i| limit(&format!("{}-{i}", "customer".repeat(12)), 1));
+    let intent = Intent::Changes(limits.collect());
+    let mut cx = Cx::new(Instant::now(), 3);
+    let plan = config.propose(&mut cx, &intent, &CapacityReport::default(), author()).unwrap();
+    let confirmed = config.confirm(plan.id, author(), time()).unwrap();
+    assert_eq!(confirmed.outcome, Outcome::Confirmed(1));
+    let loaded = config.load(None, &mut ChunkSet::new()).unwrap();
+    assert_eq!(loaded.newer.map(|snapshot| snapshot.config.callers.len()), Some(9_000));
+    let seen = config.watch(0, Duration::from_secs(9)).unwrap();
+    assert_eq!(seen.map(|(_, head)| head.generation()), Some(1));
+    served.stop();
+}
--- a/crates/fescuemux-store/tests/http.rs
+++ b/crates/fescuemux-store/tests/http.rs
@@ -1,7 +1,7 @@
 //! Guards against a client that reports a wrong effect, or that repeats a write which may have
 //! taken effect at another address.
 
-use fescuemux_standins::store::{StandInStore, StoreFault};
+use fescuemux_standins::store::{MemoryStore, StandInStore, StoreFault};
 use fescuemux_store::{
     CallKind, Change, Effect, Expect, Failure, HttpStore, HttpStoreSettings, Store, StoreError,
     Watched,
@@ -201,3 +201,20 @@
     assert_eq!(served.counters().reads, 1);
     served.stop();
 }
+
+/// Guards against a stopped store that still answers, and content that is lost in a restart.
+#[test]
+fn stopped_store_is_unreachable_until_served_again() {
+    // No other test listens on this address, so that none can take the port in between.
+    let memory = Arc::new(MemoryStore::new());
+    let served = StandInStore::serve("127.0.0.9:0", Arc::clone(&memory)).unwrap();
+    let addr = served.addr();
+    let client = client(&[addr]);
+    client.compare_and_swap("k", Expect::Absent, PUT).unwrap();
+    served.stop();
+    let error = client.get("k").unwrap_err();
+    assert_eq!((error.effect, error.failure), (Effect::None, Failure::Unreachable));
+    let served = StandInStore::serve(addr, memory).unwrap();
+    assert!(client.get("k").unwrap().is_some());
+    served.stop();
+}
