Keep the chunks in force when a daemon loads another generation

Cause: load dropped the chunks of the known generation before the daemon decided to install the loaded one; a daemon that refuses it as a conflict could no longer serve its content to peers. Before: load_keeps_the_chunks_in_force fails with MissingChunk. Conclusion: a refused generation leaves the daemon as it was.

--- a/crates/fescuemux-store/src/config_store/load.rs
+++ b/crates/fescuemux-store/src/config_store/load.rs
@@ -27,7 +27,8 @@
 
 impl<S: Store> ConfigStore<S> {
     /// Loads the newest generation if it is above that of `known`. Reads only the chunks that
-    /// `chunks` lacks, and leaves in it exactly the chunks of the loaded generation.
+    /// `chunks` lacks, and leaves in it the chunks of both generations: the daemon may refuse the
+    /// loaded one, and peers may still pull the known one.
     ///
     /// # Errors
     /// Fails when the store does, or when a record cannot be used; `chunks` then keeps what it
@@ -40,14 +41,15 @@
         let Some((version, head)) = self.read_head()? else {
             return Ok(Loaded { version: 0, newer: None });
         };
-        let known = known.map_or(0, Head::generation);
-        self.note_generation(known.max(head.generation()));
-        if head.generation() <= known {
+        let known_generation = known.map_or(0, Head::generation);
+        self.note_generation(known_generation.max(head.generation()));
+        if head.generation() <= known_generation {
             return Ok(Loaded { version, newer: None });
         }
         self.fetch(&head.names, chunks)?;
         let config = chunks.config(&head.names)?;
-        chunks.retain(&[&head.names]);
+        let known_names = known.map(|head| &head.names);
+        chunks.retain(&[known_names.unwrap_or(&head.names), &head.names]);
         Ok(Loaded { version, newer: Some(Snapshot { head, config }) })
     }
 
--- a/crates/fescuemux-store/tests/common/mod.rs
+++ b/crates/fescuemux-store/tests/common/mod.rs
@@ -10,6 +10,7 @@
 use fescuemux_standins::store::MemoryStore;
 use fescuemux_store::config_store::ConfigStore;
 use fescuemux_wire::config::ChunkSet;
+use rand::Rng as _;
 use smol_str::SmolStr;
 use std::cell::RefCell;
 use std::sync::Arc;
@@ -33,6 +34,13 @@
         self.config.propose(cx, &intent, &CapacityReport::default(), author()).unwrap()
     }
 
+    /// Draws plan ids that another fleet of the same seed uses.
+    pub(crate) fn skip_plan_ids(&self, count: usize) {
+        for _ in 0..count {
+            let _: PlanId = self.cx.borrow_mut().rng.random();
+        }
+    }
+
     pub(crate) fn propose(&self, intent: Intent) -> PlanId {
         let plan = self.plan(intent);
         assert_eq!(plan.refusals, []);
--- a/crates/fescuemux-store/tests/config_history.rs
+++ b/crates/fescuemux-store/tests/config_history.rs
@@ -166,11 +166,17 @@
         };
         let Some(snapshot) = loaded.newer else { return Ok(()) };
         match current.install(snapshot.head) {
-            Offer::Newer => Ok(()),
+            Offer::Newer => self.check_daemon(daemon),
             other => Err(format!("a daemon loads {other:?}")),
         }
     }
 
+    fn check_daemon(&self, daemon: usize) -> Result<(), String> {
+        let (current, chunks) = &self.daemons[daemon];
+        let names = current.head().map(|head| &head.names).ok_or("nothing is in force")?;
+        chunks.config(names).map(drop).map_err(|error| error.to_string())
+    }
+
     /// Follows the head: each new one continues the one before and names chunks that exist.
     fn check_head(&mut self) -> Result<(), String> {
         let Some(entry) = self.memory.peek(HEAD_KEY) else { return Ok(()) };
--- a/crates/fescuemux-store/tests/config_store.rs
+++ b/crates/fescuemux-store/tests/config_store.rs
@@ -4,7 +4,7 @@
 
 use common::{author, changes, fleet, limit, service, time};
 use fescuemux_core::base::Cx;
-use fescuemux_core::config::{CapacityReport, Intent, Outcome};
+use fescuemux_core::config::{CapacityReport, Current, Intent, Offer, Outcome};
 use fescuemux_standins::store::StandInStore;
 use fescuemux_store::config_store::ConfigStore;
 use fescuemux_store::{HttpStore, HttpStoreSettings};
@@ -35,6 +35,25 @@
     assert_eq!(fleet.content().services["permits"].floor_slots, 8);
 }
 
+/// Guards against a daemon that loses the content in force when it loads a generation that it
+/// then refuses.
+#[test]
+fn load_keeps_the_chunks_in_force() {
+    let (ours, other) = (fleet(), fleet());
+    ours.confirm_new(changes([service("permits", 8)]));
+    let mut chunks = ChunkSet::new();
+    let held = ours.config.load(None, &mut chunks).unwrap().newer.unwrap();
+    other.skip_plan_ids(1);
+    other.confirm_new(changes([service("archive", 1)]));
+    other.confirm_new(changes([service("archive", 2)]));
+    let loaded = other.config.load(Some(&held.head), &mut chunks).unwrap().newer.unwrap();
+    let mut current = Current::new();
+    current.install(held.head);
+    assert!(matches!(current.install(loaded.head), Offer::Conflict { generation: 1, .. }));
+    let names = &current.head().unwrap().names;
+    assert_eq!(chunks.config(names), Ok(held.config));
+}
+
 /// Guards against records that fit in process and not over HTTP.
 #[test]
 fn large_content_is_confirmed_over_http() {
