--- a/crates/fescuemux-store/tests/config_store.rs
+++ b/crates/fescuemux-store/tests/config_store.rs
@@ -3,8 +3,13 @@
 mod common;
 
 use common::{author, changes, fleet, limit, service, time};
-use fescuemux_core::config::{Intent, Outcome};
+use fescuemux_core::base::Cx;
+use fescuemux_core::config::{CapacityReport, Current, Intent, Offer, Outcome};
+use fescuemux_standins::store::StandInStore;
+use fescuemux_store::config_store::ConfigStore;
+use fescuemux_store::{HttpStore, HttpStoreSettings};
 use fescuemux_wire::config::ChunkSet;
+use std::time::{Duration, Instant};
 
 #[test]
 fn confirmed_content_is_loaded() {
@@ -29,3 +34,41 @@
     assert_eq!(outcome, Outcome::Confirmed(3));
     assert_eq!(fleet.content().services["permits"].floor_slots, 8);
 }
+
+/// Guards against a daemon that loses the content in force when it loads a generation that it
+/// then refuses.
+#[test]
+fn load_keeps_the_chunks_in_force() {
+    let (ours, other) = (fleet(), fleet());
+    ours.confirm_new(changes([service("permits", 8)]));
+    let mut chunks = ChunkSet::new();
+    let held = ours.config.load(None, &mut chunks).unwrap().newer.unwrap();
+    other.skip_plan_ids(1);
+    other.confirm_new(changes([service("archive", 1)]));
+    other.confirm_new(changes([service("archive", 2)]));
+    let loaded = other.config.load(Some(&held.head), &mut chunks).unwrap().newer.unwrap();
+    let mut current = Current::new();
+    current.install(held.head);
+    assert!(matches!(current.install(loaded.head), Offer::Conflict { generation: 1, .. }));
+    let names = &current.head().unwrap().names;
+    assert_eq!(chunks.config(names), Ok(held.config));
+}
+
+/// Guards against records that fit in process and not over HTTP.
+#[test]
+fn large_content_is_confirmed_over_http() {
+    let served = StandInStore::start("127.0.0.1:0").unwrap();
+    let client = HttpStore::new(HttpStoreSettings::new(vec![served.addr()])).unwrap();
+    let config = ConfigStore::new(client);
+    let limits = (0..9_000).map(|i| limit(&format!("{}-{i}", "customer".repeat(12)), 1));
+    let intent = Intent::Changes(limits.collect());
+    let mut cx = Cx::new(Instant::now(), 3);
+    let plan = config.propose(&mut cx, &intent, &CapacityReport::default(), author()).unwrap();
+    let confirmed = config.confirm(plan.id, author(), time()).unwrap();
+    assert_eq!(confirmed.outcome, Outcome::Confirmed(1));
+    let loaded = config.load(None, &mut ChunkSet::new()).unwrap();
+    assert_eq!(loaded.newer.map(|snapshot| snapshot.config.callers.len()), Some(9_000));
+    let seen = config.watch(0, Duration::from_secs(9)).unwrap();
+    assert_eq!(seen.map(|(_, head)| head.generation()), Some(1));
+    served.stop();
+}
