core: spread trial requests of a flapping server over its period

Five trials in a row took 300 ms and fitted into one good phase at 1 Hz. The gap between trials now doubles with each relapse, from 100 ms.

--- a/crates/fescuemux-core/src/eject/admission.rs
+++ b/crates/fescuemux-core/src/eject/admission.rs
@@ -31,7 +31,7 @@
     Ejected,
     /// The server is in probation and this request is beyond its share.
     ProbationShare,
-    /// A trial request is already in flight.
+    /// A trial request is in flight, or the last one is too recent.
     TrialInFlight,
     /// The first trial requests must be idempotent.
     TrialNotIdempotent,
--- a/crates/fescuemux-core/src/eject/config.rs
+++ b/crates/fescuemux-core/src/eject/config.rs
@@ -18,6 +18,9 @@
     pub trials: u32,
     /// Of these, the first ones that must be idempotent.
     pub idempotent_trials: u32,
+    /// Least time between two trial requests after the first relapse. Doubles with each further
+    /// one, so that the trials of a flapping server do not all fall into one good phase.
+    pub trial_gap: Duration,
     /// Share of normal requests admitted in each stage after the trials.
     pub shares: &'static [f64],
     /// Length of each stage.
@@ -44,6 +47,7 @@
             permit_retry: Duration::from_secs(5),
             trials: 5,
             idempotent_trials: 3,
+            trial_gap: Duration::from_millis(100),
             shares: &[0.1, 0.25, 0.5],
             stage: Duration::from_secs(2),
             checks: 8,
--- a/crates/fescuemux-core/src/eject/health.rs
+++ b/crates/fescuemux-core/src/eject/health.rs
@@ -12,6 +12,10 @@
 /// Evidence that steered a server counts as withdrawn below this part of the probation score.
 const WITHDRAWN: f64 = 0.5;
 
+/// Doublings of the gap between trials. At 16 times the base gap, five trials cover 6.4 s, more
+/// than the period of the slowest flapping that holds need to catch.
+const MOST_GAP_DOUBLINGS: u32 = 4;
+
 /// State of a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum State {
@@ -77,7 +81,7 @@
             hold,
             return_at: now,
             next_request: now,
-            probation: Probation::new(),
+            probation: Probation::new(Duration::ZERO),
         }
     }
 
@@ -215,7 +219,7 @@
             return actions;
         }
         if self.state == State::Ejected {
-            self.probation = Probation::new();
+            self.probation = Probation::new(Duration::ZERO);
             self.enter(State::Steered, cx.now, &mut actions);
         }
         self.release(cx.now, &mut actions);
@@ -274,13 +278,14 @@
     fn relapse(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let hold = self.hold.begin(now);
         self.return_at = now + hold;
-        self.probation = Probation::new();
+        self.probation = Probation::new(Duration::ZERO);
         let back = if self.permit == Permit::Held { State::Ejected } else { State::Steered };
         self.enter(back, now, actions);
     }
 
     fn begin_probation(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        self.probation = Probation::new();
+        let doublings = self.hold.relapses().saturating_sub(1).min(MOST_GAP_DOUBLINGS);
+        self.probation = Probation::new(self.config.trial_gap * (1 << doublings));
         self.enter(State::Probation, now, actions);
         actions.push(Action::ResetEvidence);
     }
--- a/crates/fescuemux-core/src/eject/probation.rs
+++ b/crates/fescuemux-core/src/eject/probation.rs
@@ -15,22 +15,32 @@
 pub(super) struct Probation {
     good_trials: u32,
     checks_left: u32,
+    trial_gap: Duration,
+    next_trial: Option<Instant>,
     in_flight_since: Option<Instant>,
     shares_since: Option<Instant>,
 }
 
 impl Probation {
-    pub(super) fn new() -> Probation {
-        Probation { good_trials: 0, checks_left: 0, in_flight_since: None, shares_since: None }
+    pub(super) fn new(trial_gap: Duration) -> Probation {
+        Probation {
+            good_trials: 0,
+            checks_left: 0,
+            trial_gap,
+            next_trial: None,
+            in_flight_since: None,
+            shares_since: None,
+        }
     }
 
     /// Returns the progress of a steered server that takes `checks` trial requests.
     pub(super) fn checking(checks: u32) -> Probation {
-        Probation { checks_left: checks, ..Probation::new() }
+        Probation { checks_left: checks, ..Probation::new(Duration::ZERO) }
     }
 
     pub(super) fn wants_trial(&self, now: Instant) -> bool {
-        self.shares_since.is_none() && !self.occupied(now)
+        let due = self.next_trial.is_none_or(|next| now >= next);
+        due && self.shares_since.is_none() && !self.occupied(now)
     }
 
     pub(super) fn wants_check(&self, now: Instant) -> bool {
@@ -65,13 +75,14 @@
         if self.shares_since.is_some() {
             return Admission::Refuse(RefuseReason::NoTrialWanted);
         }
-        if self.occupied(cx.now) {
+        if !self.wants_trial(cx.now) {
             return Admission::Refuse(RefuseReason::TrialInFlight);
         }
         if !idempotent && self.good_trials < config.idempotent_trials {
             return Admission::Refuse(RefuseReason::TrialNotIdempotent);
         }
         self.in_flight_since = Some(cx.now);
+        self.next_trial = Some(cx.now + self.trial_gap);
         Admission::Admit
     }
 
