--- a/crates/fescuemux-core/src/detect/assessment.rs
+++ b/crates/fescuemux-core/src/detect/assessment.rs
@@ -22,7 +22,7 @@
     Latency {
         /// Log-likelihood ratio of the recent latencies.
         score: f64,
-        /// Median of the latencies in the window.
+        /// Median of the newest latencies.
         median: Duration,
         /// Latency that the server is compared with.
         reference: Duration,
--- a/crates/fescuemux-core/src/detect/detector.rs
+++ b/crates/fescuemux-core/src/detect/detector.rs
@@ -7,7 +7,7 @@
 use super::observation::{Observation, Outcome, ProbeResult, TrialOutcome};
 use super::reference::Reference;
 use super::tail::Tail;
-use super::window::{Sample, Window};
+use super::window::{Sample, WINDOW, Window};
 use crate::base::{Cx, Phase, RequestId};
 use std::time::{Duration, Instant};
 
@@ -36,6 +36,11 @@
 /// Slow answers to requests that started after the suspicion, before slowness alone may eject.
 /// A pause of the whole server delays all its requests at once; they are one event, not four.
 const FRESH_NEEDED: u32 = 2;
+/// Newest answers that show the current latency.
+const RECENT: usize = 5;
+/// Current latencies added to the confirmation time, and the longest latency that counts.
+const CONFIRM_ANSWERS: u32 = 4;
+const LONGEST_ANSWER: Duration = Duration::from_secs(2);
 /// Shortest latency told apart from zero.
 const SHORTEST: f64 = 1e-6;
 
@@ -178,11 +183,18 @@
             return Level::Healthy;
         }
         let since = *self.suspect_since.get_or_insert(now);
-        let confirmed = now.saturating_duration_since(since) >= self.config.confirm;
+        let confirmed = now.saturating_duration_since(since) >= self.confirm();
         let bad = score >= self.config.bad_score && confirmed && independent;
         if bad { Level::Bad } else { Level::Suspect }
     }
 
+    /// The baseline follows a slowdown of the whole service only after slow answers of half the
+    /// servers reached the ingresses, so the time to wait grows with the latency itself.
+    fn confirm(&self) -> Duration {
+        let recent = self.window.median(RECENT).map_or(Duration::ZERO, from_octave);
+        self.config.confirm + recent.min(LONGEST_ANSWER) * CONFIRM_ANSWERS
+    }
+
     fn count_fresh(&mut self, started: Instant, sample: &Sample) {
         let fresh = self.suspect_since.is_some_and(|since| started > since);
         let Some(reference) = self.reference_octave() else { return };
@@ -200,7 +212,7 @@
         if latency > 0.0 {
             reasons.push(Reason::Latency {
                 score: latency,
-                median: self.window.median().map_or(Duration::ZERO, from_octave),
+                median: self.window.median(RECENT).map_or(Duration::ZERO, from_octave),
                 reference: from_octave(reference),
             });
         }
@@ -295,7 +307,7 @@
         if self.phase != Phase::Ready {
             return;
         }
-        if let Some(median) = self.window.median() {
+        if let Some(median) = self.window.median(WINDOW) {
             self.reference.set_own(median.exp2());
         }
     }
--- a/crates/fescuemux-core/src/detect/window.rs
+++ b/crates/fescuemux-core/src/detect/window.rs
@@ -62,11 +62,13 @@
         sum
     }
 
-    /// Returns the binary logarithm of the median latency in seconds of the successful samples.
-    pub(super) fn median(&self) -> Option<f64> {
+    /// Returns the binary logarithm of the median latency in seconds of the newest `count`
+    /// successful samples.
+    pub(super) fn median(&self, count: usize) -> Option<f64> {
         let mut values = [0.0; WINDOW];
         let mut len = 0;
-        for sample in self.samples.iter().filter(|sample| sample.outcome == Outcome::Ok) {
+        let ok = self.samples.iter().rev().filter(|sample| sample.outcome == Outcome::Ok);
+        for sample in ok.take(count.min(WINDOW)) {
             values[len] = sample.octave;
             len += 1;
         }
--- a/crates/fescuemux-measure/examples/detection.rs
+++ b/crates/fescuemux-measure/examples/detection.rs
@@ -1,5 +1,6 @@
 //! Runs the detection measurement: `--seeds N --first-seed N --threads N --deadline-ms N
-//! --median-ms N --trace NAME --method NAME --json --plot DIR`.
+//! --median-ms N --trace NAME --method NAME --json --plot DIR`. With `--json` the table goes to
+//! standard error.
 
 use anyhow::{Context, Result, bail};
 use fescuemux_measure::detection::{Method, Options, Trace, run, write_plots};
@@ -28,6 +29,7 @@
     }
     let report = run(&options);
     if json {
+        eprint!("{report}");
         println!("{}", report.to_json()?);
     } else {
         print!("{report}");
