core: count only full service as good time; check held entries again

Two faults found while writing the tests. The hold time decayed during the hold itself, so the doubling fell back (150 s in place of 300 s after seven relapses). A repeated grant of a held entry passed without a look at the floor, although its guard may have returned meanwhile and the floor may have risen.

--- a/crates/fescuemux-core/src/detect.rs
+++ b/crates/fescuemux-core/src/detect.rs
@@ -16,6 +16,9 @@
 mod tail;
 mod window;
 
+#[cfg(test)]
+mod tests;
+
 pub use assessment::{Assessment, Level, Reason};
 pub use baseline::Baseline;
 pub use config::DetectorConfig;
--- a/crates/fescuemux-core/src/eject.rs
+++ b/crates/fescuemux-core/src/eject.rs
@@ -14,6 +14,9 @@
 mod probation;
 mod refusal;
 
+#[cfg(test)]
+mod tests;
+
 pub use action::{Action, PermitAnswer};
 pub use admission::{Admission, RefuseReason, RequestKind};
 pub use capacity::{Capacity, ServerCapacity};
--- a/crates/fescuemux-core/src/eject/action.rs
+++ b/crates/fescuemux-core/src/eject/action.rs
@@ -27,8 +27,8 @@
 pub enum PermitAnswer {
     /// The ledger holds the server under the guard's incarnation.
     Granted,
-    /// The ledger refused, usually because the floor would be violated. The ledger is known not
-    /// to hold the server.
+    /// The ledger refused, usually because the floor would be violated. An entry left from
+    /// earlier is reported with [`Health::on_ledger`](super::Health::on_ledger).
     Refused,
     /// The store did not answer, so the ledger may or may not hold the server.
     StoreUnavailable,
--- a/crates/fescuemux-core/src/eject/hold.rs
+++ b/crates/fescuemux-core/src/eject/hold.rs
@@ -10,7 +10,9 @@
     good_time: Duration,
     next: Duration,
     relapses: u32,
-    good_since: Instant,
+    /// Start of the current time of full service. Time in which the server is steered, ejected
+    /// or in probation is not good time.
+    good_since: Option<Instant>,
 }
 
 impl Hold {
@@ -20,12 +22,13 @@
         good_time: Duration,
         now: Instant,
     ) -> Hold {
-        Hold { base, longest, good_time, next: base, relapses: 0, good_since: now }
+        Hold { base, longest, good_time, next: base, relapses: 0, good_since: Some(now) }
     }
 
     /// Returns the hold time of a server that turns sick now, and doubles the next one.
     pub(super) fn begin(&mut self, now: Instant) -> Duration {
         self.decay(now);
+        self.good_since = None;
         let hold = self.next;
         self.next = (self.next * 2).min(self.longest);
         self.relapses = self.relapses.saturating_add(1);
@@ -36,12 +39,12 @@
     pub(super) fn withdraw(&mut self, now: Instant) {
         self.next = (self.next / 2).max(self.base);
         self.relapses = self.relapses.saturating_sub(1);
-        self.good_since = now;
+        self.good_since = Some(now);
     }
 
     /// Notes that the server serves in full from now on.
     pub(super) fn serve(&mut self, now: Instant) {
-        self.good_since = now;
+        self.good_since = Some(now);
     }
 
     /// Returns how often the server turned sick since the hold time last decayed to its base.
@@ -50,7 +53,8 @@
     }
 
     fn decay(&mut self, now: Instant) {
-        let good = now.saturating_duration_since(self.good_since);
+        let Some(since) = self.good_since else { return };
+        let good = now.saturating_duration_since(since);
         let halvings = good.as_secs_f64() / self.good_time.as_secs_f64();
         for _ in 0..(halvings as u32).min(32) {
             self.next = (self.next / 2).max(self.base);
--- a/crates/fescuemux-core/src/eject/ledger.rs
+++ b/crates/fescuemux-core/src/eject/ledger.rs
@@ -78,10 +78,12 @@
     /// Ejects a server. A repeated grant also changes the sequence number: a delayed write of an
     /// earlier release then fails its compare-and-swap instead of removing the entry.
     ///
+    /// A server that is already held is checked against the floor again. Its guard may have
+    /// returned it without the store, or restarted, and the capacity may have shrunk since.
+    ///
     /// # Errors
     ///
     /// Refuses when an older guard asks, and when the capacity left would be below the floor.
-    /// A server that is already held keeps its place in the order and is not checked again.
     pub fn grant(
         &self,
         capacity: &Capacity,
@@ -91,15 +93,12 @@
     ) -> Result<Ledger, Refusal> {
         self.check_fence(server, incarnation)?;
         let mut next = self.clone();
-        next.sequence += 1;
-        if let Some(held) = next.entries.iter_mut().find(|entry| entry.server == *server) {
-            held.incarnation = incarnation;
-            return Ok(next);
-        }
-        let left = self.healthy_slots(capacity).saturating_sub(capacity.ready_slots(server));
+        next.entries.retain(|entry| entry.server != *server);
+        let left = next.healthy_slots(capacity).saturating_sub(capacity.ready_slots(server));
         if left < capacity.floor {
             return Err(Refusal::Floor { left, floor: capacity.floor });
         }
+        next.sequence += 1;
         next.fences.retain(|fence| fence.server != *server);
         next.entries.push(Entry {
             server: server.clone(),
@@ -123,6 +122,7 @@
         let mut next = self.clone();
         next.sequence += 1;
         next.entries.retain(|entry| entry.server != *server);
+        next.fences.retain(|fence| fence.server != *server);
         next.fences.push(Fence { server: server.clone(), incarnation, sequence: next.sequence });
         if next.fences.len() > MOST_FENCES {
             next.fences.remove(0);
