measure: make results independent of the number of threads

Sums of hours and shares were floating-point, so the order of seeds changed the last digit and a seed did not give the same report on 2 and 3 threads. They are integers and durations now. Reasons are stated only from a score of 3, which healthy servers seldom reach; it spares most assessments the median of the window.

--- a/crates/fescuemux-core/src/detect/assessment.rs
+++ b/crates/fescuemux-core/src/detect/assessment.rs
@@ -86,6 +86,6 @@
     pub level: Level,
     /// Log-likelihood ratio of "sick" to "healthy", in nats; never negative.
     pub score: f64,
-    /// Parts of the evidence with a positive score, for a state dump.
+    /// Parts of the evidence with a score that chance alone seldom reaches, for a state dump.
     pub reasons: Vec<Reason>,
 }
--- a/crates/fescuemux-core/src/detect/detector.rs
+++ b/crates/fescuemux-core/src/detect/detector.rs
@@ -41,6 +41,8 @@
 /// Current latencies added to the confirmation time, and the longest latency that counts.
 const CONFIRM_ANSWERS: u32 = 4;
 const LONGEST_ANSWER: Duration = Duration::from_secs(2);
+/// Smallest score that is stated as a reason. Healthy servers often reach less by chance.
+const LEAST_REASON: f64 = 3.0;
 /// Shortest latency told apart from zero.
 const SHORTEST: f64 = 1e-6;
 
@@ -209,7 +211,7 @@
             return (0.0, self.absolute_ages(now, reasons));
         };
         let latency = self.window.cusum(|sample| self.latency_score(sample, reference)).score;
-        if latency > 0.0 {
+        if latency >= LEAST_REASON {
             reasons.push(Reason::Latency {
                 score: latency,
                 median: self.window.median(RECENT).map_or(Duration::ZERO, from_octave),
@@ -225,7 +227,7 @@
             requests += usize::from(score > 0.0);
             oldest = oldest.max(each);
         }
-        if age > 0.0 {
+        if age >= LEAST_REASON {
             reasons.push(Reason::InFlightAge { score: age, requests, oldest });
         }
         (latency, age)
@@ -248,7 +250,7 @@
         let reference = self.reference_octave();
         let scores = OutcomeScores::new(expected, reference);
         let sum = self.window.cusum(|sample| scores.of(sample));
-        if sum.score > 0.0 {
+        if sum.score >= LEAST_REASON {
             reasons.push(Reason::Failures {
                 score: sum.score,
                 failures: sum.against,
--- a/crates/fescuemux-measure/src/detection/engine.rs
+++ b/crates/fescuemux-measure/src/detection/engine.rs
@@ -6,11 +6,11 @@
 use super::result::Outcome as RunOutcome;
 use super::trace::{Script, Trace};
 use super::workload::Workload;
-use fescuemux_core::base::{Cx, RequestId};
+use fescuemux_core::base::{Cx, HashMap, RequestId};
 use fescuemux_core::detect::Outcome;
 use fescuemux_core::eject::RequestKind;
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::BinaryHeap;
 use std::time::{Duration, Instant};
 
 /// Slots of each backend server.
@@ -145,7 +145,7 @@
             queue: BinaryHeap::new(),
             order: 0,
             next_id: 0,
-            requests: HashMap::new(),
+            requests: HashMap::default(),
             busy: vec![0; pool],
             deferred: Vec::new(),
             cuts: 0,
@@ -171,7 +171,7 @@
             self.handle(next.event);
             self.drain_effects();
         }
-        self.outcome.healthy_seconds = self.healthy_seconds();
+        self.outcome.healthy_time = Duration::from_secs_f64(self.healthy_seconds());
         self.outcome
     }
 
@@ -199,7 +199,7 @@
             return;
         }
         self.outcome.requests += 1;
-        self.count_bad_share();
+        self.count_bad_arrivals();
         let choice = match &mut self.policy {
             Policy::Fleet(fleet) => fleet.choose(&mut self.cx, idempotent, &self.busy),
             Policy::Baselines(baselines) => baselines.choose(&mut self.cx),
@@ -361,14 +361,12 @@
         sick.then_some(since)
     }
 
-    fn count_bad_share(&mut self) {
+    fn count_bad_arrivals(&mut self) {
         let at = self.seconds(self.cx.now);
-        let pool = self.script.pool;
-        let bad = (0..pool).filter(|server| self.script.bad(*server, at)).count();
-        let share = bad as f64 / pool as f64;
-        self.outcome.bad_share += share;
+        let bad = (0..self.script.pool).filter(|server| self.script.bad(*server, at)).count();
+        self.outcome.bad_arrivals += bad as u64;
         if self.past_flaps() {
-            self.outcome.flap_share += share;
+            self.outcome.flap_arrivals += bad as u64;
         }
     }
 
--- a/crates/fescuemux-measure/src/detection/report.rs
+++ b/crates/fescuemux-measure/src/detection/report.rs
@@ -37,8 +37,10 @@
 
 impl Row {
     pub(super) fn new(trace: Trace, pool: usize, method: Method, tally: Tally) -> Row {
-        let ratio = |sent: u64, share: f64| (share > 0.0).then(|| sent as f64 / share);
-        let days = tally.healthy_hours / 24.0;
+        let ratio = |sent: u64, arrivals: u64| {
+            (arrivals > 0).then(|| sent as f64 * pool as f64 / arrivals as f64)
+        };
+        let days = tally.healthy_time.as_secs_f64() / 86_400.0;
         Row {
             trace,
             pool,
@@ -47,8 +49,8 @@
             detection_p99: tally.detection_quantile(0.99),
             detection_max: tally.detection_quantile(1.0),
             ejection_p99: tally.ejection_quantile(0.99),
-            bad_let_through: ratio(tally.bad_sent, tally.bad_share),
-            flap_let_through: ratio(tally.flap_sent, tally.flap_share),
+            bad_let_through: ratio(tally.bad_sent, tally.bad_arrivals),
+            flap_let_through: ratio(tally.flap_sent, tally.flap_arrivals),
             false_ejections_per_server_day: tally.false_ejections as f64 / days,
             false_steers_per_server_day: tally.false_steers as f64 / days,
             tally,
--- a/crates/fescuemux-measure/src/detection/result.rs
+++ b/crates/fescuemux-measure/src/detection/result.rs
@@ -1,6 +1,7 @@
 //! What one run and many runs show.
 
 use serde::Serialize;
+use std::time::Duration;
 
 /// Counts of one run.
 #[derive(Clone, Debug, Default)]
@@ -12,12 +13,12 @@
     pub(super) ejections: Vec<Option<f64>>,
     pub(super) false_ejections: u64,
     pub(super) false_steers: u64,
-    pub(super) healthy_seconds: f64,
-    /// Requests a bad server would have received with an equal share, and those it received.
-    pub(super) bad_share: f64,
+    pub(super) healthy_time: Duration,
+    /// Bad servers at each arrival, summed, and the requests that bad servers received.
+    pub(super) bad_arrivals: u64,
     pub(super) bad_sent: u64,
     /// The same after the third flap.
-    pub(super) flap_share: f64,
+    pub(super) flap_arrivals: u64,
     pub(super) flap_sent: u64,
     pub(super) floor_violations: u64,
     /// Lowest healthy capacity minus floor, in slots, seen at an ejection.
@@ -43,14 +44,16 @@
     pub false_ejections: u64,
     /// Healthy servers steered, which removes no capacity.
     pub false_steers: u64,
-    /// Hours of healthy servers observed.
-    pub healthy_hours: f64,
-    /// Requests that bad servers would have received with an equal share.
-    pub bad_share: f64,
+    /// Time of healthy servers observed.
+    pub healthy_time: Duration,
+    /// Bad servers at each arrival, summed; divided by the pool size, the requests that they
+    /// would have received with an equal share. Integers, so that the order of seeds does not
+    /// change a sum.
+    pub bad_arrivals: u64,
     /// Requests that bad servers received.
     pub bad_sent: u64,
-    /// Like `bad_share`, after the third flap.
-    pub flap_share: f64,
+    /// Like `bad_arrivals`, after the third flap.
+    pub flap_arrivals: u64,
     /// Like `bad_sent`, after the third flap.
     pub flap_sent: u64,
     /// Ejections that left the fleet below the floor.
@@ -75,10 +78,10 @@
         self.ejections.extend(outcome.ejections.into_iter().flatten());
         self.false_ejections += outcome.false_ejections;
         self.false_steers += outcome.false_steers;
-        self.healthy_hours += outcome.healthy_seconds / 3600.0;
-        self.bad_share += outcome.bad_share;
+        self.healthy_time += outcome.healthy_time;
+        self.bad_arrivals += outcome.bad_arrivals;
         self.bad_sent += outcome.bad_sent;
-        self.flap_share += outcome.flap_share;
+        self.flap_arrivals += outcome.flap_arrivals;
         self.flap_sent += outcome.flap_sent;
         self.floor_violations += outcome.floor_violations;
         self.lowest_margin = lowest(self.lowest_margin, outcome.lowest_margin);
@@ -93,10 +96,10 @@
         self.missed += other.missed;
         self.false_ejections += other.false_ejections;
         self.false_steers += other.false_steers;
-        self.healthy_hours += other.healthy_hours;
-        self.bad_share += other.bad_share;
+        self.healthy_time += other.healthy_time;
+        self.bad_arrivals += other.bad_arrivals;
         self.bad_sent += other.bad_sent;
-        self.flap_share += other.flap_share;
+        self.flap_arrivals += other.flap_arrivals;
         self.flap_sent += other.flap_sent;
         self.floor_violations += other.floor_violations;
         self.lowest_margin = lowest(self.lowest_margin, other.lowest_margin);
--- a/crates/fescuemux-measure/src/detection/tests.rs
+++ b/crates/fescuemux-measure/src/detection/tests.rs
@@ -1,1 +1,97 @@
+//! Guards against a detector that misses the goals of design section 9, and against checks that
+//! would not notice. Fixed seeds; no wall-clock time.
 
+use super::{Method, Options, Report, Row, Trace, run, run_one};
+
+const OURS: [Method; 2] = [Method::FastDetection, Method::FewFalseEjections];
+
+fn options(traces: &[Trace], methods: &[Method], seeds: u64) -> Options {
+    Options {
+        seeds,
+        traces: traces.to_vec(),
+        methods: methods.to_vec(),
+        threads: 2,
+        ..Options::default()
+    }
+}
+
+fn best_baseline(report: &Report, row: &Row) -> f64 {
+    let same = |other: &&Row| other.trace == row.trace && other.pool == row.pool;
+    let baselines = report.rows.iter().filter(same).filter(|row| row.method.favor().is_none());
+    baselines.filter_map(|row| row.detection_p99).fold(f64::INFINITY, f64::min)
+}
+
+#[test]
+fn gray_failures_are_found_in_time() {
+    let traces = [Trace::BlackHole, Trace::FailSlow];
+    let report = run(&options(&traces, &Method::MEASURED, 40));
+    for row in report.rows.iter().filter(|row| row.method.favor().is_some()) {
+        let bound: f64 = if row.method == Method::FastDetection { 1.0 } else { 2.5 };
+        let bound = bound.min(best_baseline(&report, row) / 3.0);
+        let p99 = row.detection_p99.expect("a fault in each run");
+        assert!(p99 <= bound, "{} of {}, {:?}: {p99}", row.trace.as_str(), row.pool, row.method);
+    }
+}
+
+#[test]
+fn healthy_servers_are_not_ejected() {
+    let traces = [
+        Trace::LongTail,
+        Trace::AllSlow,
+        Trace::OneWayLoss,
+        Trace::ColdStart,
+        Trace::ObserverPaused,
+    ];
+    let report = run(&options(&traces, &OURS, 20));
+    for row in &report.rows {
+        let name = row.trace.as_str();
+        assert_eq!(row.tally.false_ejections, 0, "{name} of {}, {:?}", row.pool, row.method);
+    }
+}
+
+#[test]
+fn floor_holds_for_the_fleet_and_its_check_catches_lone_decisions() {
+    let broken = [Method::FastDetection, Method::FewFalseEjections, Method::EachAlone];
+    let report = run(&options(&[Trace::HalfSick], &broken, 20));
+    for row in &report.rows {
+        let violations = row.tally.floor_violations;
+        if row.method == Method::EachAlone {
+            assert!(violations > 0, "pool {}: broken version not caught", row.pool);
+        } else {
+            assert_eq!(violations, 0, "pool {}, {:?}", row.pool, row.method);
+        }
+    }
+}
+
+#[test]
+fn flapping_servers_receive_few_requests() {
+    let traces = [Trace::Flap02Hz, Trace::Flap1Hz, Trace::Flap5Hz];
+    let report = run(&options(&traces, &OURS, 20));
+    for row in &report.rows {
+        if let Some(share) = row.flap_let_through {
+            assert!(share <= 0.02, "{} {:?}: {share}", row.trace.as_str(), row.method);
+        }
+    }
+    assert!(report.rows.iter().any(|row| row.flap_let_through.is_some()));
+}
+
+/// An answer that ended during a pause was deferred for ever when the end of the pause was
+/// rounded to just before itself.
+#[test]
+fn a_paused_observer_does_not_stop_the_clock() {
+    for seed in 1..40 {
+        let options = Options::default();
+        for method in [Method::FastDetection, Method::ConsecutiveErrors] {
+            let tally = run_one(&options, Trace::ObserverPaused, 6, method, seed);
+            assert_eq!(tally.runs, 1);
+        }
+    }
+}
+
+#[test]
+fn a_seed_gives_the_same_result_on_any_number_of_threads() {
+    let mut options = options(&[Trace::HalfSick], &OURS, 6);
+    let once = run(&options).to_json().expect("serializes");
+    options.threads = 3;
+    assert_eq!(run(&options).to_json().expect("serializes"), once);
+}
