core: do not let a pause of the observer confirm a suspicion

The confirmation time ran on while the observer was paused, so a suspicion from before the pause led to an ejection right after it.

--- a/crates/fescuemux-core/src/detect/detector.rs
+++ b/crates/fescuemux-core/src/detect/detector.rs
@@ -126,8 +126,9 @@
 
     /// Discards the evidence of a time in which this process itself did not run. The ages and
     /// latencies of requests that were in flight say nothing about the backend server.
-    pub fn on_pause(&mut self, cx: &mut Cx, _length: Duration) {
+    pub fn on_pause(&mut self, cx: &mut Cx, length: Duration) {
         self.in_flight.restart(cx.now);
+        self.suspect_since = self.suspect_since.map(|since| (since + length).min(cx.now));
         self.probe_failures = 0;
     }
 
--- a/crates/fescuemux-core/src/detect/tests.rs
+++ b/crates/fescuemux-core/src/detect/tests.rs
@@ -226,6 +226,21 @@
     assert_eq!(bench.level(), Level::Healthy);
 }
 
+/// The time to confirm a suspicion does not pass while the observer is paused.
+#[test]
+fn a_pause_does_not_confirm_a_suspicion() {
+    let mut bench = Bench::warm(Favor::FastDetection);
+    for _ in 0..10 {
+        bench.request(Outcome::ServerError, MEDIAN);
+    }
+    assert_eq!(bench.level(), Level::Suspect);
+    bench.pass(Duration::from_secs(10));
+    bench.detector.on_pause(&mut bench.cx, Duration::from_secs(10));
+    assert_eq!(bench.level(), Level::Suspect);
+    bench.pass(Duration::from_secs(2));
+    assert_eq!(bench.level(), Level::Bad);
+}
+
 #[test]
 fn probes_alone_decide_nothing() {
     let mut bench = Bench::warm(Favor::FastDetection);
