--- a/crates/fescuemux-measure/src/detection.rs
+++ b/crates/fescuemux-measure/src/detection.rs
@@ -10,6 +10,7 @@
 mod fleet;
 mod options;
 mod plot;
+mod queue;
 mod report;
 mod result;
 mod run;
--- a/crates/fescuemux-measure/src/detection/engine.rs
+++ b/crates/fescuemux-measure/src/detection/engine.rs
@@ -1,16 +1,15 @@
 //! Event loop of one run on a virtual clock.
 
 use super::baselines::Baselines;
-use super::fleet::{Fleet, StoreOp, StoreWrite};
+use super::fleet::{Fleet, StoreOp};
 use super::options::{Method, Options};
+use super::queue::{Event, Queue};
 use super::result::Outcome as RunOutcome;
 use super::trace::{Script, Trace};
 use super::workload::Workload;
 use fescuemux_core::base::{Cx, HashMap, RequestId};
 use fescuemux_core::detect::Outcome;
 use fescuemux_core::eject::RequestKind;
-use std::cmp::Reverse;
-use std::collections::BinaryHeap;
 use std::time::{Duration, Instant};
 
 /// Slots of each backend server.
@@ -43,49 +42,6 @@
     Store(StoreOp),
 }
 
-#[derive(Debug)]
-enum Event {
-    Arrival,
-    Tick,
-    Resume,
-    Finish { id: RequestId, outcome: Outcome },
-    StoreRead(StoreOp),
-    StoreWrite(Box<StoreWrite>),
-}
-
-#[derive(Debug)]
-struct Scheduled {
-    at: Instant,
-    order: u64,
-    event: Event,
-}
-
-impl PartialEq for Scheduled {
-    fn eq(&self, other: &Scheduled) -> bool {
-        self.key() == other.key()
-    }
-}
-
-impl Eq for Scheduled {}
-
-impl PartialOrd for Scheduled {
-    fn partial_cmp(&self, other: &Scheduled) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Scheduled {
-    fn cmp(&self, other: &Scheduled) -> std::cmp::Ordering {
-        self.key().cmp(&other.key())
-    }
-}
-
-impl Scheduled {
-    fn key(&self) -> (Instant, u64) {
-        (self.at, self.order)
-    }
-}
-
 /// The method under test.
 pub(super) enum Policy {
     Fleet(Box<Fleet>),
@@ -102,8 +58,7 @@
     origin: Instant,
     end: Instant,
     workload: Workload,
-    queue: BinaryHeap<Reverse<Scheduled>>,
-    order: u64,
+    queue: Queue,
     next_id: RequestId,
     requests: HashMap<RequestId, Request>,
     busy: Vec<u32>,
@@ -142,8 +97,7 @@
             origin,
             end: origin + Duration::from_secs_f64(trace.length()),
             workload,
-            queue: BinaryHeap::new(),
-            order: 0,
+            queue: Queue::default(),
             next_id: 0,
             requests: HashMap::default(),
             busy: vec![0; pool],
@@ -163,12 +117,12 @@
         if let Some((_, until)) = self.script.pause() {
             self.schedule(self.at(until), Event::Resume);
         }
-        while let Some(Reverse(next)) = self.queue.pop() {
-            if next.at >= self.end {
+        while let Some((at, event)) = self.queue.pop() {
+            if at >= self.end {
                 break;
             }
-            self.cx.now = next.at;
-            self.handle(next.event);
+            self.cx.now = at;
+            self.handle(event);
             self.drain_effects();
         }
         self.outcome.healthy_time = Duration::from_secs_f64(self.healthy_seconds());
@@ -405,8 +359,7 @@
     }
 
     fn schedule(&mut self, at: Instant, event: Event) {
-        self.order += 1;
-        self.queue.push(Reverse(Scheduled { at, order: self.order, event }));
+        self.queue.push(at, event);
     }
 
     fn at(&self, seconds: f64) -> Instant {
