--- a/crates/fescuemux-core/src/detect/assessment.rs
+++ b/crates/fescuemux-core/src/detect/assessment.rs
@@ -22,7 +22,7 @@
     Latency {
         /// Log-likelihood ratio of the recent latencies.
         score: f64,
-        /// Median of the latencies in the window.
+        /// Median of the newest latencies.
         median: Duration,
         /// Latency that the server is compared with.
         reference: Duration,
@@ -86,6 +86,6 @@
     pub level: Level,
     /// Log-likelihood ratio of "sick" to "healthy", in nats; never negative.
     pub score: f64,
-    /// Parts of the evidence with a positive score, for a state dump.
+    /// Parts of the evidence with a score that chance alone seldom reaches, for a state dump.
     pub reasons: Vec<Reason>,
 }
--- a/crates/fescuemux-core/src/detect/detector.rs
+++ b/crates/fescuemux-core/src/detect/detector.rs
@@ -7,7 +7,7 @@
 use super::observation::{Observation, Outcome, ProbeResult, TrialOutcome};
 use super::reference::Reference;
 use super::tail::Tail;
-use super::window::{Sample, Window};
+use super::window::{Sample, WINDOW, Window};
 use crate::base::{Cx, Phase, RequestId};
 use std::time::{Duration, Instant};
 
@@ -36,6 +36,13 @@
 /// Slow answers to requests that started after the suspicion, before slowness alone may eject.
 /// A pause of the whole server delays all its requests at once; they are one event, not four.
 const FRESH_NEEDED: u32 = 2;
+/// Newest answers that show the current latency.
+const RECENT: usize = 5;
+/// Current latencies added to the confirmation time, and the longest latency that counts.
+const CONFIRM_ANSWERS: u32 = 4;
+const LONGEST_ANSWER: Duration = Duration::from_secs(2);
+/// Smallest score that is stated as a reason. Healthy servers often reach less by chance.
+const LEAST_REASON: f64 = 3.0;
 /// Shortest latency told apart from zero.
 const SHORTEST: f64 = 1e-6;
 
@@ -119,8 +126,9 @@
 
     /// Discards the evidence of a time in which this process itself did not run. The ages and
     /// latencies of requests that were in flight say nothing about the backend server.
-    pub fn on_pause(&mut self, cx: &mut Cx, _length: Duration) {
+    pub fn on_pause(&mut self, cx: &mut Cx, length: Duration) {
         self.in_flight.restart(cx.now);
+        self.suspect_since = self.suspect_since.map(|since| (since + length).min(cx.now));
         self.probe_failures = 0;
     }
 
@@ -178,11 +186,18 @@
             return Level::Healthy;
         }
         let since = *self.suspect_since.get_or_insert(now);
-        let confirmed = now.saturating_duration_since(since) >= self.config.confirm;
+        let confirmed = now.saturating_duration_since(since) >= self.confirm();
         let bad = score >= self.config.bad_score && confirmed && independent;
         if bad { Level::Bad } else { Level::Suspect }
     }
 
+    /// The baseline follows a slowdown of the whole service only after slow answers of half the
+    /// servers reached the ingresses, so the time to wait grows with the latency itself.
+    fn confirm(&self) -> Duration {
+        let recent = self.window.median(RECENT).map_or(Duration::ZERO, from_octave);
+        self.config.confirm + recent.min(LONGEST_ANSWER) * CONFIRM_ANSWERS
+    }
+
     fn count_fresh(&mut self, started: Instant, sample: &Sample) {
         let fresh = self.suspect_since.is_some_and(|since| started > since);
         let Some(reference) = self.reference_octave() else { return };
@@ -197,10 +212,10 @@
             return (0.0, self.absolute_ages(now, reasons));
         };
         let latency = self.window.cusum(|sample| self.latency_score(sample, reference)).score;
-        if latency > 0.0 {
+        if latency >= LEAST_REASON {
             reasons.push(Reason::Latency {
                 score: latency,
-                median: self.window.median().map_or(Duration::ZERO, from_octave),
+                median: self.window.median(RECENT).map_or(Duration::ZERO, from_octave),
                 reference: from_octave(reference),
             });
         }
@@ -213,7 +228,7 @@
             requests += usize::from(score > 0.0);
             oldest = oldest.max(each);
         }
-        if age > 0.0 {
+        if age >= LEAST_REASON {
             reasons.push(Reason::InFlightAge { score: age, requests, oldest });
         }
         (latency, age)
@@ -236,7 +251,7 @@
         let reference = self.reference_octave();
         let scores = OutcomeScores::new(expected, reference);
         let sum = self.window.cusum(|sample| scores.of(sample));
-        if sum.score > 0.0 {
+        if sum.score >= LEAST_REASON {
             reasons.push(Reason::Failures {
                 score: sum.score,
                 failures: sum.against,
@@ -295,7 +310,7 @@
         if self.phase != Phase::Ready {
             return;
         }
-        if let Some(median) = self.window.median() {
+        if let Some(median) = self.window.median(WINDOW) {
             self.reference.set_own(median.exp2());
         }
     }
