--- a/crates/fescuemux-core/src/route/choose.rs
+++ b/crates/fescuemux-core/src/route/choose.rs
@@ -7,7 +7,7 @@
 use rand::Rng;
 
 /// Candidates compared in each tier.
-const CHOICES: usize = 2;
+const CHOICES: usize = 4;
 
 /// Draws for one candidate before a server in slow start is taken in spite of its low share.
 const SLOW_START_DRAWS: usize = 3;
@@ -90,8 +90,11 @@
         at: impl Fn(usize) -> Option<Index>,
     ) -> Option<Candidate> {
         let mut best: Option<Candidate> = None;
+        let mut bits = if count > 1 { cx.rng.random::<u64>() } else { 0 };
         for _ in 0..CHOICES.min(count) {
-            let Some(found) = self.sample(cx, table, query, count, &at) else {
+            let start = position(bits, count);
+            bits >>= POSITION_BITS;
+            let Some(found) = self.sample(cx, table, query, count, start, &at) else {
                 continue;
             };
             if best.is_none_or(|b| found.load < b.load) {
@@ -107,32 +110,31 @@
         table: &ServiceTable,
         query: &RouteQuery,
         count: usize,
+        start: usize,
         at: &impl Fn(usize) -> Option<Index>,
     ) -> Option<Candidate> {
         let mut last = None;
+        let mut start = start;
         for _ in 0..SLOW_START_DRAWS {
-            let (index, entry) = self.draw(cx, query, count, at)?;
+            let (index, entry) = self.from(query, count, start, at)?;
             last = Some(Candidate { index, load: self.load(cx, table, entry) });
             let weight = entry.weight(cx.now, self.cfg.slow_start);
             if weight >= 1.0 || cx.rng.random::<f64>() < weight {
                 break;
             }
+            start = cx.rng.random_range(0..count);
         }
         last
     }
 
-    /// Draws a random server that is neither excluded nor in probation.
-    fn draw(
+    /// Returns the first server from `start` on that is neither excluded nor in probation.
+    fn from(
         &self,
-        cx: &mut Cx,
         query: &RouteQuery,
         count: usize,
+        start: usize,
         at: &impl Fn(usize) -> Option<Index>,
     ) -> Option<(Index, &Entry)> {
-        if count == 0 {
-            return None;
-        }
-        let start = cx.rng.random_range(0..count);
         for step in 0..count.min(MAX_STEPS) {
             let index = at((start + step) % count)?;
             let entry = self.entries[index as usize].as_ref()?;
@@ -213,6 +215,15 @@
     }
 }
 
+/// Random bits that select one candidate, so that one random number serves all [`CHOICES`].
+const POSITION_BITS: u32 = 16;
+
+/// Returns a position below `count` from the low bits of a random number.
+fn position(bits: u64, count: usize) -> usize {
+    let low = bits as usize & ((1 << POSITION_BITS) - 1);
+    (low * count) >> POSITION_BITS
+}
+
 /// Steps past excluded servers before a draw gives up.
 const MAX_STEPS: usize = 8;
 
