core: forget load observations after 100 ms

At the target size an ingress sees 1.2 requests/s of a service, so what it saw is older than the load it describes.

--- a/crates/fescuemux-core/src/route/config.rs
+++ b/crates/fescuemux-core/src/route/config.rs
@@ -39,7 +39,7 @@
             domain,
             region,
             subset: 16,
-            load_half_life: Duration::from_millis(500),
+            load_half_life: Duration::from_millis(100),
             room: 1.0,
             slow_start: Duration::from_secs(10),
             idempotent_wait: Duration::from_secs(10),
