core: divide caller limits by demand

Cause: each daemon sees a part of a caller's traffic, and 540 daemons that grant the whole limit grant up to 540 of it. Equal parts starve callers that stay with few daemons. The tests keep 1 token, set explicitly.

--- a/crates/fescuemux-core/src/admit.rs
+++ b/crates/fescuemux-core/src/admit.rs
@@ -2,12 +2,14 @@
 //!
 //! Must not know how requests are run, where callers connect or how health is judged.
 
+mod caller_demand;
 mod caller_limits;
 mod deadline_queue;
 mod limit;
 mod queue_types;
 mod slots;
 
+pub use caller_demand::{CallerDemand, CallerHome};
 pub use caller_limits::{CallerDecision, CallerLimit, CallerLimits, CallerLimitsConfig};
 pub use deadline_queue::DeadlineQueue;
 pub use limit::{AdaptiveLimit, AdaptiveLimitConfig, LimitSample};
--- a/crates/fescuemux-core/src/admit/caller_limits.rs
+++ b/crates/fescuemux-core/src/admit/caller_limits.rs
@@ -1,5 +1,6 @@
 //! Request limits of callers: one token bucket each, in a bounded table.
 
+use crate::admit::CallerDemand;
 use crate::base::{CallerId, Cx, HashMap};
 use std::time::{Duration, Instant};
 
@@ -31,7 +32,7 @@
             max_callers: 16_384,
             unknown: CallerLimit { rate: 10.0, burst: 20.0 },
             initial_share: 1.0,
-            min_burst: 1.0,
+            min_burst: 2.0,
         }
     }
 }
@@ -54,6 +55,10 @@
     share: f64,
     tokens: f64,
     updated: Instant,
+    /// Requests since the demand was last computed.
+    seen: u32,
+    /// Requests per second, admitted or not.
+    demand: f64,
 }
 
 /// Token buckets of all callers at one daemon.
@@ -62,6 +67,9 @@
     cfg: CallerLimitsConfig,
     buckets: HashMap<CallerId, Bucket>,
     unknown: Bucket,
+    /// Callers with requests or demand since the last report.
+    active: Vec<CallerId>,
+    demand_time: Instant,
 }
 
 impl CallerLimits {
@@ -69,7 +77,8 @@
     pub fn new(cfg: CallerLimitsConfig, now: Instant) -> CallerLimits {
         let mut unknown = Bucket::new(cfg.unknown, cfg.initial_share, now);
         unknown.tokens = unknown.capacity(cfg.min_burst);
-        CallerLimits { cfg, buckets: HashMap::default(), unknown }
+        let buckets = HashMap::default();
+        CallerLimits { cfg, buckets, unknown, active: vec![], demand_time: now }
     }
 
     /// Sets the limit of a caller from the configuration. Returns false when the table is full;
@@ -105,11 +114,60 @@
     /// Decides about one request and takes a token when it is admitted.
     pub fn admit(&mut self, cx: &mut Cx, caller: &CallerId) -> CallerDecision {
         let min_burst = self.cfg.min_burst;
-        let bucket = self.buckets.get_mut(caller).unwrap_or(&mut self.unknown);
+        let Some(bucket) = self.buckets.get_mut(caller) else {
+            self.unknown.refill(cx.now, min_burst);
+            return self.unknown.take();
+        };
+        if bucket.seen == 0 && bucket.demand == 0.0 {
+            self.active.push(caller.clone());
+        }
+        bucket.seen += 1;
         bucket.refill(cx.now, min_burst);
         bucket.take()
     }
 
+    /// Returns the callers whose demand here matters for the fleet, to be reported to their
+    /// homes about once a second. `members` is the number of live daemons.
+    ///
+    /// Demand below a quarter of an equal share is left out: unreported demand then adds at
+    /// most a quarter to a caller's limit, and most callers cost no message.
+    pub fn demands(&mut self, cx: &mut Cx, members: usize) -> Vec<CallerDemand> {
+        const MEMORY: Duration = Duration::from_secs(3);
+        const REPORTED: f64 = 0.25;
+        let passed = cx.now.saturating_duration_since(self.demand_time).as_secs_f64();
+        if passed == 0.0 {
+            return vec![];
+        }
+        self.demand_time = cx.now;
+        let gain = 1.0 - (-passed / MEMORY.as_secs_f64()).exp();
+        let mut reports = vec![];
+        let buckets = &mut self.buckets;
+        self.active.retain(|caller| {
+            let Some(bucket) = buckets.get_mut(caller) else {
+                return false;
+            };
+            let rate = bucket.update_demand(passed, gain);
+            if rate > bucket.limit.rate * REPORTED / members.max(1) as f64 {
+                reports.push(CallerDemand { caller: caller.clone(), rate });
+            }
+            rate > 0.0
+        });
+        reports
+    }
+
+    /// Applies the demand of a caller over all daemons, as its home returned it: this daemon
+    /// grants the part of the limit that its own demand is of the whole, or all of it while
+    /// the whole is within the limit.
+    pub fn on_fleet_demand(&mut self, cx: &mut Cx, caller: &CallerId, fleet: f64) {
+        let Some(bucket) = self.buckets.get(caller) else {
+            return;
+        };
+        // Within the limit nothing is divided, because small parts cut off short bursts.
+        let within = fleet <= bucket.limit.rate;
+        let share = if within { 1.0 } else { bucket.demand / fleet.max(bucket.demand) };
+        self.set_share(cx, caller, share);
+    }
+
     /// Returns the number of callers with a bucket of their own.
     pub fn len(&self) -> usize {
         self.buckets.len()
@@ -123,7 +181,7 @@
 
 impl Bucket {
     fn new(limit: CallerLimit, share: f64, now: Instant) -> Bucket {
-        Bucket { limit, share, tokens: 0.0, updated: now }
+        Bucket { limit, share, tokens: 0.0, updated: now, seen: 0, demand: 0.0 }
     }
 
     fn capacity(&self, min_burst: f64) -> f64 {
@@ -137,6 +195,17 @@
         self.updated = self.updated.max(now);
     }
 
+    /// Counts the requests of the last `passed` seconds into the demand.
+    fn update_demand(&mut self, passed: f64, gain: f64) -> f64 {
+        const NOTHING: f64 = 1e-3;
+        self.demand += gain * (f64::from(self.seen) / passed - self.demand);
+        self.seen = 0;
+        if self.demand < NOTHING {
+            self.demand = 0.0;
+        }
+        self.demand
+    }
+
     fn take(&mut self) -> CallerDecision {
         const MAX_RETRY_AFTER_SECS: f64 = 60.0;
         if self.tokens >= 1.0 {
--- a/crates/fescuemux-core/src/admit/tests/callers.rs
+++ b/crates/fescuemux-core/src/admit/tests/callers.rs
@@ -1,6 +1,8 @@
 //! Token buckets of callers in a bounded table.
 
-use crate::admit::{CallerDecision, CallerLimit, CallerLimits, CallerLimitsConfig};
+use crate::admit::{
+    CallerDecision, CallerDemand, CallerHome, CallerLimit, CallerLimits, CallerLimitsConfig,
+};
 use crate::base::Cx;
 use std::time::{Duration, Instant};
 
@@ -11,7 +13,12 @@
 
 fn limits(cx: &Cx, max_callers: usize) -> CallerLimits {
     let unknown = CallerLimit { rate: 1.0, burst: 3.0 };
-    let cfg = CallerLimitsConfig { max_callers, unknown, ..CallerLimitsConfig::default() };
+    let cfg = CallerLimitsConfig {
+        max_callers,
+        unknown,
+        min_burst: 1.0,
+        ..CallerLimitsConfig::default()
+    };
     CallerLimits::new(cfg, cx.now)
 }
 
@@ -66,3 +73,46 @@
     limits.remove(&"c0".into());
     assert!(limits.set(&mut cx, &"c19".into(), limit));
 }
+
+/// Guards against a caller that gets its whole limit at each daemon, or a part for each daemon
+/// that it does not use.
+#[test]
+fn daemons_share_a_limit_by_demand() {
+    for daemons in [1, 5] {
+        let mut cx = Cx::new(Instant::now(), 1);
+        let mut home = CallerHome::new(8);
+        let mut all: Vec<_> = (0..daemons).map(|_| limits(&cx, 8)).collect();
+        let limit = CallerLimit { rate: 100.0, burst: 100.0 };
+        all.iter_mut().for_each(|limits| assert!(limits.set(&mut cx, &"a".into(), limit)));
+        let mut late = 0;
+        for second in 0..40 {
+            cx.now += Duration::from_secs(1);
+            for (n, limits) in all.iter_mut().enumerate() {
+                let admitted = admitted(limits, &mut cx, "a", 200 / daemons);
+                late += if second >= 20 { admitted } else { 0 };
+                for demand in limits.demands(&mut cx, 540) {
+                    let from = format!("i{n}").into();
+                    let fleet = home.on_report(&mut cx, &from, &demand).expect("room");
+                    limits.on_fleet_demand(&mut cx, &demand.caller, fleet);
+                }
+            }
+        }
+        assert!((1_900..=2_100).contains(&late), "{daemons} daemons: {late} in 20 s");
+    }
+}
+
+/// Guards against reports of daemons that left, and against a table without bound.
+#[test]
+fn homes_forget_old_reports() {
+    let mut cx = Cx::new(Instant::now(), 1);
+    let mut home = CallerHome::new(1);
+    let demand = |caller: &str| CallerDemand { caller: caller.into(), rate: 10.0 };
+    assert_eq!(home.on_report(&mut cx, &"i1".into(), &demand("a")), Some(10.0));
+    assert_eq!(home.on_report(&mut cx, &"i2".into(), &demand("a")), Some(20.0));
+    assert_eq!(home.on_report(&mut cx, &"i1".into(), &demand("b")), None);
+    cx.now += Duration::from_secs(5);
+    assert_eq!(home.on_report(&mut cx, &"i1".into(), &demand("a")), Some(10.0));
+    cx.now += Duration::from_secs(5);
+    assert_eq!(home.on_report(&mut cx, &"i1".into(), &demand("b")), Some(10.0));
+    assert_eq!(home.len(), 1);
+}
