measure: two thresholds against a plain bound

Cause: separate thresholds to block and unblock were to be weighed for buffers and queues. Command: example backpressure. Conclusion: the core gets no such code. The plain bound is kept.

--- /dev/null
+++ b/crates/fescuemux-measure/examples/backpressure.rs
@@ -0,0 +1,34 @@
+//! Prints two thresholds against a plain bound: `cargo run --release -p fescuemux-measure
+//! --example backpressure`.
+
+use fescuemux_measure::overload::QueuePolicy;
+use fescuemux_measure::overload::backpressure::{Control, queue, stream};
+use fescuemux_measure::overload::report;
+
+const CONTROLS: [Control; 9] = [
+    Control::Bound(16),
+    Control::Bound(32),
+    Control::Bound(64),
+    Control::Bound(128),
+    Control::Thresholds(16, 8),
+    Control::Thresholds(32, 16),
+    Control::Thresholds(64, 32),
+    Control::Thresholds(64, 56),
+    Control::Thresholds(64, 8),
+];
+
+const QUEUES: [(QueuePolicy, &str); 3] = [
+    (QueuePolicy::Deadline, "bound 64"),
+    (QueuePolicy::Thresholds(64, 56), "block 64, unblock 56"),
+    (QueuePolicy::Thresholds(64, 32), "block 64, unblock 32"),
+];
+
+fn main() -> anyhow::Result<()> {
+    let latencies = [1.0, 10.0];
+    let streams: Vec<_> =
+        latencies.iter().flat_map(|ms| CONTROLS.map(|control| stream(control, *ms))).collect();
+    report::print("streams", &streams)?;
+    let queues: Vec<_> =
+        QUEUES.iter().flat_map(|(p, name)| (1..=3).map(|seed| queue(*p, name, seed))).collect();
+    report::print("queue of a guard, half speed at twice the load", &queues)
+}
--- a/crates/fescuemux-measure/src/overload.rs
+++ b/crates/fescuemux-measure/src/overload.rs
@@ -3,6 +3,7 @@
 //!
 //! Must not know sockets or the daemon.
 
+pub mod backpressure;
 pub mod callers;
 mod events;
 mod guard;
--- a/crates/fescuemux-measure/src/overload/guard.rs
+++ b/crates/fescuemux-measure/src/overload/guard.rs
@@ -19,6 +19,9 @@
     pub(super) down: bool,
     slots: Slots<()>,
     queue: Queue,
+    /// Lengths at which the queue blocks and unblocks.
+    thresholds: Option<(usize, usize)>,
+    blocked: bool,
 }
 
 /// What the guard did with attempts; each names attempts by number.
@@ -32,10 +35,17 @@
     pub(super) fn new(slots: u32, policy: QueuePolicy, service_time: Duration) -> Guard {
         let cfg = QueueConfig { initial_service_time: service_time, ..QueueConfig::default() };
         let queue = match policy {
-            QueuePolicy::Deadline => Queue::Deadline(DeadlineQueue::new(cfg)),
+            QueuePolicy::Deadline | QueuePolicy::Thresholds(..) => {
+                Queue::Deadline(DeadlineQueue::new(cfg))
+            }
             QueuePolicy::Fifo => Queue::Fifo(VecDeque::new()),
         };
-        Guard { dead: false, down: false, slots: Slots::new(slots), queue }
+        let thresholds = match policy {
+            QueuePolicy::Thresholds(block, unblock) => Some((block, unblock)),
+            QueuePolicy::Deadline | QueuePolicy::Fifo => None,
+        };
+        let slots = Slots::new(slots);
+        Guard { dead: false, down: false, slots, queue, thresholds, blocked: false }
     }
 
     pub(super) fn load(&self) -> ServerLoad {
@@ -56,7 +66,7 @@
         deadline: Instant,
     ) -> Outcome {
         let mut outcome = Outcome::default();
-        if self.down {
+        if self.down || self.is_blocked() {
             outcome.refused.push(attempt);
             return outcome;
         }
@@ -76,6 +86,15 @@
         outcome
     }
 
+    fn is_blocked(&mut self) -> bool {
+        let Some((block, unblock)) = self.thresholds else {
+            return false;
+        };
+        let queued = self.load().queued as usize;
+        self.blocked = queued >= block || (self.blocked && queued > unblock);
+        self.blocked
+    }
+
     /// Ends the work of a permit and starts the next.
     pub(super) fn finish(&mut self, cx: &mut Cx, permit: PermitId, time: Duration) -> Outcome {
         self.slots.finish(permit);
--- a/crates/fescuemux-measure/src/overload/setup.rs
+++ b/crates/fescuemux-measure/src/overload/setup.rs
@@ -27,6 +27,9 @@
 pub enum QueuePolicy {
     /// The deadline queue of the core.
     Deadline,
+    /// The deadline queue, which refuses everything from the first length on until it is back
+    /// at the second.
+    Thresholds(usize, usize),
     /// An unbounded queue in order of arrival that knows no deadlines.
     Fifo,
 }
--- a/crates/fescuemux-measure/src/overload/world.rs
+++ b/crates/fescuemux-measure/src/overload/world.rs
@@ -220,7 +220,7 @@
             self.stats.wasted += 1;
         }
         // Backend servers accept deadlines, which the plain queue does not pass on.
-        if self.setup.policy.queue == QueuePolicy::Deadline {
+        if self.setup.policy.queue != QueuePolicy::Fifo {
             time = time.min(deadline.saturating_sub(self.now));
         }
         self.events.push(self.now + time, Event::Done(number));
