--- a/crates/fescuemux-measure/src/overload.rs
+++ b/crates/fescuemux-measure/src/overload.rs
@@ -3,6 +3,8 @@
 //!
 //! Must not know sockets or the daemon.
 
+pub mod backpressure;
+pub mod callers;
 mod events;
 mod guard;
 mod ingress;
