Divide caller limits by demand, probe health endpoints, keep seeds, bound queues by policy

Cause: parts that were ready had no edge: demand of callers over the fleet, health probes as weak evidence, queue limits of services, seeds in the store, entries that an earlier guard left in a ledger. Before: a caller's limit counted in full at every daemon. Conclusion: the parts are in use; division by demand was measured in the parts alone.

--- a/crates/fescuemux-cli/src/api.rs
+++ b/crates/fescuemux-cli/src/api.rs
@@ -37,6 +37,11 @@
         self.send(self.request(Method::GET, path), Vec::new())
     }
 
+    /// Calls an operation that sets what its path names.
+    pub(crate) fn put(&self, path: &str) -> anyhow::Result<ApiAnswer> {
+        self.send(self.request(Method::PUT, path), Vec::new())
+    }
+
     /// Calls an operation with a body.
     pub(crate) fn post(&self, path: &str, body: Vec<u8>) -> anyhow::Result<ApiAnswer> {
         self.send(self.request(Method::POST, path), body)
--- a/crates/fescuemux-cli/src/main.rs
+++ b/crates/fescuemux-cli/src/main.rs
@@ -54,6 +54,13 @@
         #[command(flatten)]
         api: api::ApiArgs,
     },
+    /// Changes the log level of one daemon until it stops
+    LogLevel {
+        #[command(flatten)]
+        api: api::ApiArgs,
+        /// error, warn, info, debug or trace
+        level: String,
+    },
     /// Checks a settings file
     Check {
         /// Settings file
@@ -82,6 +89,7 @@
         Command::Status { api } => operate::status(&api),
         Command::History { api } => operate::history(&api),
         Command::Dump { api } => operate::dump(&api),
+        Command::LogLevel { api, level } => operate::log_level(&api, &level),
         Command::Check { file } => Ok(check::check(&file)),
         Command::Demo(args) => demo::run(&args),
         Command::Load(args) => load::run(*args),
--- a/crates/fescuemux-cli/src/operate.rs
+++ b/crates/fescuemux-cli/src/operate.rs
@@ -65,6 +65,12 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Changes the log level of one daemon.
+pub(crate) fn log_level(api: &ApiArgs, level: &str) -> anyhow::Result<ExitCode> {
+    api.put(&format!("/v1/log/{level}"))?.ok()?;
+    Ok(ExitCode::SUCCESS)
+}
+
 fn print(api: &ApiArgs, body: &Value, to_text: fn(&Value) -> String) {
     if api.json {
         println!("{body:#}");
--- a/crates/fescuemux-core/src/eject/health.rs
+++ b/crates/fescuemux-core/src/eject/health.rs
@@ -85,6 +85,12 @@
         }
     }
 
+    /// Replaces the times and counts; the state and the hold time in progress stay.
+    pub fn set_config(&mut self, config: HealthConfig) {
+        self.hold.set_bounds(config.base_hold, config.longest_hold, config.good_time);
+        self.config = config;
+    }
+
     /// Returns the current state.
     pub fn state(&self) -> State {
         self.state
--- a/crates/fescuemux-core/src/eject/hold.rs
+++ b/crates/fescuemux-core/src/eject/hold.rs
@@ -25,6 +25,14 @@
         Hold { base, longest, good_time, next: base, relapses: 0, good_since: Some(now) }
     }
 
+    /// Replaces the bounds. The next hold time moves into them.
+    pub(super) fn set_bounds(&mut self, base: Duration, longest: Duration, good_time: Duration) {
+        self.base = base;
+        self.longest = longest;
+        self.good_time = good_time;
+        self.next = self.next.clamp(base, longest);
+    }
+
     /// Returns the hold time of a server that turns sick now, and doubles the next one.
     pub(super) fn begin(&mut self, now: Instant) -> Duration {
         self.decay(now);
--- a/crates/fescuemux-daemon/src/config_sync/state.rs
+++ b/crates/fescuemux-daemon/src/config_sync/state.rs
@@ -1,11 +1,11 @@
 //! The generation in force, with the chunks that other daemons may ask for.
 
-use crate::guard::Guard;
+use crate::guard::{Guard, ServicePolicy};
 use crate::ingress::{Effective, Ingress};
 use crate::metrics::Metrics;
 use bytes::Bytes;
 use fescuemux_core::base::Generation;
-use fescuemux_core::config::{Current, Digest, Head, Offer};
+use fescuemux_core::config::{Current, Digest, Head, Offer, Service};
 use fescuemux_wire::config::{ChunkSet, ConfigError, decode_head, encode_head};
 use fescuemux_wire::rpc::{ConfigAnswer, ConfigQuery};
 use sha2::{Digest as _, Sha256};
@@ -87,8 +87,8 @@
         }
         inner.chunks = chunks;
         // Still under the lock, so that two installations cannot overtake each other.
-        let favors = config.services.values().map(|s| (s.id.clone(), s.favor)).collect();
-        self.cx.guard.set_favors(favors);
+        let policies = config.services.values().map(|s| (s.id.clone(), policy_of(s))).collect();
+        self.cx.guard.set_policies(policies);
         self.cx.ingress.set_effective(Arc::new(Effective::new(config)));
         self.cx.metrics.generation.set(i64::try_from(generation).unwrap_or(i64::MAX));
         tracing::info!(generation, "configuration in force");
@@ -140,3 +140,8 @@
     digest.copy_from_slice(&full[..16]);
     digest
 }
+
+fn policy_of(service: &Service) -> ServicePolicy {
+    let queue_limit = usize::try_from(service.queue_limit).unwrap_or(usize::MAX);
+    ServicePolicy { favor: service.favor, queue_limit }
+}
--- a/crates/fescuemux-daemon/src/daemon.rs
+++ b/crates/fescuemux-daemon/src/daemon.rs
@@ -11,6 +11,7 @@
 use crate::clock::SystemClock;
 use crate::config_sync::{ConfigContext, ConfigState, pull_from_peers, watch_store};
 use crate::decisions::Decisions;
+use crate::demand::Demand;
 use crate::guard::{Guard, GuardContext, GuardEvent, serve_announcements};
 use crate::homes::{Homes, RosterKeeper};
 use crate::http::{HttpLimits, Listener, Pool, ServeOptions};
@@ -19,6 +20,7 @@
 use crate::metrics::Metrics;
 use crate::operators::{OperatorContext, SetLogLevel, serve_operators};
 use crate::peers::{Members, MembersContext, PeerClients, PeerServer, serve_peers};
+use crate::seeds::keep_seeds;
 use crate::stop::{StopControl, StopPhase, StopSignal, stop_channel};
 use anyhow::Context;
 use fescuemux_core::base::{Clock, Incarnation, InstanceId};
@@ -110,6 +112,7 @@
             keys: keys.clone(),
             incarnation,
             limits,
+            queue: settings.limits.queue,
             metrics: Arc::clone(&metrics),
             events: guard_tx,
             stop: signal.clone(),
@@ -153,6 +156,7 @@
             guard: Arc::clone(&guard),
             metrics: Arc::clone(&metrics),
         });
+        let demand = Demand::new(own.clone(), Arc::clone(&clock), Arc::clone(&clients));
         let store = || store(settings, &metrics);
 
         let mut threads = Threads::default();
@@ -214,8 +218,17 @@
         tokio::spawn(bound.hop.serve(hop_options, peers_signal.clone(), move |req| {
             Arc::clone(&hop_guard).handle(req)
         }));
-        let peer_server =
-            PeerServer { members: Arc::clone(&members), config: Arc::clone(&state), homes };
+        let peer_server = PeerServer {
+            members: Arc::clone(&members),
+            config: Arc::clone(&state),
+            homes,
+            demand: Arc::clone(&demand),
+        };
+        tokio::spawn(demand.run(
+            Arc::clone(&ingress),
+            Arc::clone(&members),
+            Arc::clone(&directory),
+        ));
         tokio::spawn(serve_peers(bound.rpc, keys, peer_server, peers_signal));
         tokio::spawn(Arc::clone(&members).run());
         tokio::spawn(handle_guard_events(guard_rx, Arc::clone(&members), ledger_tx));
@@ -228,8 +241,20 @@
         ));
         tokio::spawn(expire_connections(hop_pool));
         tokio::spawn(Arc::clone(&ingress).probe_paths());
+        tokio::spawn(Arc::clone(&guard).probe_health());
         members.join(settings.seeds.clone());
         members.publish();
+        let seeds = StoreThread {
+            store: store()?,
+            members: Arc::clone(&members),
+            domain: settings.domain.clone(),
+            signal: signal.clone(),
+        };
+        let handle = runtime.handle().clone();
+        threads.spawn("seeds", move || {
+            let _entered = handle.enter();
+            keep_seeds(&seeds.store, &seeds.members, &seeds.domain, &seeds.signal);
+        })?;
         let watch = WatchThread {
             store: ConfigStore::new(store()?),
             state: Arc::clone(&state),
@@ -318,6 +343,13 @@
     }
 }
 
+struct StoreThread {
+    store: HttpStore,
+    members: Arc<Members>,
+    domain: fescuemux_core::base::DomainId,
+    signal: StopSignal,
+}
+
 struct WatchThread {
     store: ConfigStore<HttpStore>,
     state: Arc<ConfigState>,
--- /dev/null
+++ b/crates/fescuemux-daemon/src/demand.rs
@@ -0,0 +1,111 @@
+//! Division of callers' limits between daemons by demand.
+//!
+//! Must not know how requests are admitted.
+
+use crate::decisions::Decisions;
+use crate::ingress::{Directory, Ingress};
+use crate::peers::{Members, PeerClients};
+use fescuemux_core::admit::{CallerDemand, CallerHome};
+use fescuemux_core::base::{CallerId, Clock, HashMap, InstanceId};
+use fescuemux_core::member::stable_hash;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Interval of reports.
+const INTERVAL: Duration = Duration::from_secs(1);
+/// Longest time for one report.
+const TIMEOUT: Duration = Duration::from_millis(800);
+/// Most callers that one home keeps reports about, and that one report may name: all callers of
+/// the target.
+const MAX_CALLERS: usize = 16_384;
+
+/// Reports demand to the homes of callers and keeps the reports of those whose home this is.
+#[derive(Debug)]
+pub(crate) struct Demand {
+    own: InstanceId,
+    home: Decisions<CallerHome>,
+    clients: Arc<PeerClients>,
+}
+
+impl Demand {
+    pub(crate) fn new(
+        own: InstanceId,
+        clock: Arc<dyn Clock>,
+        clients: Arc<PeerClients>,
+    ) -> Arc<Demand> {
+        let home = Decisions::new(clock, 0, CallerHome::new(MAX_CALLERS));
+        Arc::new(Demand { own, home, clients })
+    }
+
+    /// Takes a report and returns the demand over all daemons for each caller.
+    pub(crate) fn on_report(
+        &self,
+        from: &InstanceId,
+        demands: Vec<(String, f64)>,
+    ) -> Vec<(String, f64)> {
+        self.home.with(|cx, home| {
+            demands
+                .into_iter()
+                .take(MAX_CALLERS)
+                .filter(|(_, rate)| rate.is_finite() && *rate >= 0.0)
+                .filter_map(|(caller, rate)| {
+                    let demand = CallerDemand { caller: CallerId::from(caller.as_str()), rate };
+                    home.on_report(cx, from, &demand).map(|fleet| (caller, fleet))
+                })
+                .collect()
+        })
+    }
+
+    /// Reports regularly until the runtime ends.
+    pub(crate) async fn run(
+        self: Arc<Demand>,
+        ingress: Arc<Ingress>,
+        members: Arc<Members>,
+        directory: Arc<Directory>,
+    ) {
+        loop {
+            tokio::time::sleep(INTERVAL).await;
+            self.home.with(|cx, home| home.expire(cx));
+            let live = members.live();
+            for (home, demands) in by_home(&live, ingress.demands(live.len())) {
+                let this = Arc::clone(&self);
+                let (ingress, directory) = (Arc::clone(&ingress), Arc::clone(&directory));
+                tokio::spawn(async move {
+                    for (caller, fleet) in this.report(&directory, &home, demands).await {
+                        ingress.on_fleet_demand(&caller.as_str().into(), fleet);
+                    }
+                });
+            }
+        }
+    }
+
+    async fn report(
+        &self,
+        directory: &Directory,
+        home: &InstanceId,
+        demands: Vec<(String, f64)>,
+    ) -> Vec<(String, f64)> {
+        if *home == self.own {
+            return self.on_report(&self.own, demands);
+        }
+        let Some(peer) = directory.get(home) else { return Vec::new() };
+        let Ok(client) = self.clients.get(peer.rpc).await else { return Vec::new() };
+        let cx = PeerClients::context(TIMEOUT);
+        client.demand(cx, self.own.to_string(), demands).await.unwrap_or_default()
+    }
+}
+
+/// Groups demands by the homes of their callers.
+fn by_home(
+    live: &[InstanceId],
+    demands: Vec<CallerDemand>,
+) -> HashMap<InstanceId, Vec<(String, f64)>> {
+    let mut by_home: HashMap<InstanceId, Vec<(String, f64)>> = HashMap::default();
+    for CallerDemand { caller, rate } in demands {
+        let rank = |id: &&InstanceId| stable_hash(&[caller.as_bytes(), id.as_bytes()]);
+        if let Some(home) = live.iter().max_by_key(rank) {
+            by_home.entry(home.clone()).or_default().push((caller.to_string(), rate));
+        }
+    }
+    by_home
+}
--- a/crates/fescuemux-daemon/src/guard.rs
+++ b/crates/fescuemux-daemon/src/guard.rs
@@ -6,6 +6,8 @@
 mod event;
 mod forward;
 mod lease;
+mod policy;
+mod probe;
 mod refused;
 mod server;
 mod snapshot;
@@ -14,6 +16,7 @@
 
 pub(crate) use announce::serve_announcements;
 pub(crate) use event::GuardEvent;
+pub(crate) use policy::ServicePolicy;
 pub(crate) use snapshot::ServerSnapshot;
 
 use self::forward::Forwarder;
@@ -50,6 +53,8 @@
     pub(crate) keys: KeyRing,
     pub(crate) incarnation: Incarnation,
     pub(crate) limits: HttpLimits,
+    /// Most requests that wait at one server.
+    pub(crate) queue: usize,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) events: flume::Sender<GuardEvent>,
     pub(crate) stop: StopSignal,
@@ -62,7 +67,7 @@
     forwarder: Forwarder,
     table: Decisions<RequestTable>,
     servers: RwLock<HashMap<ServerId, Arc<GuardedServer>>>,
-    favors: RwLock<HashMap<ServiceId, Favor>>,
+    policies: RwLock<HashMap<ServiceId, ServicePolicy>>,
 }
 
 impl Guard {
@@ -72,7 +77,7 @@
             forwarder: Forwarder::new(pool, cx.limits),
             table: Decisions::new(Arc::clone(&cx.clock), cx.incarnation, table),
             servers: RwLock::default(),
-            favors: RwLock::default(),
+            policies: RwLock::default(),
             cx,
         })
     }
@@ -128,14 +133,14 @@
 
     /// Takes an announcement of a backend server.
     pub(crate) fn announce(&self, announcement: Announcement) {
-        let favor = self.favor(&announcement.service);
+        let policy = self.policy(&announcement.service);
         let mut servers = self.servers.write().unwrap_or_else(PoisonError::into_inner);
         match servers.get(&announcement.server) {
             Some(server) if server.announce(&announcement) => {}
             _ => {
                 let id = announcement.server.clone();
                 tracing::info!(server = %id, service = %announcement.service, "server announced");
-                let server = GuardedServer::new(&self.cx, announcement, favor);
+                let server = GuardedServer::new(&self.cx, announcement, policy);
                 servers.insert(id, server);
                 drop(servers);
                 self.publish();
@@ -143,11 +148,11 @@
         }
     }
 
-    /// Applies the favor of each service in the configuration.
-    pub(crate) fn set_favors(&self, favors: HashMap<ServiceId, Favor>) {
-        *self.favors.write().unwrap_or_else(PoisonError::into_inner) = favors;
+    /// Applies the policy of each service in the configuration.
+    pub(crate) fn set_policies(&self, policies: HashMap<ServiceId, ServicePolicy>) {
+        *self.policies.write().unwrap_or_else(PoisonError::into_inner) = policies;
         for server in self.servers() {
-            server.set_favor(self.favor(&server.service()));
+            server.set_policy(self.policy(&server.service()));
         }
     }
 
@@ -227,9 +232,14 @@
         self.servers.read().unwrap_or_else(PoisonError::into_inner).values().cloned().collect()
     }
 
-    fn favor(&self, service: &ServiceId) -> Favor {
-        let favors = self.favors.read().unwrap_or_else(PoisonError::into_inner);
-        favors.get(service).copied().unwrap_or_default()
+    /// Returns the policy of a service. The settings of the instance bound the queue.
+    fn policy(&self, service: &ServiceId) -> ServicePolicy {
+        let policies = self.policies.read().unwrap_or_else(PoisonError::into_inner);
+        let most = self.cx.queue;
+        match policies.get(service) {
+            Some(policy) => ServicePolicy { queue_limit: policy.queue_limit.min(most), ..*policy },
+            None => ServicePolicy { favor: Favor::default(), queue_limit: most },
+        }
     }
 }
 
--- a/crates/fescuemux-daemon/src/guard/forward.rs
+++ b/crates/fescuemux-daemon/src/guard/forward.rs
@@ -32,6 +32,10 @@
         Forwarder { pool, limits }
     }
 
+    pub(super) fn pool(&self) -> &Arc<Pool> {
+        &self.pool
+    }
+
     /// Runs a request and returns its answer with the verdict that the answer carries.
     pub(super) async fn run(
         &self,
--- a/crates/fescuemux-daemon/src/guard/server.rs
+++ b/crates/fescuemux-daemon/src/guard/server.rs
@@ -3,19 +3,22 @@
 use super::GuardContext;
 use super::event::GuardEvent;
 use super::lease::{Grant, Lease, Ticket};
+use super::policy::ServicePolicy;
 use super::refused::Refused;
 use super::snapshot::ServerSnapshot;
 use crate::decisions::Decisions;
 use fescuemux_core::admit::{
     DeadlineQueue, PermitId, Pushed, QueueConfig, Refusal, Slots, Waiting,
 };
-use fescuemux_core::base::{Cx, Favor, Phase, RequestId, ServerId, ServiceId};
-use fescuemux_core::detect::{Baseline, Detector, DetectorConfig, Observation, TrialOutcome};
+use fescuemux_core::base::{Cx, Phase, RequestId, ServerId, ServiceId};
+use fescuemux_core::detect::{
+    Baseline, Detector, DetectorConfig, Observation, ProbeResult, TrialOutcome,
+};
 use fescuemux_core::eject::{
     Action, Admission, Health, HealthConfig, PermitAnswer, RequestKind, State,
 };
 use fescuemux_wire::announce::Announcement;
-use fescuemux_wire::hop::{HopHealth, HopKind, HopRequest, ServerLoad};
+use fescuemux_wire::hop::{HopBaseline, HopHealth, HopKind, HopRequest, ServerLoad};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -44,16 +47,17 @@
     pub(super) fn new(
         cx: &GuardContext,
         announcement: Announcement,
-        favor: Favor,
+        policy: ServicePolicy,
     ) -> Arc<GuardedServer> {
         let now = cx.clock.now();
-        let mut detector = Detector::new(DetectorConfig::new(favor), now);
+        let mut detector = Detector::new(DetectorConfig::new(policy.favor), now);
         detector.on_phase(&mut Cx::new(now, 0), announcement.phase);
+        let queue = QueueConfig { max_len: policy.queue_limit, ..QueueConfig::default() };
         let state = ServerState {
             detector,
-            health: Health::new(HealthConfig::new(favor), now),
+            health: Health::new(HealthConfig::new(policy.favor), now),
             slots: Slots::new(announcement.slots),
-            queue: DeadlineQueue::new(QueueConfig::default()),
+            queue: DeadlineQueue::new(queue),
             peak_busy: 0,
             announced: now,
             announcement: announcement.clone(),
@@ -250,8 +254,17 @@
         self.act(|cx, state| state.health.on_must_return(cx));
     }
 
-    pub(super) fn set_favor(&self, favor: Favor) {
-        self.state.with(|_, state| state.detector.set_config(DetectorConfig::new(favor)));
+    pub(super) fn set_policy(&self, policy: ServicePolicy) {
+        self.state.with(|_, state| {
+            state.detector.set_config(DetectorConfig::new(policy.favor));
+            state.health.set_config(HealthConfig::new(policy.favor));
+            state.queue.set_max_len(policy.queue_limit);
+        });
+    }
+
+    /// Takes the answer of the server's health endpoint, which is weak evidence.
+    pub(super) fn on_probe(&self, result: ProbeResult) {
+        self.state.with(|cx, state| state.detector.on_probe(cx, result));
     }
 
     pub(super) fn address(&self) -> SocketAddr {
@@ -366,8 +379,6 @@
     Queued(flume::Receiver<Grant>),
 }
 
-use fescuemux_wire::hop::HopBaseline;
-
 fn kind(kind: HopKind) -> RequestKind {
     match kind {
         HopKind::Normal => RequestKind::Normal,
--- a/crates/fescuemux-daemon/src/homes/keeper.rs
+++ b/crates/fescuemux-daemon/src/homes/keeper.rs
@@ -5,7 +5,6 @@
 use crate::stop::{StopPhase, StopSignal};
 use fescuemux_core::base::InstanceId;
 use fescuemux_core::dedup::{MAX_HOMES, Roster, RosterChange};
-use fescuemux_core::member::MemberState;
 use fescuemux_store::{Change, Expect, Store, StoreError, Swap};
 use fescuemux_wire::roster::{ROSTER_KEY, RosterRecord};
 use rand::Rng;
@@ -173,13 +172,7 @@
     }
 
     fn live(&self) -> Vec<InstanceId> {
-        let mut live: Vec<InstanceId> = self
-            .members
-            .records()
-            .into_iter()
-            .filter(|record| record.state != MemberState::Leaving)
-            .map(|record| record.instance)
-            .collect();
+        let mut live = self.members.live();
         live.sort_unstable();
         live
     }
--- a/crates/fescuemux-daemon/src/ingress.rs
+++ b/crates/fescuemux-daemon/src/ingress.rs
@@ -26,7 +26,9 @@
 use crate::http::{HttpLimits, OutBody, Pool};
 use crate::metrics::Metrics;
 use crate::stop::{StopPhase, StopSignal};
-use fescuemux_core::admit::{CallerDecision, CallerLimit, CallerLimits, CallerLimitsConfig};
+use fescuemux_core::admit::{
+    CallerDecision, CallerDemand, CallerLimit, CallerLimits, CallerLimitsConfig,
+};
 use fescuemux_core::base::{CallerId, Clock, HashMap, RequestId, ServiceId, Verdict};
 use fescuemux_core::route::{Router, RouterConfig};
 use fescuemux_wire::auth::KeyRing;
@@ -169,6 +171,16 @@
         }
     }
 
+    /// Returns the callers whose demand the fleet must know, with `members` live daemons.
+    pub(crate) fn demands(&self, members: usize) -> Vec<CallerDemand> {
+        self.callers.with(|cx, callers| callers.demands(cx, members))
+    }
+
+    /// Takes the demand of a caller over all daemons.
+    pub(crate) fn on_fleet_demand(&self, caller: &CallerId, fleet: f64) {
+        self.callers.with(|cx, callers| callers.on_fleet_demand(cx, caller, fleet));
+    }
+
     /// Puts a generation of the configuration in force.
     pub(crate) fn set_effective(&self, effective: Arc<Effective>) {
         self.callers.with(|cx, callers| {
--- a/crates/fescuemux-daemon/src/ledger.rs
+++ b/crates/fescuemux-daemon/src/ledger.rs
@@ -44,6 +44,7 @@
     /// Carries out tasks until the daemon stops. Blocks.
     pub(crate) fn run(&self, tasks: &flume::Receiver<LedgerTask>, stop: &StopSignal) {
         let mut reviewed = Instant::now();
+        let mut known = HashSet::default();
         while stop.phase() < StopPhase::Closing {
             match tasks.recv_timeout(TASK_WAIT) {
                 Ok(task) => self.carry_out(&task),
@@ -51,7 +52,7 @@
                 Err(flume::RecvTimeoutError::Disconnected) => return,
             }
             if reviewed.elapsed() >= REVIEW_INTERVAL {
-                self.review();
+                self.review(&mut known);
                 reviewed = Instant::now();
             }
         }
@@ -105,22 +106,29 @@
     }
 
     /// Reads the ledgers of servers that may have an entry and returns those that must return.
-    fn review(&self) {
-        let services: HashSet<ServiceId> = self
-            .guard
-            .snapshots()
-            .into_iter()
-            .filter(|snapshot| snapshot.may_hold_permit)
-            .map(|snapshot| snapshot.service)
+    /// A server that is new here may have an entry of an earlier guard, which takes away from
+    /// the service's margin for ejections until it is released.
+    fn review(&self, known: &mut HashSet<ServerId>) {
+        let snapshots = self.guard.snapshots();
+        let services: HashSet<ServiceId> = snapshots
+            .iter()
+            .filter(|snapshot| snapshot.may_hold_permit || !known.contains(&snapshot.server))
+            .map(|snapshot| snapshot.service.clone())
             .collect();
+        let mut unread = HashSet::default();
         for service in services {
             match self.read(&service) {
                 Ok((_, ledger)) => {
                     self.guard.on_ledger(&service, &ledger, &self.capacity(&service));
                 }
-                Err(e) => tracing::debug!(%service, error = %e, "the ledger cannot be read"),
+                Err(e) => {
+                    tracing::debug!(%service, error = %e, "the ledger cannot be read");
+                    unread.insert(service);
+                }
             }
         }
+        let read = snapshots.into_iter().filter(|snapshot| !unread.contains(&snapshot.service));
+        *known = read.map(|snapshot| snapshot.server).collect();
     }
 
     fn read(&self, service: &ServiceId) -> Result<(Expect, Ledger), StoreError> {
--- a/crates/fescuemux-daemon/src/lib.rs
+++ b/crates/fescuemux-daemon/src/lib.rs
@@ -5,6 +5,7 @@
 mod config_sync;
 mod daemon;
 mod decisions;
+mod demand;
 mod guard;
 mod homes;
 mod http;
@@ -14,6 +15,7 @@
 mod metrics;
 mod operators;
 mod peers;
+mod seeds;
 mod stop;
 
 pub use clock::SystemClock;
--- a/crates/fescuemux-daemon/src/operators/plans.rs
+++ b/crates/fescuemux-daemon/src/operators/plans.rs
@@ -48,6 +48,7 @@
         Ok(intent) => intent,
         Err(e) => return error(400, &e.to_string()),
     };
+    cx.store.note_generation(cx.state.generation());
     let mut decision = Cx::new(cx.clock.now(), rand::rng().next_u64());
     let capacity = capacity(cx);
     match cx.store.propose(&mut decision, &intent, &capacity, operator.into()) {
--- a/crates/fescuemux-daemon/src/peers/members.rs
+++ b/crates/fescuemux-daemon/src/peers/members.rs
@@ -61,6 +61,7 @@
     /// Calls the membership regularly and notices pauses of this process.
     pub(crate) async fn run(self: Arc<Members>) {
         let mut last = Instant::now();
+        let mut superseded = false;
         loop {
             tokio::time::sleep(TICK).await;
             let late = last.elapsed().saturating_sub(TICK);
@@ -71,6 +72,15 @@
             }
             self.drive(|cx, m| m.tick(cx));
             self.cx.guard.tick();
+            let other = self.membership.with(|_, m| m.superseded_by());
+            if other.is_some() && !superseded {
+                superseded = true;
+                tracing::error!(
+                    incarnation = other,
+                    "another process runs under this name; \
+                    give each instance a name of its own, or stop this process"
+                );
+            }
         }
     }
 
@@ -107,6 +117,14 @@
         self.membership.with(|_, m| m.members().cloned().collect())
     }
 
+    /// Returns the names of all live instances that are not leaving.
+    pub(crate) fn live(&self) -> Vec<InstanceId> {
+        self.membership.with(|_, m| {
+            let staying = m.members().filter(|record| record.state != MemberState::Leaving);
+            staying.map(|record| record.instance.clone()).collect()
+        })
+    }
+
     /// Returns whether this instance watches the store for its failure domain.
     pub(crate) fn is_watcher(&self, domain: &DomainId) -> bool {
         self.membership.with(|_, m| m.watchers(domain).contains(&self.own))
--- a/crates/fescuemux-daemon/src/peers/server.rs
+++ b/crates/fescuemux-daemon/src/peers/server.rs
@@ -2,6 +2,7 @@
 
 use super::members::Members;
 use crate::config_sync::ConfigState;
+use crate::demand::Demand;
 use crate::homes::Homes;
 use crate::stop::{StopPhase, StopSignal};
 use fescuemux_core::base::InstanceId;
@@ -31,6 +32,7 @@
     pub(crate) members: Arc<Members>,
     pub(crate) config: Arc<ConfigState>,
     pub(crate) homes: Arc<Homes>,
+    pub(crate) demand: Arc<Demand>,
 }
 
 impl Peer for PeerServer {
@@ -57,6 +59,15 @@
         self.homes.answer_exchange(&from.into(), epoch, about.as_ref())
     }
 
+    async fn demand(
+        self,
+        _: Context,
+        from: String,
+        demands: Vec<(String, f64)>,
+    ) -> Vec<(String, f64)> {
+        self.demand.on_report(&from.into(), demands)
+    }
+
     async fn claim(
         self,
         _: Context,
--- a/crates/fescuemux-wire/src/rpc/service.rs
+++ b/crates/fescuemux-wire/src/rpc/service.rs
@@ -53,6 +53,9 @@
         young: Option<RosterRecord>,
         about: Option<String>,
     ) -> Exchange;
+    /// Reports the demand of callers in requests per second and returns, for each that the home
+    /// keeps, the demand over all daemons.
+    async fn demand(from: String, demands: Vec<(String, f64)>) -> Vec<(String, f64)>;
     /// Claims an idempotency key for a request at its home.
     async fn claim(epoch: u64, service: String, key: String, holder: u128) -> ClaimWire;
     /// Settles a claim; `None` releases it as not run.
