Hedge slow idempotent requests within the retry budget

Cause: a read that hits a server which answers nothing waits for its whole deadline. Before: no hedging. After: in a test with one of two servers answering nothing, at least 50 of 60 reads are answered and 1 to 17 attempts are hedged, the bound of the budget.

--- a/crates/fescuemux-daemon/src/ingress.rs
+++ b/crates/fescuemux-daemon/src/ingress.rs
@@ -8,6 +8,7 @@
 mod directory;
 mod effective;
 mod failure;
+mod hedge;
 mod incoming;
 mod keyed;
 mod path_probe;
--- a/crates/fescuemux-daemon/src/ingress/attempt.rs
+++ b/crates/fescuemux-daemon/src/ingress/attempt.rs
@@ -34,7 +34,7 @@
 const MAX_REDIRECTS: u8 = 2;
 
 /// Result of one attempt.
-enum Attempted {
+pub(super) enum Attempted {
     /// The backend server's answer.
     Answer(Response<OutBody>),
     /// A complete answer that says that the server failed.
@@ -43,11 +43,13 @@
     Failed(Failure),
     /// The guard declined the request for the health of its server; it did not run.
     Declined(Failure),
+    /// The guard could not be reached, or its answer did not arrive.
+    PathFailed(Failure),
 }
 
 /// Servers and instances that a request has been to.
 #[derive(Debug, Default)]
-struct Tried {
+pub(super) struct Tried {
     servers: Vec<ServerId>,
     instances: Vec<InstanceId>,
     /// Strongest verdict of the attempts before the last one.
@@ -56,6 +58,20 @@
     redirects: u8,
 }
 
+impl Tried {
+    /// Notes an attempt and returns its number.
+    pub(super) fn begin(&mut self, choice: &Choice) -> u8 {
+        let number = self.attempts;
+        self.attempts = self.attempts.saturating_add(1);
+        self.servers.push(choice.server.clone());
+        number
+    }
+
+    pub(super) fn path_failed(&mut self, choice: &Choice) {
+        self.instances.push(choice.instance.clone());
+    }
+}
+
 impl Ingress {
     /// Sends a request to backend servers until one answers or no further attempt is permitted.
     pub(super) async fn run(
@@ -73,12 +89,12 @@
                 failure.verdict = verdict;
                 return Err(failure);
             };
-            let attempted = self.attempt(req, body, &parts, &choice, &mut tried).await;
+            let attempted = self.attempt_hedged(req, body, &parts, &choice, &mut tried).await;
             let (verdict, retry_after) = match &attempted {
                 Attempted::Answer(_) | Attempted::ServerError(_) => (Verdict::Ran, None),
-                Attempted::Failed(failure) | Attempted::Declined(failure) => {
-                    (failure.verdict, failure.retry_after)
-                }
+                Attempted::Failed(failure)
+                | Attempted::Declined(failure)
+                | Attempted::PathFailed(failure) => (failure.verdict, failure.retry_after),
             };
             if let Attempted::Answer(answer) = attempted {
                 return Ok(answer);
@@ -108,7 +124,7 @@
         true
     }
 
-    fn choose(&self, req: &IncomingRequest, tried: &Tried) -> Option<Choice> {
+    pub(super) fn choose(&self, req: &IncomingRequest, tried: &Tried) -> Option<Choice> {
         let mut query = RouteQuery {
             service: &req.service.id,
             idempotent: req.idempotent,
@@ -126,17 +142,14 @@
         })
     }
 
-    async fn attempt(
+    pub(super) async fn attempt(
         &self,
         req: &IncomingRequest,
         body: &CallerBody,
         parts: &ServiceParts,
         choice: &Choice,
-        tried: &mut Tried,
+        number: u8,
     ) -> Attempted {
-        let number = tried.attempts;
-        tried.attempts = tried.attempts.saturating_add(1);
-        tried.servers.push(choice.server.clone());
         let Some(peer) = self.directory.get(&choice.instance) else {
             return Attempted::Failed(Failure::unavailable("the instance is no longer known"));
         };
@@ -148,19 +161,18 @@
             Ok(Ok(answer)) => answer,
             Ok(Err(e)) => {
                 sent.path_failed();
-                tried.instances.push(choice.instance.clone());
                 self.cx.metrics.attempt(&req.service.id, "path failed");
                 let mut failure = Failure::broken(e.to_string());
                 failure.verdict = e.verdict();
                 if failure.verdict == Verdict::NotRun {
                     failure.status = StatusCode::SERVICE_UNAVAILABLE;
                 }
-                return Attempted::Failed(failure);
+                return Attempted::PathFailed(failure);
             }
             Err(_) => {
                 sent.path_failed();
                 self.cx.metrics.attempt(&req.service.id, "path timed out");
-                return Attempted::Failed(Failure::timed_out(Verdict::MayHaveRun));
+                return Attempted::PathFailed(Failure::timed_out(Verdict::MayHaveRun));
             }
         };
         self.take_answer(req, parts, choice, sent, started, &mac, answer).await
@@ -187,7 +199,8 @@
                 tracing::warn!(instance = %choice.instance, error = %e, "refused an answer");
                 sent.path_failed();
                 self.cx.metrics.attempt(&req.service.id, "answer refused");
-                return Attempted::Failed(Failure::broken("the guard's answer is not authentic"));
+                let reason = "the guard's answer is not authentic";
+                return Attempted::PathFailed(Failure::broken(reason));
             }
         };
         sent.answered(Answered {
@@ -304,7 +317,7 @@
     });
 }
 
-fn attempt_of(
+pub(super) fn attempt_of(
     req: &IncomingRequest,
     body: &CallerBody,
     parts: &Arc<ServiceParts>,
@@ -327,7 +340,9 @@
 fn give_up(attempted: Attempted, verdict: Verdict) -> Result<Response<OutBody>, Failure> {
     match attempted {
         Attempted::Answer(answer) | Attempted::ServerError(answer) => Ok(answer),
-        Attempted::Failed(mut failure) | Attempted::Declined(mut failure) => {
+        Attempted::Failed(mut failure)
+        | Attempted::Declined(mut failure)
+        | Attempted::PathFailed(mut failure) => {
             failure.verdict = verdict;
             if verdict != Verdict::NotRun && failure.status == StatusCode::SERVICE_UNAVAILABLE {
                 failure.status = StatusCode::BAD_GATEWAY;
--- a/crates/fescuemux-daemon/src/ingress/service_parts.rs
+++ b/crates/fescuemux-daemon/src/ingress/service_parts.rs
@@ -11,6 +11,13 @@
 
 /// Quantile of the answer times that a retry is expected to take.
 const EXPECTED_QUANTILE: f64 = 0.5;
+/// Quantile of the times at servers after which an attempt counts as slow. With the factor, one
+/// attempt in a few hundred is hedged in a healthy service.
+const HEDGE_QUANTILE: f64 = 0.99;
+/// Factor on that quantile for queues and network.
+const HEDGE_FACTOR: f64 = 1.5;
+/// Shortest wait before a hedge: a few round trips between failure domains.
+const MIN_HEDGE_DELAY: Duration = Duration::from_millis(5);
 /// Retry ratios are configured in thousandths.
 const PERMILLE: f64 = 1_000.0;
 
@@ -62,6 +69,16 @@
         self.inner.with(|cx: &mut Cx, inner| inner.budget.decide(cx, attempt))
     }
 
+    /// Returns the time after which a second attempt may be made beside a slow one.
+    pub(super) fn hedge_delay(&self) -> Option<Duration> {
+        let slow = self.inner.with(|_, inner| inner.latency.get(HEDGE_QUANTILE))?;
+        Some(slow.mul_f64(HEDGE_FACTOR).max(MIN_HEDGE_DELAY))
+    }
+
+    pub(super) fn try_hedge(&self, attempt: &Attempt) -> bool {
+        self.inner.with(|cx, inner| inner.budget.try_hedge(cx, attempt))
+    }
+
     pub(super) fn expected_latency(&self) -> Duration {
         self.inner.with(|_, inner| inner.latency.get(EXPECTED_QUANTILE)).unwrap_or_default()
     }
--- a/crates/fescuemux-daemon/tests/requests.rs
+++ b/crates/fescuemux-daemon/tests/requests.rs
@@ -139,6 +139,37 @@
     assert!(cut.text.len() < whole.text.len(), "{} bytes", cut.text.len());
 }
 
+/// Returns the sum of the attempts with an outcome, over all daemons.
+fn attempts(fleet: &Fleet, outcome: &str) -> u64 {
+    let wanted = format!("outcome=\"{outcome}\"");
+    let count = |metrics: String| -> u64 {
+        let lines = metrics.lines().filter(|line| line.starts_with("fescuemux_attempts_total"));
+        let values = lines.filter(|line| line.contains(&wanted));
+        values.filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok()).sum()
+    };
+    let text = |addr| attohttpc::get(format!("http://{addr}/metrics")).send().unwrap().text();
+    fleet.live().map(|(_, d)| count(text(d.addresses().operators).unwrap())).sum()
+}
+
+#[test]
+fn slow_reads_are_hedged_within_the_budget() {
+    let fleet = Fleet::start(2);
+    let read = "GET /slots HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\
+                fescuemux-deadline-ms: 2000\r\n\r\n";
+    let send = || send_raw(fleet.callers(0), read.as_bytes()).status;
+    for _ in 0..100 {
+        assert_eq!(send(), Some(200));
+    }
+    fleet.servers[0].set_fault(ServerFault::BlackHole);
+    let statuses: Vec<Option<u16>> = (0..60).map(|_| send()).collect();
+    let answered = statuses.iter().filter(|status| **status == Some(200)).count();
+    assert!(statuses.iter().all(|s| matches!(s, Some(200 | 504))), "{statuses:?}");
+    assert!(answered >= 50, "{answered} of 60 answered");
+    let hedged = attempts(&fleet, "hedged");
+    // The budget is a tenth of the requests and a reserve of one.
+    assert!((1..=17).contains(&hedged), "{hedged} hedged");
+}
+
 #[test]
 fn a_rolling_replacement_cuts_nothing() {
     let mut fleet = Fleet::start(3);
