--- a/crates/fescuemux-core/src/admit/deadline_queue.rs
+++ b/crates/fescuemux-core/src/admit/deadline_queue.rs
@@ -41,6 +41,11 @@
         DeadlineQueue { cfg, classes: BTreeMap::new(), len: 0, service_time }
     }
 
+    /// Changes the most requests that wait at a time. Requests above a lower bound stay.
+    pub fn set_max_len(&mut self, max_len: usize) {
+        self.cfg.max_len = max_len;
+    }
+
     /// Returns the number of waiting requests.
     pub fn len(&self) -> usize {
         self.len
--- a/crates/fescuemux-core/src/admit/queue_types.rs
+++ b/crates/fescuemux-core/src/admit/queue_types.rs
@@ -16,7 +16,7 @@
 
 impl Default for QueueConfig {
     fn default() -> QueueConfig {
-        QueueConfig { max_len: 64, initial_service_time: Duration::from_millis(25), quantum: 1 }
+        QueueConfig { max_len: 16, initial_service_time: Duration::from_millis(25), quantum: 1 }
     }
 }
 
--- a/crates/fescuemux-core/src/admit/tests/queue.rs
+++ b/crates/fescuemux-core/src/admit/tests/queue.rs
@@ -166,3 +166,18 @@
     assert!(queue.pop(&mut cx, &mut expired).is_none());
     assert_eq!(expired.iter().map(|w| w.id).collect::<Vec<_>>(), [3]);
 }
+
+/// Guards against a lower bound that drops requests which already wait, or lets more in.
+#[test]
+fn a_lower_bound_keeps_what_waits() {
+    let mut cx = Cx::new(Instant::now(), 1);
+    let mut queue = queue(2);
+    for id in 0..2 {
+        let request = waiting(&cx, id, &push("a"));
+        assert!(queue.push(&mut cx, SLOTS, request).is_ok());
+    }
+    queue.set_max_len(1);
+    let request = waiting(&cx, 2, &push("a"));
+    assert_eq!(queue.push(&mut cx, SLOTS, request).err().map(|r| r.reason), Some(Refusal::Full));
+    assert_eq!(queue.len(), 2);
+}
