--- a/crates/fescuemux-measure/examples/backpressure.rs
+++ b/crates/fescuemux-measure/examples/backpressure.rs
@@ -18,9 +18,9 @@
 ];
 
 const QUEUES: [(QueuePolicy, &str); 3] = [
-    (QueuePolicy::Deadline, "bound 64"),
-    (QueuePolicy::Thresholds(64, 56), "block 64, unblock 56"),
-    (QueuePolicy::Thresholds(64, 32), "block 64, unblock 32"),
+    (QueuePolicy::Deadline, "bound 16"),
+    (QueuePolicy::Thresholds(16, 14), "block 16, unblock 14"),
+    (QueuePolicy::Thresholds(16, 8), "block 16, unblock 8"),
 ];
 
 fn main() -> anyhow::Result<()> {
