core: lower the adaptive limit by the share of slow requests

Cause: single slow requests lowered the limit, so it fell on healthy servers with exponential service times and rose again too soon on degraded ones.

--- a/crates/fescuemux-core/src/admit/limit.rs
+++ b/crates/fescuemux-core/src/admit/limit.rs
@@ -10,8 +10,15 @@
     pub min: u32,
     /// Highest limit, the number of slots.
     pub max: u32,
-    /// Latency, as a multiple of the baseline, above which the server is taken as overloaded.
+    /// Latency, as a multiple of the baseline, above which a request counts as slow.
     pub tolerance: f64,
+    /// Share of slow requests from which the limit is lowered. With exponential service times
+    /// a quarter of a healthy server's requests take twice the median.
+    pub lower_above: f64,
+    /// Share of slow requests up to which the limit is raised.
+    pub raise_below: f64,
+    /// Growth of the limit with each request that ran while the limit was reached.
+    pub increase: f64,
     /// Factor applied to the limit on overload.
     pub decrease: f64,
     /// Shortest time between two decreases, so that one slow period is counted once.
@@ -25,6 +32,9 @@
             min: 1,
             max: slots,
             tolerance: 2.0,
+            lower_above: 0.5,
+            raise_below: 0.35,
+            increase: 0.02,
             decrease: 0.75,
             decrease_interval: Duration::from_millis(500),
         }
@@ -49,13 +59,15 @@
 pub struct AdaptiveLimit {
     cfg: AdaptiveLimitConfig,
     limit: f64,
+    /// Moving share of slow requests.
+    slow: f64,
     last_decrease: Option<Instant>,
 }
 
 impl AdaptiveLimit {
     /// Returns a limit that starts at its maximum.
     pub fn new(cfg: AdaptiveLimitConfig) -> AdaptiveLimit {
-        AdaptiveLimit { limit: f64::from(cfg.max), cfg, last_decrease: None }
+        AdaptiveLimit { limit: f64::from(cfg.max), cfg, slow: 0.0, last_decrease: None }
     }
 
     /// Returns the number of requests that may run at a time.
@@ -65,15 +77,17 @@
 
     /// Learns from a finished request.
     pub fn on_sample(&mut self, cx: &mut Cx, sample: &LimitSample) {
+        const GAIN: f64 = 0.05;
         let slow = sample.latency > sample.baseline.mul_f64(self.cfg.tolerance);
-        if slow || sample.overloaded {
+        let slow = f64::from(u8::from(slow || sample.overloaded));
+        self.slow += GAIN * (slow - self.slow);
+        if self.slow > self.cfg.lower_above {
             self.decrease(cx.now);
             return;
         }
         // An idle server proves nothing about a higher limit.
-        if sample.in_flight >= self.limit() {
-            let max = f64::from(self.cfg.max);
-            self.limit = (self.limit + 1.0 / self.limit.max(1.0)).min(max);
+        if self.slow < self.cfg.raise_below && sample.in_flight >= self.limit() {
+            self.limit = (self.limit + self.cfg.increase).min(f64::from(self.cfg.max));
         }
     }
 
--- /dev/null
+++ b/crates/fescuemux-measure/examples/adaptive_limit.rs
@@ -0,0 +1,12 @@
+//! Prints the adaptive limit against all slots on a server that degrades: `cargo run --release
+//! -p fescuemux-measure --example adaptive_limit`.
+
+use fescuemux_measure::overload::{degrading, report};
+
+fn main() -> anyhow::Result<()> {
+    let mut rows = vec![];
+    for adaptive in [false, true] {
+        rows.extend((1..=3).flat_map(|seed| degrading::measure(adaptive, seed)));
+    }
+    report::print("server that slows down with more than 2 of 4 requests", &rows)
+}
--- a/crates/fescuemux-measure/src/overload.rs
+++ b/crates/fescuemux-measure/src/overload.rs
@@ -5,6 +5,7 @@
 
 pub mod backpressure;
 pub mod callers;
+pub mod degrading;
 mod events;
 mod guard;
 mod ingress;
