core: honor limits of zero

Cause: the configuration defines a caller's rate of 0 as refused and permits 0 retries, but a bucket held at least 2 tokens and a budget its reserve and floor. Before: a_rate_of_zero_refuses_the_caller and a_ratio_of_zero_permits_no_retry fail. Conclusion: zero means none.

--- a/crates/fescuemux-core/src/admit/caller_limits.rs
+++ b/crates/fescuemux-core/src/admit/caller_limits.rs
@@ -185,6 +185,10 @@
     }
 
     fn capacity(&self, min_burst: f64) -> f64 {
+        // A rate of zero refuses the caller.
+        if self.limit.rate <= 0.0 {
+            return 0.0;
+        }
         (self.limit.burst * self.share).max(min_burst)
     }
 
@@ -213,7 +217,12 @@
             return CallerDecision::Admitted;
         }
         let rate = self.limit.rate * self.share;
-        let wait = ((1.0 - self.tokens) / rate.max(f64::MIN_POSITIVE)).min(MAX_RETRY_AFTER_SECS);
+        if rate <= 0.0 {
+            return CallerDecision::Limited {
+                retry_after: Duration::from_secs_f64(MAX_RETRY_AFTER_SECS),
+            };
+        }
+        let wait = ((1.0 - self.tokens) / rate).min(MAX_RETRY_AFTER_SECS);
         CallerDecision::Limited { retry_after: Duration::from_secs_f64(wait) }
     }
 }
--- a/crates/fescuemux-core/src/admit/tests/callers.rs
+++ b/crates/fescuemux-core/src/admit/tests/callers.rs
@@ -52,6 +52,20 @@
     }
 }
 
+/// Guards against a refused caller that gets the least burst, at first or after a change.
+#[test]
+fn a_rate_of_zero_refuses_the_caller() {
+    let refused = CallerLimit { rate: 0.0, burst: 0.0 };
+    for first in [refused, CallerLimit { rate: 10.0, burst: 20.0 }] {
+        let mut cx = Cx::new(Instant::now(), 1);
+        let mut limits = limits(&cx, 8);
+        limits.set(&mut cx, &"a".into(), first);
+        limits.set(&mut cx, &"a".into(), refused);
+        cx.now += Duration::from_secs(100);
+        assert_eq!(admitted(&mut limits, &mut cx, "a", 10), 0);
+    }
+}
+
 /// Guards against memory that grows with the caller names that clients make up.
 #[test]
 fn unknown_callers_share_a_bucket() {
--- a/crates/fescuemux-core/src/retry/budget.rs
+++ b/crates/fescuemux-core/src/retry/budget.rs
@@ -8,7 +8,7 @@
 /// Settings of a [`RetryBudget`].
 #[derive(Clone, Debug)]
 pub struct RetryConfig {
-    /// Bound of retries and hedges, as a share of requests.
+    /// Bound of retries and hedges, as a share of requests; zero permits none at all.
     pub ratio: f64,
     /// Retries a second that a quiet service earns at least.
     pub floor_rate: f64,
@@ -55,7 +55,10 @@
 
 impl RetryBudget {
     /// Returns a budget with its reserve full.
-    pub fn new(cfg: RetryConfig, now: Instant) -> RetryBudget {
+    pub fn new(mut cfg: RetryConfig, now: Instant) -> RetryBudget {
+        if cfg.ratio <= 0.0 {
+            (cfg.reserve, cfg.floor_rate) = (0.0, 0.0);
+        }
         RetryBudget {
             balance: cfg.reserve,
             reserve: cfg.reserve,
--- a/crates/fescuemux-core/src/retry/tests/decisions.rs
+++ b/crates/fescuemux-core/src/retry/tests/decisions.rs
@@ -107,6 +107,19 @@
     assert_eq!(budget.decide(&mut cx, &SAFE), expected);
 }
 
+/// Guards against a service without retries that still gets the reserve or the floor.
+#[test]
+fn a_ratio_of_zero_permits_no_retry() {
+    let mut cx = Cx::new(Instant::now(), 1);
+    let mut budget = RetryBudget::new(RetryConfig { ratio: 0.0, ..RetryConfig::default() }, cx.now);
+    let expected = RetryDecision::GiveUp { verdict: Verdict::NotRun, reason: Budget };
+    for _ in 0..100 {
+        budget.on_request(&mut cx);
+        cx.now += Duration::from_secs(10);
+        assert_eq!(budget.decide(&mut cx, &SAFE), expected);
+    }
+}
+
 #[test]
 fn hedges_only_idempotent_requests() {
     for idempotent in [true, false] {
