core: space path probes

Cause: a daemon that asks for probes until none is left would probe every open path once or twice a second, hundreds when regions lose each other. Conclusion: the router returns at most one path to probe in 100 ms.

--- a/crates/fescuemux-core/src/route/breaker.rs
+++ b/crates/fescuemux-core/src/route/breaker.rs
@@ -16,6 +16,9 @@
     pub open_min: Duration,
     /// Longest time that the breaker stays open; the time doubles with each failed trial.
     pub open_max: Duration,
+    /// Shortest time between two probes of the ingress. When regions lose each other, hundreds
+    /// of paths are open at once and their probes must stay within the control bandwidth.
+    pub probe_interval: Duration,
 }
 
 impl Default for BreakerConfig {
@@ -24,6 +27,7 @@
             failures: 2.0,
             open_min: Duration::from_millis(500),
             open_max: Duration::from_secs(1),
+            probe_interval: Duration::from_millis(100),
         }
     }
 }
--- a/crates/fescuemux-core/src/route/router.rs
+++ b/crates/fescuemux-core/src/route/router.rs
@@ -29,6 +29,7 @@
     timers: BinaryHeap<Reverse<(Instant, usize)>>,
     /// Paths that became half-open, oldest first; some may have moved on since.
     half_open: VecDeque<usize>,
+    last_probe: Option<Instant>,
 }
 
 impl Router {
@@ -45,6 +46,7 @@
             by_instance: HashMap::default(),
             timers: BinaryHeap::new(),
             half_open: VecDeque::new(),
+            last_probe: None,
         }
     }
 
@@ -139,13 +141,18 @@
     }
 
     /// Returns an instance whose path waits for a trial, so that the daemon can try it with a
-    /// probe of its own and report to [`Router::on_path_probe`]. A daemon that asks a few
-    /// times a second keeps trials away from requests.
+    /// probe of its own and report to [`Router::on_path_probe`]. Returns at most one in each
+    /// [`BreakerConfig::probe_interval`](crate::route::BreakerConfig::probe_interval).
     pub fn next_path_probe(&mut self, cx: &mut Cx) -> Option<InstanceId> {
         self.tick(cx.now);
+        let interval = self.cfg.breaker.probe_interval;
+        if self.last_probe.is_some_and(|t| cx.now.saturating_duration_since(t) < interval) {
+            return None;
+        }
         while let Some(path) = self.half_open.pop_front() {
             if let BreakerState::HalfOpen(_) = self.paths[path].breaker.state() {
                 self.start_path_trial(cx.now, path);
+                self.last_probe = Some(cx.now);
                 return Some(self.paths[path].instance.clone());
             }
         }
--- a/crates/fescuemux-core/src/route/tests/breaker.rs
+++ b/crates/fescuemux-core/src/route/tests/breaker.rs
@@ -161,3 +161,22 @@
         assert!(share(&mut router, &mut cx, 300, server) > 0.2, "{server}");
     }
 }
+
+/// Guards against a burst of probes when a region partition opens hundreds of paths at once.
+#[test]
+fn probes_are_spaced() {
+    let (mut cx, mut router) = (cx(), router());
+    for n in 0..300 {
+        router.upsert(&mut cx, endpoint(&format!("s{n}"), "d1"));
+        fail(&mut router, &mut cx, &format!("s{n}"), 3);
+    }
+    let mut probes = 0;
+    for _ in 0..100 {
+        cx.now += Duration::from_millis(100);
+        while let Some(instance) = router.next_path_probe(&mut cx) {
+            router.on_path_probe(&mut cx, &instance, false);
+            probes += 1;
+        }
+    }
+    assert!((90..=100).contains(&probes), "{probes} probes in 10 s");
+}
