measure: redirect by busy guards

Cause: at the target size an ingress knows too little of each server's load. Conclusion: measured only. It needs a mark on the hop request and a model with membership before it becomes part of the core.

--- a/crates/fescuemux-core/src/route/router.rs
+++ b/crates/fescuemux-core/src/route/router.rs
@@ -196,6 +196,12 @@
         self.entries[*index as usize].as_ref().map(|e| e.health)
     }
 
+    /// Returns the moving mean of requests per slot over the answers of a service, zero before
+    /// the first.
+    pub fn mean_load(&self, service: &ServiceId) -> f64 {
+        self.service_index.get(service).map_or(0.0, |at| self.services[*at].mean_load)
+    }
+
     /// Returns the number of known backend servers.
     pub fn len(&self) -> usize {
         self.by_server.len()
--- a/crates/fescuemux-measure/src/overload/events.rs
+++ b/crates/fescuemux-measure/src/overload/events.rs
@@ -32,6 +32,8 @@
 pub(super) enum Reply {
     Ran,
     NotRun,
+    /// The guard is busy and another may not be.
+    Redirect,
     /// The instance is dead.
     NoConnection,
 }
--- a/crates/fescuemux-measure/src/overload/guard.rs
+++ b/crates/fescuemux-measure/src/overload/guard.rs
@@ -57,6 +57,11 @@
         ServerLoad { busy, slots, queued: queued as u32 }
     }
 
+    /// Returns true when an attempt would have to wait.
+    pub(super) fn is_busy(&self) -> bool {
+        self.slots.free() == 0
+    }
+
     /// Admits, queues or refuses an attempt.
     pub(super) fn arrive(
         &mut self,
--- a/crates/fescuemux-measure/src/overload/ingress.rs
+++ b/crates/fescuemux-measure/src/overload/ingress.rs
@@ -111,6 +111,14 @@
         }
     }
 
+    /// Returns true while the service has room, as far as this ingress knows.
+    pub(super) fn has_room(&self) -> bool {
+        match &self.route {
+            Route::Router(router) => router.mean_load(&self.service) < 1.0,
+            Route::Random | Route::RoundRobin(_) => true,
+        }
+    }
+
     /// Returns the wait before the next attempt of a request, if it gets one.
     pub(super) fn retry(
         &mut self,
--- a/crates/fescuemux-measure/src/overload/routing.rs
+++ b/crates/fescuemux-measure/src/overload/routing.rs
@@ -5,8 +5,15 @@
 use std::time::Duration;
 
 /// Ways of routing that are compared, with the same queues and retries.
-pub const POLICIES: [Policy; 3] = [
+pub const POLICIES: [Policy; 5] = [
     Policy { name: "router", ..Policy::PARTS },
+    Policy { name: "router, redirect", redirect: true, ..Policy::PARTS },
+    Policy {
+        name: "random, redirect",
+        route: RoutePolicy::Random,
+        redirect: true,
+        ..Policy::PARTS
+    },
     Policy { name: "random", route: RoutePolicy::Random, ..Policy::PARTS },
     Policy { name: "round robin", route: RoutePolicy::RoundRobin, ..Policy::PARTS },
 ];
@@ -52,6 +59,8 @@
     pub wait_p99_service_times: f64,
     /// Share of requests answered in time.
     pub goodput: f64,
+    /// Attempts per request, redirects included.
+    pub attempts: f64,
 }
 
 /// Runs one minute at `load`, a share of the capacity.
@@ -83,5 +92,6 @@
         wait_p99_ms: millis(0.99),
         wait_p99_service_times: millis(0.99) / 1e3 / service_time.as_secs_f64(),
         goodput: stats.sum(0..60).goodput(),
+        attempts: stats.sum(0..60).amplification(),
     }
 }
--- a/crates/fescuemux-measure/src/overload/setup.rs
+++ b/crates/fescuemux-measure/src/overload/setup.rs
@@ -45,6 +45,9 @@
     pub retry: RetryPolicy,
     /// Queueing.
     pub queue: QueuePolicy,
+    /// Whether a busy guard sends the first attempt of a request elsewhere, without charge to
+    /// the retry budget, while the mean load of the service is below one request per slot.
+    pub redirect: bool,
 }
 
 impl Policy {
@@ -54,6 +57,7 @@
         route: RoutePolicy::Router,
         retry: RetryPolicy::Budget,
         queue: QueuePolicy::Deadline,
+        redirect: false,
     };
 }
 
--- a/crates/fescuemux-measure/src/overload/storm.rs
+++ b/crates/fescuemux-measure/src/overload/storm.rs
@@ -11,7 +11,7 @@
 const ORDINARY_LOAD: f64 = 0.45;
 
 /// Policies that are compared.
-pub const POLICIES: [Policy; 4] = [
+pub const POLICIES: [Policy; 5] = [
     Policy::PARTS,
     Policy { name: "naive retries, deadline queue", retry: RetryPolicy::Naive, ..Policy::PARTS },
     Policy { name: "budget, FIFO queue", queue: QueuePolicy::Fifo, ..Policy::PARTS },
@@ -20,7 +20,9 @@
         route: RoutePolicy::Random,
         retry: RetryPolicy::Naive,
         queue: QueuePolicy::Fifo,
+        redirect: false,
     },
+    Policy { name: "parts, redirect", redirect: true, ..Policy::PARTS },
 ];
 
 /// Size of the fleet as one service sees it.
--- a/crates/fescuemux-measure/src/overload/tests.rs
+++ b/crates/fescuemux-measure/src/overload/tests.rs
@@ -41,7 +41,7 @@
 
 #[test]
 fn the_checks_catch_naive_retries_and_plain_queues() {
-    let [_, naive_retries, plain_queue, both] = storm::POLICIES;
+    let [_, naive_retries, plain_queue, both, _] = storm::POLICIES;
     for policy in [naive_retries, both] {
         assert!(!outage_meets_goal(policy), "{}", policy.name);
     }
--- a/crates/fescuemux-measure/src/overload/world.rs
+++ b/crates/fescuemux-measure/src/overload/world.rs
@@ -24,6 +24,7 @@
     attempts: u32,
     tried: Vec<ServerId>,
     done: bool,
+    redirected: bool,
 }
 
 #[derive(Debug)]
@@ -33,6 +34,8 @@
     sent: Duration,
     /// True until the ingress got an answer or gave up on it.
     open: bool,
+    /// True when the guard may redirect it.
+    redirect: bool,
     permit: PermitId,
     started: Duration,
     load: ServerLoad,
@@ -133,7 +136,15 @@
         let ingress = self.cx.rng.random_range(0..self.ingresses.len());
         let request = self.requests.len();
         let arrived = self.now;
-        self.requests.push(Request { ingress, arrived, attempts: 0, tried: vec![], done: false });
+        let request_state = Request {
+            ingress,
+            arrived,
+            attempts: 0,
+            tried: vec![],
+            done: false,
+            redirected: false,
+        };
+        self.requests.push(request_state);
         self.stats.second(arrived).requests += 1;
         self.ingresses[ingress].on_request(&mut self.cx);
         self.events.push(self.now + self.setup.deadline, Event::Deadline(request));
@@ -154,8 +165,12 @@
         request.tried.push(server_name(server));
         let arrived = request.arrived;
         self.stats.second(arrived).sends += 1;
+        let redirect = self.setup.policy.redirect
+            && !self.requests[number].redirected
+            && self.ingresses[self.requests[number].ingress].has_room();
         let attempt = self.attempts.len();
         self.attempts.push(Attempt {
+            redirect,
             request: number,
             server,
             sent: self.now,
@@ -178,6 +193,10 @@
             self.events.push(self.now + HOP, Event::Answer(number, Reply::NoConnection));
             return;
         }
+        if attempt.redirect && guard.is_busy() {
+            self.reply(number, Reply::Redirect);
+            return;
+        }
         let server = attempt.server;
         // The answer needs a hop as well.
         let deadline = self.start + request.arrived + self.setup.deadline - HOP;
@@ -244,12 +263,18 @@
         let cx = &mut self.cx;
         match reply {
             Reply::Ran => ingress.on_answer(cx, server, Verdict::Ran, latency, load),
-            Reply::NotRun => ingress.on_answer(cx, server, Verdict::NotRun, latency, load),
+            Reply::NotRun | Reply::Redirect => {
+                ingress.on_answer(cx, server, Verdict::NotRun, latency, load);
+            }
             Reply::NoConnection => ingress.on_no_connection(cx, server),
         }
         match reply {
             Reply::Ran => self.finish(request),
             Reply::NotRun | Reply::NoConnection => self.retry(request),
+            Reply::Redirect => {
+                self.requests[request].redirected = true;
+                self.send(request);
+            }
         }
     }
 
