--- a/crates/fescuemux-core/src/route/choose.rs
+++ b/crates/fescuemux-core/src/route/choose.rs
@@ -91,8 +91,11 @@
     ) -> Option<Candidate> {
         let mut best: Option<Candidate> = None;
         let mut bits = if count > 1 { cx.rng.random::<u64>() } else { 0 };
-        for _ in 0..CHOICES.min(count) {
-            let start = position(bits, count);
+        let first = position(bits, count);
+        for number in 0..CHOICES.min(count) {
+            // Few servers are all looked at, from a random one on, so that none is missed.
+            let few = count <= CHOICES;
+            let start = if few { (first + number) % count } else { position(bits, count) };
             bits >>= POSITION_BITS;
             let Some(found) = self.sample(cx, table, query, count, start, &at) else {
                 continue;
