core: forget the paths of removed instances

Durations of zero in the settings gave loads that are not numbers. Reports of requests and probes move to their own file. Conclusion: a path leaves with the last server of its instance.

--- a/crates/fescuemux-core/src/route.rs
+++ b/crates/fescuemux-core/src/route.rs
@@ -9,6 +9,7 @@
 mod entry;
 mod load;
 mod query;
+mod reports;
 mod router;
 mod service;
 
--- a/crates/fescuemux-core/src/route/entry.rs
+++ b/crates/fescuemux-core/src/route/entry.rs
@@ -86,7 +86,10 @@
             return 1.0;
         };
         let age = now.saturating_duration_since(start).as_secs_f64();
-        (age / slow_start.as_secs_f64()).clamp(MIN_WEIGHT, 1.0)
+        if age >= slow_start.as_secs_f64() {
+            return 1.0;
+        }
+        (age / slow_start.as_secs_f64()).max(MIN_WEIGHT)
     }
 }
 
--- a/crates/fescuemux-core/src/route/load.rs
+++ b/crates/fescuemux-core/src/route/load.rs
@@ -22,7 +22,7 @@
             return mean;
         };
         let age = now.saturating_duration_since(time).as_secs_f64();
-        let half_life = half_life.as_secs_f64();
+        let half_life = half_life.as_secs_f64().max(f64::MIN_POSITIVE);
         mean + (others - mean) * half_life / (half_life + age)
     }
 }
--- a/crates/fescuemux-core/src/route/query.rs
+++ b/crates/fescuemux-core/src/route/query.rs
@@ -64,7 +64,8 @@
 pub struct Answered {
     /// Verdict of the attempt.
     pub verdict: Verdict,
-    /// Time from sending the request until the head of the answer.
+    /// Time from sending the request until the head of the answer. Choices go by load alone:
+    /// latency is judged by the guard, which sees all the work of its server.
     pub latency: Duration,
     /// Load reported on the answer.
     pub load: Option<ServerLoad>,
--- a/crates/fescuemux-core/src/route/router.rs
+++ b/crates/fescuemux-core/src/route/router.rs
@@ -1,13 +1,12 @@
-//! Table of backend servers and its updates. The choice itself stands in `choose`.
+//! Table of backend servers and its updates. The choice stands in `choose`, what is learned
+//! from requests in `reports`.
 
-use crate::base::{Cx, HashMap, InstanceId, Phase, ServerId, ServiceId, Verdict};
+use crate::base::{Cx, HashMap, InstanceId, Phase, ServerId, ServiceId};
 use crate::route::breaker::Breaker;
 use crate::route::entry::{Class, Entry, Index, Path, Tier, rank};
 use crate::route::load::LoadEstimate;
 use crate::route::service::{Place, ServiceTable};
-use crate::route::{
-    Answered, BreakerState, Choice, Endpoint, EndpointHealth, RequestKind, RouterConfig, ServerLoad,
-};
+use crate::route::{BreakerState, Endpoint, EndpointHealth, RouterConfig};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
 use std::time::Instant;
@@ -24,12 +23,13 @@
     pub(super) service_index: HashMap<ServiceId, usize>,
     pub(super) paths: Vec<Path>,
     free: Vec<Index>,
-    by_server: HashMap<ServerId, Index>,
-    by_instance: HashMap<InstanceId, usize>,
+    free_paths: Vec<usize>,
+    pub(super) by_server: HashMap<ServerId, Index>,
+    pub(super) by_instance: HashMap<InstanceId, usize>,
     timers: BinaryHeap<Reverse<(Instant, usize)>>,
     /// Paths that became half-open, oldest first; some may have moved on since.
-    half_open: VecDeque<usize>,
-    last_probe: Option<Instant>,
+    pub(super) half_open: VecDeque<usize>,
+    pub(super) last_probe: Option<Instant>,
 }
 
 impl Router {
@@ -42,6 +42,7 @@
             service_index: HashMap::default(),
             paths: vec![],
             free: vec![],
+            free_paths: vec![],
             by_server: HashMap::default(),
             by_instance: HashMap::default(),
             timers: BinaryHeap::new(),
@@ -84,105 +85,8 @@
         let Some(entry) = self.entries[index as usize].take() else {
             return;
         };
-        self.paths[entry.path].entries.retain(|other| *other != index);
         self.free.push(index);
-    }
-
-    /// Counts a request as under way.
-    pub fn on_sent(&mut self, cx: &mut Cx, choice: &Choice) {
-        let Some(index) = self.by_server.get(&choice.server).copied() else {
-            return;
-        };
-        let Some(entry) = self.entries[index as usize].as_mut() else {
-            return;
-        };
-        entry.in_flight += 1;
-        if choice.kind == RequestKind::Trial {
-            entry.last_trial = cx.now;
-        }
-    }
-
-    /// Learns from an answer of a guard, of any status.
-    pub fn on_answer(&mut self, cx: &mut Cx, server: &ServerId, answered: Answered) {
-        let Some(index) = self.by_server.get(server).copied() else {
-            return;
-        };
-        self.end_request(index);
-        let Some(entry) = self.entries[index as usize].as_ref() else {
-            return;
-        };
-        let path = entry.path;
-        self.observe_load(cx, index, &answered);
-        if let Some(health) = answered.health {
-            self.set_health(cx, index, health);
-        }
-        self.close_path(path);
-        self.reclassify(index);
-    }
-
-    /// Learns that a request got no answer because the path to the instance failed. The
-    /// backend server is not charged.
-    pub fn on_path_failure(&mut self, cx: &mut Cx, instance: &InstanceId, server: &ServerId) {
-        if let Some(index) = self.by_server.get(server).copied() {
-            self.end_request(index);
-        }
-        let Some(path) = self.by_instance.get(instance).copied() else {
-            return;
-        };
-        self.fail_path(cx, path);
-    }
-
-    /// Learns from outside of requests, such as from a membership probe or a connection, that
-    /// the path to the instance works in both directions.
-    pub fn on_path_success(&mut self, instance: &InstanceId) {
-        if let Some(path) = self.by_instance.get(instance).copied() {
-            self.close_path(path);
-        }
-    }
-
-    /// Returns an instance whose path waits for a trial, so that the daemon can try it with a
-    /// probe of its own and report to [`Router::on_path_probe`]. Returns at most one in each
-    /// [`BreakerConfig::probe_interval`](crate::route::BreakerConfig::probe_interval).
-    pub fn next_path_probe(&mut self, cx: &mut Cx) -> Option<InstanceId> {
-        self.tick(cx.now);
-        let interval = self.cfg.breaker.probe_interval;
-        if self.last_probe.is_some_and(|t| cx.now.saturating_duration_since(t) < interval) {
-            return None;
-        }
-        while let Some(path) = self.half_open.pop_front() {
-            if let BreakerState::HalfOpen(_) = self.paths[path].breaker.state() {
-                self.start_path_trial(cx.now, path);
-                self.last_probe = Some(cx.now);
-                return Some(self.paths[path].instance.clone());
-            }
-        }
-        None
-    }
-
-    /// Learns the result of a probe.
-    pub fn on_path_probe(&mut self, cx: &mut Cx, instance: &InstanceId, ok: bool) {
-        let Some(path) = self.by_instance.get(instance).copied() else {
-            return;
-        };
-        match ok {
-            true => self.close_path(path),
-            false => self.fail_path(cx, path),
-        }
-    }
-
-    /// Ends a request whose caller left before the result was known.
-    pub fn on_canceled(&mut self, cx: &mut Cx, server: &ServerId) {
-        let Some(index) = self.by_server.get(server).copied() else {
-            return;
-        };
-        self.end_request(index);
-        let Some(entry) = self.entries[index as usize].as_ref() else {
-            return;
-        };
-        let path = entry.path;
-        self.paths[path].breaker.on_trial_void(cx.now);
-        self.schedule(cx.now, path);
-        self.reclassify_path(path);
+        self.leave_path(entry.path, index);
     }
 
     /// Returns the state of the breaker for the path to `instance`.
@@ -289,7 +193,7 @@
         self.reclassify(index);
     }
 
-    fn set_health(&mut self, cx: &mut Cx, index: Index, health: EndpointHealth) {
+    pub(super) fn set_health(&mut self, cx: &mut Cx, index: Index, health: EndpointHealth) {
         let Some(entry) = self.entries[index as usize].as_mut() else {
             return;
         };
@@ -303,48 +207,7 @@
         entry.health = health;
     }
 
-    fn observe_load(&mut self, cx: &mut Cx, index: Index, answered: &Answered) {
-        const MEAN_GAIN: f64 = 0.05;
-        let Some(entry) = self.entries[index as usize].as_mut() else {
-            return;
-        };
-        let slots = entry.endpoint.slots.max(1);
-        // A refusal without a load report counts as a full server.
-        let refused = answered.verdict == Verdict::NotRun;
-        let full = refused.then_some(ServerLoad { busy: slots, slots, queued: 0 });
-        let Some(load) = answered.load.or(full) else {
-            return;
-        };
-        let slots = f64::from(load.slots.max(1));
-        let total = f64::from(load.busy) + f64::from(load.queued);
-        let others = (total - f64::from(entry.in_flight)).max(0.0) / slots;
-        entry.load.observe(cx.now, others);
-        let service = &mut self.services[entry.service];
-        service.mean_load += MEAN_GAIN * (total / slots - service.mean_load);
-    }
-
-    fn end_request(&mut self, index: Index) {
-        if let Some(entry) = self.entries[index as usize].as_mut() {
-            entry.in_flight = entry.in_flight.saturating_sub(1);
-            entry.trial_until = None;
-        }
-    }
-
-    fn close_path(&mut self, path: usize) {
-        let was = self.paths[path].breaker.state();
-        self.paths[path].breaker.on_success(&self.cfg.breaker);
-        if was != BreakerState::Closed {
-            self.reclassify_path(path);
-        }
-    }
-
-    fn fail_path(&mut self, cx: &mut Cx, path: usize) {
-        self.paths[path].breaker.on_failure(cx, &self.cfg.breaker);
-        self.schedule(cx.now, path);
-        self.reclassify_path(path);
-    }
-
-    fn schedule(&mut self, now: Instant, path: usize) {
+    pub(super) fn schedule(&mut self, now: Instant, path: usize) {
         let due = self.paths[path].breaker.tick(now);
         if self.paths[path].breaker.state() == BreakerState::HalfOpen(now) {
             self.half_open.push_back(path);
@@ -358,7 +221,7 @@
         }
     }
 
-    fn reclassify_path(&mut self, path: usize) {
+    pub(super) fn reclassify_path(&mut self, path: usize) {
         let entries = std::mem::take(&mut self.paths[path].entries);
         for index in &entries {
             self.reclassify(*index);
@@ -366,7 +229,7 @@
         self.paths[path].entries = entries;
     }
 
-    fn reclassify(&mut self, index: Index) {
+    pub(super) fn reclassify(&mut self, index: Index) {
         let Some(entry) = self.entries[index as usize].as_ref() else {
             return;
         };
@@ -403,11 +266,32 @@
             return *known;
         }
         let breaker = Breaker::new(&self.cfg.breaker);
-        let instance = instance.clone();
         let path = Path { instance: instance.clone(), breaker, entries: vec![], scheduled: None };
-        self.paths.push(path);
-        self.by_instance.insert(instance, self.paths.len() - 1);
-        self.paths.len() - 1
+        let index = match self.free_paths.pop() {
+            Some(free) => {
+                self.paths[free] = path;
+                free
+            }
+            None => {
+                self.paths.push(path);
+                self.paths.len() - 1
+            }
+        };
+        self.by_instance.insert(instance.clone(), index);
+        index
+    }
+
+    /// Removes an entry from its path, and the path with its last entry, because instances are
+    /// replaced under new names for as long as the ingress runs.
+    fn leave_path(&mut self, path: usize, index: Index) {
+        let entries = &mut self.paths[path].entries;
+        entries.retain(|other| *other != index);
+        if entries.is_empty() {
+            self.by_instance.remove(&self.paths[path].instance);
+            // A timer of the old path finds nothing to do in the next one.
+            self.paths[path].breaker = Breaker::new(&self.cfg.breaker);
+            self.free_paths.push(path);
+        }
     }
 
     fn tier_of(&self, endpoint: &Endpoint) -> Tier {
--- a/crates/fescuemux-core/src/route/tests/updates.rs
+++ b/crates/fescuemux-core/src/route/tests/updates.rs
@@ -79,3 +79,35 @@
     router.remove(&"b".into());
     assert_eq!(share(&mut router, &mut cx, 100, "a"), 1.0);
 }
+
+/// Guards against memory that grows with each replaced instance.
+#[test]
+fn removed_servers_and_instances_are_forgotten() {
+    let (mut cx, mut router) = (cx(), router());
+    for n in 0..1_000 {
+        let server = format!("s{n}");
+        router.upsert(&mut cx, endpoint(&server, "d1"));
+        router.on_path_failure(&mut cx, &format!("i-{server}").into(), &server.as_str().into());
+        router.remove(&server.as_str().into());
+    }
+    assert_eq!((router.entries.len(), router.paths.len()), (1, 1));
+    router.upsert(&mut cx, endpoint("a", "d1"));
+    assert_eq!(share(&mut router, &mut cx, 100, "a"), 1.0);
+}
+
+/// Guards against loads that are not numbers when durations are set to zero.
+#[test]
+fn zero_durations_still_prefer_the_idle_server() {
+    let mut cx = cx();
+    let mut cfg = crate::route::RouterConfig::new("i".into(), "d1".into(), "r1".into());
+    cfg.load_half_life = std::time::Duration::ZERO;
+    cfg.slow_start = std::time::Duration::ZERO;
+    let mut router = Router::new(cfg);
+    for (server, busy) in [("a", 9), ("b", 0)] {
+        let phase = crate::base::Phase::Cold;
+        router.upsert(&mut cx, Endpoint { phase, ..endpoint(server, "d1") });
+        router.on_answer(&mut cx, &server.into(), answered(busy, 0));
+    }
+    let share = share(&mut router, &mut cx, 1_000, "b");
+    assert!(share > 0.8, "{share}");
+}
