--- a/crates/fescuemux-core/src/member/config.rs
+++ b/crates/fescuemux-core/src/member/config.rs
@@ -51,7 +51,7 @@
             piggyback_bytes: 1000,
             fanout: 3,
             sync_interval: Duration::from_secs(10),
-            sync_bytes: 12 * 1024,
+            sync_bytes: 10 * 1024,
             sync_standings: 80,
             sync_burst: 3,
             reconnect_interval: Duration::from_secs(20),
