Measure a paused rack and an hour with loss

Cause: false deaths after a pause and under steady loss were only covered by small tests.

A test covers regions cut for longer than dead records are kept.

--- a/crates/fescuemux-core/tests/member/faults.rs
+++ b/crates/fescuemux-core/tests/member/faults.rs
@@ -189,6 +189,22 @@
     }
 }
 
+/// Guards against regions that stay apart for ever once they forgot each other's records.
+#[test]
+fn regions_that_forgot_each_other_meet_through_seeds() {
+    let mut net = Net::settled(4, 8);
+    net.faults.cut = Some(|from, to| from % 2 != to % 2);
+    net.run(7 * 3600);
+    assert_eq!(net.state(0, 1), None);
+    net.faults.cut = None;
+    net.run(120);
+    for at in 0..8 {
+        for of in 0..8 {
+            assert_eq!(net.state(at, of), Some(MemberState::Alive), "{of} at {at}");
+        }
+    }
+}
+
 /// Guards against a replayed record of an earlier version, incarnation or life.
 #[test]
 fn replayed_records_are_refused() {
--- a/crates/fescuemux-measure/examples/fleet.rs
+++ b/crates/fescuemux-measure/examples/fleet.rs
@@ -5,16 +5,18 @@
 
 use anyhow::Context as _;
 use fescuemux_measure::fleet::{
-    Bounds, Row, Scenario, config_spread, domain_lost, join, measure_memory, print_rows,
-    print_slopes, rack_lost, region_cut, steady,
+    Bounds, Row, Scenario, config_spread, domain_lost, join, lossy, measure_memory, print_rows,
+    print_slopes, rack_lost, rack_paused, region_cut, steady,
 };
 
 const SERVERS_EACH: usize = 8;
 
-const SCENARIOS: [(&str, Scenario); 5] = [
+const SCENARIOS: [(&str, Scenario); 7] = [
     ("steady", steady),
     ("rack", rack_lost),
     ("domain", domain_lost),
+    ("pause", rack_paused),
+    ("loss", lossy),
     ("region", region_cut),
     ("config", config_spread),
 ];
--- a/crates/fescuemux-measure/src/fleet.rs
+++ b/crates/fescuemux-measure/src/fleet.rs
@@ -14,7 +14,8 @@
 pub use meter::{Meter, Traffic, thread_cpu};
 pub use report::{Bounds, Row, print_rows};
 pub use scenarios::{
-    Scenario, config_spread, domain_lost, join, measure_memory, rack_lost, region_cut, steady,
+    Scenario, config_spread, domain_lost, join, lossy, measure_memory, rack_lost, rack_paused,
+    region_cut, steady,
 };
 pub use sim::Fleet;
 pub use slopes::{Fit, fit, print_slopes};
--- a/crates/fescuemux-measure/src/fleet/scenarios.rs
+++ b/crates/fescuemux-measure/src/fleet/scenarios.rs
@@ -87,6 +87,33 @@
     row(what, &mut fleet, &times)
 }
 
+/// An hour with 1% of messages lost.
+pub fn lossy(settled: &Fleet) -> Vec<Row> {
+    let mut fleet = settled.clone();
+    fleet.loss = 0.01;
+    fleet.reset_meter();
+    fleet.run(Duration::from_secs(3600));
+    vec![row("an hour with 1% loss", &mut fleet, &[])]
+}
+
+/// The processes of a rack paused for 30 s. The others rightly give up on them; the row covers
+/// the time after the pause, in which nobody may be held for dead.
+pub fn rack_paused(settled: &Fleet) -> Vec<Row> {
+    let mut fleet = settled.clone();
+    let rack: Vec<usize> = (0..fleet.nodes.len()).filter(|n| domain(*n) == 2).take(RACK).collect();
+    for node in &rack {
+        fleet.stop(*node);
+    }
+    fleet.run(Duration::from_secs(30));
+    fleet.reset_meter();
+    for node in &rack {
+        fleet.resume(*node);
+    }
+    let everyone: Vec<usize> = (0..fleet.nodes.len()).collect();
+    let times = converge(&mut fleet, &everyone, MemberState::Alive, Duration::from_secs(180));
+    vec![row("rack paused 30 s, after the pause", &mut fleet, &times)]
+}
+
 /// Regions cut from each other for an hour and joined again. The first row ends when both
 /// sides agree about the cut, the second covers the rest of the hour, the third the rejoin.
 pub fn region_cut(settled: &Fleet) -> Vec<Row> {
--- a/crates/fescuemux-measure/src/fleet/sim.rs
+++ b/crates/fescuemux-measure/src/fleet/sim.rs
@@ -126,6 +126,13 @@
         self.nodes[node].up = false;
     }
 
+    /// Lets a stopped process go on where it was, as after a pause.
+    pub(super) fn resume(&mut self, node: usize) {
+        self.nodes[node].up = true;
+        self.nodes[node].wake = None;
+        self.schedule(node);
+    }
+
     /// Announces the planned stop of `node`.
     pub(super) fn leave(&mut self, node: usize) {
         let sends = self.nodes[node].member.leave(&mut self.cx);
--- a/crates/fescuemux-measure/tests/fleet.rs
+++ b/crates/fescuemux-measure/tests/fleet.rs
@@ -1,7 +1,8 @@
 //! Checks of the fleet measurement that do not depend on processor time.
 
 use fescuemux_measure::fleet::{
-    Bounds, Row, Scenario, config_spread, domain_lost, fit, join, rack_lost, region_cut,
+    Bounds, Row, Scenario, config_spread, domain_lost, fit, join, rack_lost, rack_paused,
+    region_cut,
 };
 
 const SERVERS_EACH: usize = 8;
@@ -11,7 +12,7 @@
 #[test]
 fn a_small_fleet_stays_within_bounds() {
     let (settled, _) = join(60, SERVERS_EACH, 3);
-    let scenarios: [Scenario; 4] = [rack_lost, domain_lost, config_spread, region_cut];
+    let scenarios: [Scenario; 5] = [rack_lost, domain_lost, rack_paused, config_spread, region_cut];
     for scenario in scenarios {
         for mut row in scenario(&settled) {
             // Processor time depends on the machine and decides nothing here.
