Put records into the table by their merge

Cause: the merge that the property tests check was not the one that the table used. A daemon that starts with a generation but without its head digest also counted conflicts of heads.

--- a/crates/fescuemux-core/src/member/message.rs
+++ b/crates/fescuemux-core/src/member/message.rs
@@ -9,7 +9,7 @@
 pub struct ConfigStamp {
     /// Generation in force; zero before the first one.
     pub generation: Generation,
-    /// Digest of the configuration's head.
+    /// Digest of the configuration's head; zero while it is not known.
     pub head: [u8; 16],
 }
 
--- a/crates/fescuemux-core/src/member/probing.rs
+++ b/crates/fescuemux-core/src/member/probing.rs
@@ -256,7 +256,7 @@
             if age >= ask_after && !peer.asked_last {
                 peer.asked_last = true;
                 // A late tick must leave time for the answer.
-                peer.since = peer.since.max(cx.now - ask_after);
+                peer.since = peer.since.max(cx.now.checked_sub(ask_after).unwrap_or(cx.now));
                 let body = Body::Ping { seq: self.take_seq() };
                 let claim = self.update_about(cx, &instance, false).into_iter().collect();
                 out.extend(self.send_with(cx, &instance, body, claim).map(Output::Send));
--- a/crates/fescuemux-core/src/member/record.rs
+++ b/crates/fescuemux-core/src/member/record.rs
@@ -135,11 +135,18 @@
 
     /// Returns the later of two records of the same instance. The result does not depend on the
     /// order in which records are merged.
-    pub fn merge(self, other: InstanceRecord) -> InstanceRecord {
+    pub fn merge(mut self, other: InstanceRecord) -> InstanceRecord {
+        self.absorb(other);
+        self
+    }
+
+    /// Replaces this record by `other` if that is later, and keeps the higher generation.
+    pub(super) fn absorb(&mut self, other: InstanceRecord) {
         let generation = self.generation.max(other.generation);
-        let mut newest = if other.key() > self.key() { other } else { self };
-        newest.generation = generation;
-        newest
+        if other.key() > self.key() {
+            *self = other;
+        }
+        self.generation = generation;
     }
 
     /// Estimates the bytes of this record on the wire.
--- a/crates/fescuemux-core/src/member/spread.rs
+++ b/crates/fescuemux-core/src/member/spread.rs
@@ -43,7 +43,8 @@
             out.push(Output::NewerGeneration { from: from.clone(), generation });
         }
         let same = stamp.generation == self.stamp.generation;
-        if same && stamp.generation > 0 && stamp.head != self.stamp.head {
+        let known = self.stamp.head != [0; 16] && stamp.head != [0; 16];
+        if same && known && stamp.head != self.stamp.head {
             self.counters.head_conflicts += 1;
         }
     }
--- a/crates/fescuemux-core/src/member/table.rs
+++ b/crates/fescuemux-core/src/member/table.rs
@@ -123,8 +123,8 @@
         self.peers.values().filter(move |p| p.listed && covered >> bucket_of(p.name) & 1 == 1)
     }
 
-    /// Puts `record` in the place of the one held. `since` is the time from which its state
-    /// holds.
+    /// Puts `record`, which is later than the one held, in its place. `since` is the time from
+    /// which its state holds.
     pub(super) fn put(&mut self, cx: &mut Cx, record: InstanceRecord, since: Instant) {
         let instance = record.instance.clone();
         let state = record.state;
@@ -137,9 +137,7 @@
         if peer.record.incarnation != record.incarnation {
             peer.introduced = false;
         }
-        let generation = peer.record.generation.max(record.generation);
-        peer.record = record;
-        peer.record.generation = generation;
+        peer.record.absorb(record);
         peer.since = since;
         peer.asked_last = false;
         self.relink(cx, &instance, old, state);
--- a/crates/fescuemux-core/tests/member/faults.rs
+++ b/crates/fescuemux-core/tests/member/faults.rs
@@ -276,7 +276,8 @@
     assert_eq!(member.counters().refused_records, 12);
 }
 
-/// Guards against a lost or repeated report of a newer generation, and against a step back.
+/// Guards against a lost report of a newer generation, a conflict of heads that is not counted,
+/// and a step back.
 #[test]
 fn generations_only_rise() {
     let mut net = Net::settled(7, 6);
@@ -287,6 +288,12 @@
     let outputs = net.nodes[to].on_message(&mut net.cx, name(0), send.message.clone());
     let newer = Output::NewerGeneration { from: name(0), generation: 5 };
     assert!(outputs.contains(&newer), "{outputs:?}");
+    for (head, conflicts) in [([0; 16], 0), ([5; 16], 0), ([6; 16], 1)] {
+        let config = ConfigStamp { generation: 5, head };
+        let message = Message { config, digest: 0, updates: Vec::new(), body: Body::Notify };
+        net.deliver(1, 0, message);
+        assert_eq!(net.nodes[0].counters().head_conflicts, conflicts, "{head:?}");
+    }
     assert!(net.nodes[0].set_generation(&mut net.cx, 4, [4; 16]).is_empty());
     assert_eq!(net.nodes[0].config_stamp().generation, 5);
 }
