Check histories of concurrent runs over the decision parts

Conclusion: the scaffolding runs; the checkers still have to prove that they catch the broken versions.

--- /dev/null
+++ b/crates/fescuemux-measure/examples/history.rs
@@ -0,0 +1,92 @@
+//! Runs seeds of the history check: `cargo run --release -p fescuemux-measure --example history
+//! -- --seeds A..B [--threads N] [--broken NAME] [--trace]`. Prints each failing seed with its
+//! properties and faults, and fails when there is one.
+
+use anyhow::Context;
+use fescuemux_measure::history::{Broken, Event, Run, run_with};
+use std::ops::Range;
+use std::process::ExitCode;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Instant;
+
+#[derive(Debug)]
+struct Options {
+    seeds: Range<u64>,
+    threads: usize,
+    broken: Option<Broken>,
+    trace: bool,
+}
+
+fn main() -> anyhow::Result<ExitCode> {
+    let options = parse(std::env::args().skip(1))?;
+    let started = Instant::now();
+    let next = AtomicU64::new(options.seeds.start);
+    let failed = AtomicU64::new(0);
+    std::thread::scope(|scope| {
+        for _ in 0..options.threads {
+            scope.spawn(|| {
+                loop {
+                    let seed = next.fetch_add(1, Ordering::Relaxed);
+                    if seed >= options.seeds.end {
+                        return;
+                    }
+                    let run = run_with(seed, options.broken);
+                    if !run.violations.is_empty() {
+                        failed.fetch_add(1, Ordering::Relaxed);
+                        report(&run);
+                    }
+                    if options.trace {
+                        trace(&run);
+                    }
+                }
+            });
+        }
+    });
+    let failed = failed.into_inner();
+    let count = options.seeds.end.saturating_sub(options.seeds.start);
+    println!("{count} seeds, {failed} failed, {:.1} s", started.elapsed().as_secs_f64());
+    Ok(if failed == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+fn parse(args: impl Iterator<Item = String>) -> anyhow::Result<Options> {
+    let mut options = Options { seeds: 0..100, threads: 1, broken: None, trace: false };
+    let mut args = args;
+    while let Some(arg) = args.next() {
+        let mut value = || args.next().with_context(|| format!("{arg} needs a value"));
+        match arg.as_str() {
+            "--seeds" => {
+                let text = value()?;
+                let (from, to) = text.split_once("..").context("--seeds takes A..B")?;
+                options.seeds = from.parse()?..to.parse()?;
+            }
+            "--threads" => options.threads = value()?.parse()?,
+            "--broken" => {
+                let name = value()?;
+                let known = Broken::ALL.into_iter().find(|b| format!("{b:?}") == name);
+                options.broken = Some(known.with_context(|| format!("no version {name}"))?);
+            }
+            "--trace" => options.trace = true,
+            _ => anyhow::bail!("unknown argument {arg}"),
+        }
+    }
+    Ok(options)
+}
+
+fn report(run: &Run) {
+    let mut text = format!("seed {}\n", run.seed);
+    for fault in &run.faults {
+        text += &format!("  fault {fault:?}\n");
+    }
+    for violation in run.violations.iter().take(5) {
+        text += &format!("  {violation}\n");
+    }
+    print!("{text}");
+}
+
+fn trace(run: &Run) {
+    for entry in &run.history {
+        println!("{:10.4} {:?}", entry.at.as_secs_f64(), entry.event);
+    }
+    let executed = run.history.iter().filter(|e| matches!(e.event, Event::Executed { .. }));
+    println!("{} requests were executed", executed.count());
+}
--- /dev/null
+++ b/crates/fescuemux-measure/src/history.rs
@@ -0,0 +1,31 @@
+//! Checks histories of concurrent runs over the decision parts.
+//!
+//! A run drives a few instances, their backend servers, callers and operators on a virtual clock
+//! with a seeded scheduler and one or two faults. Only what callers, backend servers and
+//! operators could see, and the records in the store, enter the history; each checker is a pure
+//! function over it. Must not know sockets, threads or the daemon.
+
+mod broken;
+mod check;
+mod config;
+mod events;
+mod fault;
+mod guard;
+mod homes;
+mod ingress;
+mod instance;
+mod ledger;
+mod members;
+mod record;
+mod run;
+mod store;
+mod world;
+
+#[cfg(test)]
+mod tests;
+
+pub use broken::Broken;
+pub use check::{Property, Violation, check};
+pub use fault::{Fault, FaultKind};
+pub use record::{Entry, Event};
+pub use run::{Run, run, run_with};
--- /dev/null
+++ b/crates/fescuemux-measure/src/history/guard.rs
@@ -0,0 +1,391 @@
+//! The guard of an instance and the backend servers beside it.
+
+use super::broken::Broken;
+use super::events::{Event, Hop, HopAnswer, Msg, Reply};
+use super::fault::FaultKind;
+use super::instance::{Guarded, HopWork, Instance, Stop, Work, service_id};
+use super::record::Event as Seen;
+use super::world::World;
+use fescuemux_core::admit::{PermitId, Pushed, Waiting};
+use fescuemux_core::base::{Cx, Phase, RequestId, Verdict};
+use fescuemux_core::dedup::Seen as Known;
+use fescuemux_core::detect::{Observation, Outcome, TrialOutcome};
+use fescuemux_core::eject::{Action, Admission, PermitAnswer, RequestKind, State};
+use fescuemux_core::route::ServerLoad;
+use rand::Rng as _;
+use std::time::Duration;
+
+/// Oldest signed time that a guard accepts, as on the wire.
+const MAX_REQUEST_AGE: Duration = Duration::from_secs(30);
+/// As in the guard of the daemon.
+const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_secs(3);
+
+impl World {
+    /// Takes an announcement of a backend server.
+    pub(super) fn announce(&mut self, i: usize, server: usize) {
+        let phase = self.phases[server];
+        let made = self.number();
+        let now = self.mono();
+        let instance = self.instance(i);
+        let known = instance.servers.get_mut(&server);
+        let changed = known.as_ref().is_none_or(|known| known.phase != phase);
+        match known {
+            Some(known) => {
+                known.announced = now;
+                known.phase = phase;
+                known.detector.on_phase(&mut instance.cx, phase);
+            }
+            None => {
+                instance.servers.insert(server, Guarded::new(made, now, phase));
+            }
+        }
+        if changed {
+            self.publish(i);
+        }
+    }
+
+    pub(super) fn tick_guard(&mut self, i: usize) {
+        let indices: Vec<usize> = self.instances[i].servers.keys().copied().collect();
+        let mut silent = false;
+        for server in indices {
+            let actions = self.decide(i, server, |cx, known| {
+                let mut actions = assess(cx, known);
+                actions.extend(known.health.tick(cx));
+                actions
+            });
+            self.act(i, server, actions);
+            let now = self.mono();
+            let servers = &mut self.instances[i].servers;
+            let last = servers.get(&server).map(|known| known.announced);
+            if last.is_some_and(|at| now.saturating_duration_since(at) > ANNOUNCEMENT_TIMEOUT) {
+                silent = true;
+                self.remove(i, server);
+            }
+        }
+        if silent {
+            self.publish(i);
+        }
+    }
+
+    /// Takes off a silent server. Its queue stays until its requests expire.
+    fn remove(&mut self, i: usize, server: usize) {
+        let Some(known) = self.instances[i].servers.remove(&server) else { return };
+        if known.health.state() == State::Ejected {
+            self.record(Seen::Refusing { server, all: false });
+        }
+        let mut queue = known.queue;
+        let mut cx = self.instance(i).cx.clone();
+        let mut waiting = vec![];
+        while let Some(next) = queue.pop(&mut cx, &mut waiting) {
+            waiting.push(next);
+        }
+        for next in waiting {
+            self.refuse(i, &next.item, Verdict::NotRun);
+        }
+    }
+
+    /// Runs a decision on a server with the context of its instance.
+    pub(super) fn decide(
+        &mut self,
+        i: usize,
+        server: usize,
+        f: impl FnOnce(&mut Cx, &mut Guarded) -> Vec<Action>,
+    ) -> Vec<Action> {
+        let instance = self.instance(i);
+        let Some(known) = instance.servers.get_mut(&server) else { return vec![] };
+        let actions = f(&mut instance.cx, known);
+        if actions.contains(&Action::ResetEvidence) {
+            known.detector.reset_evidence(&mut instance.cx);
+        }
+        actions
+    }
+
+    pub(super) fn act(&mut self, i: usize, server: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::ResetEvidence => {}
+                Action::RequestPermit if self.is(Broken::EjectAlone) => {
+                    let granted = PermitAnswer::Granted;
+                    let actions =
+                        self.decide(i, server, |cx, known| known.health.on_permit(cx, granted));
+                    self.act(i, server, actions);
+                }
+                Action::RequestPermit => self.ledger_task(i, server, true),
+                Action::ReleasePermit => self.ledger_task(i, server, false),
+                Action::Publish { from, to } => {
+                    if to == State::Ejected || from == State::Ejected {
+                        self.record(Seen::Refusing { server, all: to == State::Ejected });
+                    }
+                    self.publish(i);
+                }
+            }
+        }
+    }
+
+    /// Takes a request of an ingress.
+    pub(super) fn on_hop(&mut self, i: usize, from: usize, call: u64, hop: Hop) {
+        let wall = self.wall(i);
+        let age = wall.duration_since(hop.signed).or_else(|_| hop.signed.duration_since(wall));
+        if age.is_ok_and(|age| age > MAX_REQUEST_AGE) {
+            // Not authentic: the ingress learns nothing from it.
+            let answer = plain(Verdict::MayHaveRun);
+            self.send(i, from, Msg::Reply { call, reply: Reply::Hop(answer) });
+            return;
+        }
+        let deadline = self.mono() + hop.deadline;
+        let item = HopWork { hop, from, call, deadline };
+        if let Err(verdict) = self.check_hop(i, &item.hop) {
+            self.answer(i, &item, plain(verdict));
+            return;
+        }
+        if let Err(item) = self.admit(i, item) {
+            self.refuse(i, &item, Verdict::NotRun);
+        }
+    }
+
+    fn check_hop(&mut self, i: usize, hop: &Hop) -> Result<(), Verdict> {
+        let remembers = !self.is(Broken::NoRequestTable);
+        let instance = self.instance(i);
+        let is_known = instance.servers.contains_key(&hop.server);
+        let closed = instance.stop >= Stop::Closing;
+        if closed || hop.incarnation != instance.incarnation || !is_known {
+            return Err(Verdict::NotRun);
+        }
+        if !remembers {
+            return Ok(());
+        }
+        match instance.table.begin(&instance.cx, hop.id, hop.attempt) {
+            Some(Known::First) => Ok(()),
+            Some(Known::Before(verdict)) => Err(verdict),
+            None => Err(Verdict::NotRun),
+        }
+    }
+
+    /// Lets a request start or wait. Returns one that is refused as not run.
+    fn admit(&mut self, i: usize, item: HopWork) -> Result<(), HopWork> {
+        let server = item.hop.server;
+        let ignores = self.is(Broken::IgnoreDraining);
+        let instance = self.instance(i);
+        let cx = &mut instance.cx;
+        let Some(known) = instance.servers.get_mut(&server) else { return Err(item) };
+        if known.phase == Phase::Draining && !ignores {
+            return Err(item);
+        }
+        if let Some(baseline) = item.hop.baseline {
+            known.detector.on_baseline(cx, baseline);
+        }
+        let idempotent = item.hop.order.service == 0;
+        if known.health.admission(cx, item.hop.kind, idempotent) != Admission::Admit {
+            return Err(item);
+        }
+        let trial = item.hop.kind == RequestKind::Trial;
+        if known.queue.is_empty() {
+            if !known.queue.can_finish(cx.now, item.deadline) {
+                self.end_trial(i, server, trial, TrialOutcome::Unknown);
+                return Err(item);
+            }
+            if let Some(permit) = known.slots.admit(item.hop.id) {
+                self.begin_work(i, item, permit);
+                return Ok(());
+            }
+        }
+        self.wait(i, item, trial)
+    }
+
+    fn wait(&mut self, i: usize, item: HopWork, trial: bool) -> Result<(), HopWork> {
+        let (server, id, deadline) = (item.hop.server, item.hop.id, item.deadline);
+        let instance = self.instance(i);
+        let Some(known) = instance.servers.get_mut(&server) else { return Err(item) };
+        let limit = known.slots.limit();
+        let caller = format!("c{}", item.hop.order.op % 8).into();
+        let waiting = Waiting { id, caller, priority: 155, cost: 1, deadline, item };
+        match known.queue.push(&mut instance.cx, limit, waiting) {
+            Ok(pushed) => {
+                let left = deadline.saturating_duration_since(self.mono());
+                self.after_in(i, left, Event::QueueTimeout { server, id });
+                if let Pushed::Displaced(other) = pushed {
+                    self.refuse(i, &other.item, Verdict::NotRun);
+                }
+                Ok(())
+            }
+            Err(refused) => {
+                self.end_trial(i, server, trial, TrialOutcome::Unknown);
+                Err(refused.waiting.item)
+            }
+        }
+    }
+
+    pub(super) fn leave_queue(&mut self, i: usize, server: usize, id: RequestId) {
+        let known = self.instances[i].servers.get_mut(&server);
+        if let Some(late) = known.and_then(|known| known.queue.remove(id)) {
+            let trial = late.item.hop.kind == RequestKind::Trial;
+            self.end_trial(i, server, trial, TrialOutcome::Unknown);
+            self.refuse(i, &late.item, Verdict::NotRun);
+        }
+    }
+
+    fn end_trial(&mut self, i: usize, server: usize, trial: bool, end: TrialOutcome) {
+        if trial {
+            let actions = self.decide(i, server, |cx, known| known.health.on_trial_end(cx, end));
+            self.act(i, server, actions);
+        }
+    }
+
+    /// Sends a request to its backend server, which runs it at once.
+    fn begin_work(&mut self, i: usize, item: HopWork, permit: PermitId) {
+        let (server, id) = (item.hop.server, item.hop.id);
+        let number = self.number();
+        let left = item.deadline.saturating_duration_since(self.mono());
+        let (op, send) = (item.hop.order.op, item.hop.order.send);
+        let instance = self.instance(i);
+        let Some(known) = instance.servers.get_mut(&server) else { return };
+        known.detector.on_start(&mut instance.cx, id);
+        let started = instance.cx.now;
+        let work = Work { item, permit, made: known.made, started, open: true };
+        instance.works.insert(number, work);
+        self.record(Seen::Executed { server, op, send });
+        self.after_in(i, left, Event::WorkTimeout { work: number });
+        let strikes =
+            |world: &World, kind| world.fault(kind).is_some_and(|fault| fault.strikes(server));
+        if strikes(self, FaultKind::ServersSilent) {
+            return;
+        }
+        let mut time = Duration::from_millis(self.cx.rng.random_range(15..60));
+        if strikes(self, FaultKind::ServersSlow) {
+            time *= 12;
+        }
+        let sick = strikes(self, FaultKind::ServersErroring) && self.cx.rng.random_bool(0.7);
+        let whole = !sick || self.cx.rng.random_bool(0.5);
+        self.after_in(i, time, Event::ServerDone { work: number, ok: !sick, whole });
+    }
+
+    pub(super) fn on_server_done(&mut self, i: usize, number: u64, ok: bool, whole: bool) {
+        let Some(work) = self.instances[i].works.remove(&number) else { return };
+        let outcome = match (ok, whole) {
+            (_, false) => Outcome::Cut,
+            (false, true) => Outcome::ServerError,
+            (true, true) => Outcome::Ok,
+        };
+        self.finish(i, &work, outcome);
+        if !whole && !self.is(Broken::CutAnswer) {
+            self.refuse(i, &work.item, Verdict::MayHaveRun);
+            return;
+        }
+        let mut answer = self.described(i, work.item.hop.server, Verdict::Ran);
+        answer.body = Some((work.item.hop.order.send, whole, ok));
+        answer.service_time = self.mono().saturating_duration_since(work.started);
+        self.answer(i, &work.item, answer);
+    }
+
+    pub(super) fn on_work_timeout(&mut self, i: usize, number: u64) {
+        let Some(work) = self.instances[i].works.remove(&number) else { return };
+        self.finish(i, &work, Outcome::DeadlineMissed);
+        let broken = self.is(Broken::LateIsNotRun);
+        let verdict = if broken { Verdict::NotRun } else { Verdict::MayHaveRun };
+        self.refuse(i, &work.item, verdict);
+    }
+
+    /// Reports the outcome, frees the slot and lets the next requests start.
+    fn finish(&mut self, i: usize, work: &Work, outcome: Outcome) {
+        let server = work.item.hop.server;
+        let trial = work.item.hop.kind == RequestKind::Trial;
+        let latency = self.mono().saturating_duration_since(work.started);
+        let observation = Observation { id: work.item.hop.id, outcome, latency };
+        let (made, permit) = (work.made, work.permit);
+        let actions = self.decide(i, server, |cx, known| {
+            if known.made != made {
+                return vec![];
+            }
+            known.detector.on_finish(cx, observation);
+            known.queue.on_service_time(latency);
+            let mut actions = vec![];
+            if trial {
+                let end = known.detector.judge(&observation);
+                actions = known.health.on_trial_end(cx, end);
+            }
+            actions.extend(assess(cx, known));
+            known.slots.finish(permit);
+            actions
+        });
+        self.act(i, server, actions);
+        self.grant_free_slots(i, server);
+    }
+
+    fn grant_free_slots(&mut self, i: usize, server: usize) {
+        loop {
+            let Instance { servers, cx, .. } = self.instance(i);
+            let Some(known) = servers.get_mut(&server) else { return };
+            if known.slots.free() == 0 {
+                return;
+            }
+            let mut late = vec![];
+            let next = known.queue.pop(cx, &mut late);
+            let granted = next.map(|next| (known.slots.admit(next.id), next));
+            for other in late {
+                self.refuse(i, &other.item, Verdict::NotRun);
+            }
+            match granted {
+                Some((Some(permit), next)) => self.begin_work(i, next.item, permit),
+                _ => return,
+            }
+        }
+    }
+
+    fn described(&self, i: usize, server: usize, verdict: Verdict) -> HopAnswer {
+        let known = self.instances[i].servers.get(&server);
+        let mut answer = plain(verdict);
+        answer.health = known.map(|known| known.health.state());
+        answer.load = known.map(|known| ServerLoad {
+            busy: known.slots.busy(),
+            slots: known.slots.limit(),
+            queued: known.queue.len() as u32,
+        });
+        answer
+    }
+
+    fn refuse(&mut self, i: usize, item: &HopWork, verdict: Verdict) {
+        let answer = self.described(i, item.hop.server, verdict);
+        self.answer(i, item, answer);
+    }
+
+    fn answer(&mut self, i: usize, item: &HopWork, answer: HopAnswer) {
+        self.instances[i].table.finish(item.hop.id, item.hop.attempt, answer.verdict);
+        let reply = Reply::Hop(answer);
+        self.send(i, item.from, Msg::Reply { call: item.call, reply });
+    }
+
+    /// Returns the services of which this guard may hold an entry in a ledger.
+    pub(super) fn services_with_permit(&self, i: usize) -> Vec<usize> {
+        let servers = self.instances[i].servers.iter();
+        let held = servers.filter(|(_, known)| known.health.may_hold_permit());
+        held.map(|(server, _)| server % 2).collect()
+    }
+
+    /// Returns the capacity of a service as the membership of an instance shows it.
+    pub(super) fn capacity(&self, i: usize, service: usize) -> fescuemux_core::eject::Capacity {
+        use fescuemux_core::eject::{Capacity, ServerCapacity};
+        use fescuemux_core::member::MemberState;
+        let instance = &self.instances[i];
+        let id = service_id(service);
+        let known = instance.config.as_ref().and_then(|config| config.services.get(&id));
+        let mut capacity = Capacity::new(known.map_or(u32::MAX, |s| s.floor_slots));
+        for record in instance.membership.members() {
+            for server in record.servers.iter().filter(|server| server.service == id) {
+                let alive = record.state == MemberState::Alive;
+                let slots = u32::from(server.slots);
+                let of_server = ServerCapacity { slots, phase: server.phase, alive };
+                capacity.set(server.server.clone(), of_server);
+            }
+        }
+        capacity
+    }
+}
+
+fn assess(cx: &mut Cx, known: &mut Guarded) -> Vec<Action> {
+    let assessment = known.detector.assess(cx);
+    known.health.on_assessment(cx, &assessment)
+}
+
+fn plain(verdict: Verdict) -> HopAnswer {
+    HopAnswer { verdict, body: None, load: None, health: None, service_time: Duration::ZERO }
+}
--- /dev/null
+++ b/crates/fescuemux-measure/src/history/members.rs
@@ -0,0 +1,152 @@
+//! Membership of an instance, and what router and directory learn from it.
+
+use super::events::Msg;
+use super::instance::{Call, instance_at, instance_id, number, server_id, service_id};
+use super::world::World;
+use fescuemux_core::base::{Generation, InstanceId, ServerId};
+use fescuemux_core::eject::State;
+use fescuemux_core::member::{InstanceRecord, MemberState, Message, Output};
+use fescuemux_core::member::{ServerHealth, ServerRecord};
+use fescuemux_core::route::{Endpoint, EndpointHealth};
+use std::time::Duration;
+
+/// A tick that comes this much too late shows that the process was paused.
+const PAUSE: Duration = Duration::from_millis(500);
+/// Longest time of a pull of a generation.
+const PULL_TIMEOUT: Duration = Duration::from_secs(2);
+
+impl World {
+    pub(super) fn tick_members(&mut self, i: usize) {
+        let instance = self.instance(i);
+        let late = instance.cx.now.saturating_duration_since(instance.last_tick);
+        instance.last_tick = instance.cx.now;
+        if late >= PAUSE {
+            for server in instance.servers.values_mut() {
+                server.detector.on_pause(&mut instance.cx, late);
+            }
+        }
+        let outputs = instance.membership.tick(&mut instance.cx);
+        self.carry_outputs(i, outputs);
+    }
+
+    pub(super) fn on_member(&mut self, i: usize, from: usize, message: Message) {
+        let instance = self.instance(i);
+        let outputs = instance.membership.on_message(&mut instance.cx, instance_id(from), message);
+        self.carry_outputs(i, outputs);
+    }
+
+    pub(super) fn on_undelivered(&mut self, i: usize, to: usize) {
+        let instance = self.instance(i);
+        let to = instance_id(to);
+        let outputs = instance.membership.on_delivery_failure(&mut instance.cx, &to);
+        self.carry_outputs(i, outputs);
+    }
+
+    /// Publishes the servers of the own guard.
+    pub(super) fn publish(&mut self, i: usize) {
+        let instance = self.instance(i);
+        let record = |(index, server): (&usize, &super::instance::Guarded)| ServerRecord {
+            server: server_id(*index),
+            service: service_id(index % 2),
+            slots: super::check::SLOTS as u16,
+            phase: server.phase,
+            health: match server.health.state() {
+                State::Serving => ServerHealth::Serving,
+                State::Steered => ServerHealth::Steered,
+                State::Ejected => ServerHealth::Ejected,
+                State::Probation => ServerHealth::Probation,
+            },
+            incarnation: 1,
+        };
+        let servers = instance.servers.iter().map(record).collect();
+        let sends = instance.membership.set_servers(&mut instance.cx, servers);
+        self.carry_sends(i, sends);
+        self.route(i, &instance_id(i));
+    }
+
+    pub(super) fn publish_generation(&mut self, i: usize, generation: Generation) {
+        let instance = self.instance(i);
+        let mut digest = [0; 16];
+        digest[..8].copy_from_slice(&generation.to_be_bytes());
+        let sends = instance.membership.set_generation(&mut instance.cx, generation, digest);
+        if !self.is(super::broken::Broken::NoSpread) {
+            self.carry_sends(i, sends);
+        }
+    }
+
+    pub(super) fn leave_fleet(&mut self, i: usize) {
+        let instance = self.instance(i);
+        let sends = instance.membership.leave(&mut instance.cx);
+        self.carry_sends(i, sends);
+        self.route(i, &instance_id(i));
+    }
+
+    fn carry_outputs(&mut self, i: usize, outputs: Vec<Output>) {
+        for output in outputs {
+            match output {
+                Output::Send(send) => {
+                    let to = instance_at(send.addr);
+                    self.send(i, to, Msg::Member(Box::new(send.message)));
+                }
+                Output::Changed(instance) => self.route(i, &instance),
+                Output::NewerGeneration { from, generation } => {
+                    self.pull(i, number(&from), generation);
+                }
+            }
+        }
+    }
+
+    fn pull(&mut self, i: usize, from: usize, generation: Generation) {
+        let instance = &mut self.instances[i];
+        let own = instance.current.generation();
+        let void = generation <= own || instance.watch.pulling;
+        if void || self.is(super::broken::Broken::NoSpread) {
+            return;
+        }
+        self.instances[i].watch.pulling = true;
+        self.call(i, from, PULL_TIMEOUT, Call::Pull, |call| Msg::Pull { call, generation: own });
+    }
+
+    /// Brings router and directory up to date with the record of an instance.
+    fn route(&mut self, i: usize, of: &InstanceId) {
+        let instance = self.instance(i);
+        let record = instance.membership.record(of).cloned();
+        let record = record.filter(|record| record.state != MemberState::Dead);
+        let before = instance.routed.remove(of).unwrap_or_default();
+        let Some(record) = record else {
+            instance.directory.remove(&number(of));
+            before.iter().for_each(|server| instance.router.remove(server));
+            return;
+        };
+        instance.directory.insert(number(of), record.incarnation);
+        let leaving = record.state == MemberState::Leaving;
+        let servers = if leaving { &[][..] } else { &record.servers };
+        let names: Vec<ServerId> = servers.iter().map(|server| server.server.clone()).collect();
+        for gone in before.iter().filter(|server| !names.contains(server)) {
+            instance.router.remove(gone);
+        }
+        for server in servers {
+            instance.router.upsert(&mut instance.cx, endpoint_of(&record, server));
+        }
+        instance.routed.insert(of.clone(), names);
+    }
+}
+
+fn endpoint_of(record: &InstanceRecord, server: &ServerRecord) -> Endpoint {
+    Endpoint {
+        server: server.server.clone(),
+        service: server.service.clone(),
+        instance: record.instance.clone(),
+        domain: record.domain.clone(),
+        region: record.region.clone(),
+        slots: u32::from(server.slots),
+        phase: server.phase,
+        incarnation: record.incarnation,
+        health: match server.health {
+            ServerHealth::Serving => EndpointHealth::Serving,
+            ServerHealth::Steered => EndpointHealth::Steered,
+            ServerHealth::Ejected => EndpointHealth::Ejected,
+            ServerHealth::Probation => EndpointHealth::Probation,
+        },
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-measure/src/history/run.rs
@@ -0,0 +1,98 @@
+//! One seeded run: callers, operators and faults, and the check of its history.
+
+use super::broken::Broken;
+use super::check::{INSTANCES, Violation, check};
+use super::events::{Event, Order, Target};
+use super::fault::Fault;
+use super::record::{Entry, Event as Seen};
+use super::world::World;
+use rand::Rng as _;
+use std::time::{Duration, SystemTime};
+
+/// Length of a run in virtual time.
+const LENGTH: Duration = Duration::from_secs(280);
+/// Number of callers.
+const CALLERS: usize = 8;
+/// Most resends of one booking.
+const MAX_RESENDS: u32 = 4;
+/// Mean time between two orders of a caller, in milliseconds.
+const ORDER_INTERVAL: u64 = 400;
+
+/// Result of a run.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// Seed.
+    pub seed: u64,
+    /// Faults that were drawn.
+    pub faults: Vec<Fault>,
+    /// What was seen.
+    pub history: Vec<Entry>,
+    /// Violated properties.
+    pub violations: Vec<Violation>,
+}
+
+/// Runs a seed over the glue as it is.
+pub fn run(seed: u64) -> Run {
+    run_with(seed, None)
+}
+
+/// Runs a seed over the glue or a broken version of it.
+pub fn run_with(seed: u64, broken: Option<Broken>) -> Run {
+    let mut world = World::new(seed, broken);
+    for caller in 0..CALLERS {
+        let delay = Duration::from_millis(5_000 + 50 * caller as u64);
+        world.after(delay, Target::World, Event::Caller { caller });
+    }
+    world.after(Duration::from_millis(500), Target::World, Event::Operator);
+    while let Some((target, event)) = world.pop(LENGTH) {
+        world.handle(target, event);
+    }
+    let World { faults, history, .. } = world;
+    let violations = check(&history);
+    Run { seed, faults, history, violations }
+}
+
+impl World {
+    /// Lets a caller place an order. A booking with a key is sent again later, sometimes while
+    /// the first request is still under way and sometimes after minutes.
+    pub(super) fn on_caller_due(&mut self, caller: usize) {
+        let pause = self.cx.rng.random_range(ORDER_INTERVAL / 2..ORDER_INTERVAL * 3 / 2);
+        let pause = Duration::from_millis(pause);
+        self.after(pause, Target::World, Event::Caller { caller });
+        let op = self.number();
+        let service = usize::from(self.cx.rng.random_bool(0.6));
+        let keyed = service == 1 && self.cx.rng.random_bool(0.7);
+        let wall = self.wall(INSTANCES + caller);
+        let key = keyed.then(|| key(wall, self.cx.rng.random()));
+        let order = Order { op, send: 0, service, key, resends: 0 };
+        self.send_order(order);
+    }
+
+    /// Sends an order to a random instance.
+    pub(super) fn send_order(&mut self, mut order: Order) {
+        order.send = self.number();
+        let i = self.cx.rng.random_range(0..INSTANCES);
+        self.record(Seen::Sent {
+            op: order.op,
+            send: order.send,
+            instance: i,
+            idempotent: order.service == 0,
+            keyed: order.key.is_some(),
+        });
+        if order.key.is_some() && order.resends < MAX_RESENDS && self.cx.rng.random_bool(0.4) {
+            let longest = [600, 4_000, 120_000][self.cx.rng.random_range(0..3)];
+            let delay = Duration::from_millis(self.cx.rng.random_range(1..longest));
+            let again = Order { resends: order.resends + 1, ..order.clone() };
+            self.after(delay, Target::World, Event::Resend { order: again });
+        }
+        let way = Duration::from_micros(self.cx.rng.random_range(8_000..12_000));
+        self.after(way, Target::Instance(i), Event::FromCaller { order });
+    }
+}
+
+/// Returns a key in UUIDv7 form (RFC 9562, section 5.7) that was created at `wall`.
+fn key(wall: SystemTime, random: u64) -> String {
+    let ms = wall.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
+    let (a, b) = (random & 0xfff, random >> 16);
+    format!("{:08x}-{:04x}-7{a:03x}-8{:03x}-{:012x}", ms >> 16, ms & 0xffff, a, b)
+}
--- a/crates/fescuemux-measure/src/lib.rs
+++ b/crates/fescuemux-measure/src/lib.rs
@@ -3,4 +3,5 @@
 //! Must not know sockets or the threads of a daemon.
 
 pub mod fleet;
+pub mod history;
 pub mod overload;
