Exercise expulsion of homes and faults at one place

Faults that cut a home off lasted at most 100 s, while expulsion and settling take 120 s and more, so the moved keys of an expelled home were never claimed. Pairs of faults seldom struck one server. Cuts now last up to 220 s, half of the pairs share their place, a tenth of the requests have long deadlines and some orders come in bursts.

--- a/crates/fescuemux-measure/src/history/events.rs
+++ b/crates/fescuemux-measure/src/history/events.rs
@@ -18,6 +18,8 @@
     /// Service; the routes of service 0 are idempotent.
     pub(super) service: usize,
     pub(super) key: Option<String>,
+    /// Time that the caller gives each request.
+    pub(super) deadline: Duration,
     pub(super) resends: u32,
 }
 
--- a/crates/fescuemux-measure/src/history/fault.rs
+++ b/crates/fescuemux-measure/src/history/fault.rs
@@ -72,9 +72,13 @@
 
     fn longest(self) -> u64 {
         match self {
-            FaultKind::StoreAway | FaultKind::OneWayLoss | FaultKind::Cut => 100,
+            // A home that is cut off for long is expelled after 60 s of silence, and its keys
+            // settle elsewhere after 60 s more.
+            FaultKind::OneWayLoss | FaultKind::Cut => 220,
+            FaultKind::Crash => 180,
+            FaultKind::StoreAway => 100,
             FaultKind::Pause => 90,
-            FaultKind::PlannedStop | FaultKind::Crash => 40,
+            FaultKind::PlannedStop => 40,
             _ => 60,
         }
     }
@@ -96,7 +100,8 @@
 }
 
 impl Fault {
-    /// Draws one or two faults; two may be of one kind and may overlap.
+    /// Draws one or two faults. Two may be of one kind, and half of the pairs strike one place at
+    /// nearly the same time.
     pub(super) fn draw(rng: &mut Rng) -> Vec<Fault> {
         let count = if rng.random_bool(0.7) { 2 } else { 1 };
         let mut faults: Vec<Fault> = (0..count).map(|_| Fault::draw_one(rng)).collect();
@@ -104,6 +109,11 @@
             let kind = faults[0].kind;
             faults[1] = Fault { kind, ..faults[1] };
         }
+        if count == 2 && rng.random_bool(0.5) {
+            let place = faults[0].place;
+            let from = faults[0].from + Duration::from_millis(rng.random_range(0..20_000));
+            faults[1] = Fault { place, from, ..faults[1] };
+        }
         faults
     }
 
--- a/crates/fescuemux-measure/src/history/homes.rs
+++ b/crates/fescuemux-measure/src/history/homes.rs
@@ -58,6 +58,7 @@
     ) -> Option<Claim> {
         let wall = self.wall(i);
         let unfenced = self.is(Broken::NoFence);
+        let forgotten = self.is(Broken::ForgottenRestart);
         let instance = self.instance(i);
         let now = instance.cx.now;
         let service = service_id(order.service);
@@ -73,6 +74,7 @@
                 Permission::Refuse(_) => return None,
             }
         };
+        let since = if forgotten { instance.memory } else { since };
         Some(instance.registry.claim(&instance.cx, wall, since, &service, key, holder))
     }
 
--- a/crates/fescuemux-measure/src/history/ingress.rs
+++ b/crates/fescuemux-measure/src/history/ingress.rs
@@ -13,8 +13,6 @@
 use rand::Rng as _;
 use std::time::{Duration, Instant};
 
-/// Time that callers give a request.
-const DEADLINE: Duration = Duration::from_secs(3);
 /// As in the ingress of the daemon.
 const HOP_MARGIN: Duration = Duration::from_millis(10);
 const MAX_REDIRECTS: u8 = 2;
@@ -41,7 +39,7 @@
             return;
         }
         let id: RequestId = instance.cx.rng.random();
-        let deadline = instance.cx.now + DEADLINE;
+        let deadline = instance.cx.now + order.deadline;
         let claims = order.key.is_some() && order.service == 1;
         let flight = Flight {
             order: order.clone(),
--- a/crates/fescuemux-measure/src/history/instance.rs
+++ b/crates/fescuemux-measure/src/history/instance.rs
@@ -152,6 +152,8 @@
     pub(super) stop: Stop,
     pub(super) incarnation: Incarnation,
     pub(super) started: Since,
+    /// Time since which the registry takes itself to know every key.
+    pub(super) memory: Since,
     pub(super) cx: Cx,
     pub(super) last_tick: Instant,
     pub(super) membership: Membership,
@@ -202,6 +204,7 @@
             stop: Stop::Running,
             incarnation,
             started: now,
+            memory,
             cx: Cx::new(now.mono, seed),
             last_tick: now.mono,
             membership: Membership::new(MemberConfig::default(), record, now.mono),
--- a/crates/fescuemux-measure/src/history/run.rs
+++ b/crates/fescuemux-measure/src/history/run.rs
@@ -10,14 +10,23 @@
 use std::time::{Duration, SystemTime};
 
 /// Length of a run in virtual time.
-const LENGTH: Duration = Duration::from_secs(280);
+const LENGTH: Duration = Duration::from_secs(340);
 /// Number of callers.
 const CALLERS: usize = 8;
 /// Most resends of one booking.
 const MAX_RESENDS: u32 = 4;
+/// Time that most callers give a request.
+const DEADLINE: Duration = Duration::from_secs(3);
+/// Share of requests with a long deadline; below the time that a planned stop waits.
+const LONG_SHARE: f64 = 0.1;
+const LONG_DEADLINE: Duration = Duration::from_secs(15);
 /// Mean time between two orders of a caller, in milliseconds.
 const ORDER_INTERVAL: u64 = 400;
 
+/// Share of the times at which a caller places many orders at once, which fills queues.
+const BURST_SHARE: f64 = 0.005;
+const BURST: usize = 24;
+
 /// Result of a run.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -53,22 +62,30 @@
 }
 
 impl World {
-    /// Lets a caller place an order. A booking with a key is sent again later, sometimes while
-    /// the first request is still under way and sometimes after minutes.
+    /// Lets a caller place one order or a burst of them.
     pub(super) fn on_caller_due(&mut self, caller: usize) {
         let pause = self.cx.rng.random_range(ORDER_INTERVAL / 2..ORDER_INTERVAL * 3 / 2);
         let pause = Duration::from_millis(pause);
         self.after(pause, Target::World, Event::Caller { caller });
+        let burst = if self.cx.rng.random_bool(BURST_SHARE) { BURST } else { 1 };
+        for _ in 0..burst {
+            self.place_order(caller);
+        }
+    }
+
+    fn place_order(&mut self, caller: usize) {
         let op = self.number();
         let service = usize::from(self.cx.rng.random_bool(0.6));
         let keyed = service == 1 && self.cx.rng.random_bool(0.7);
         let wall = self.wall(INSTANCES + caller);
         let key = keyed.then(|| key(wall, self.cx.rng.random()));
-        let order = Order { op, send: 0, service, key, resends: 0 };
-        self.send_order(order);
+        let long = self.cx.rng.random_bool(LONG_SHARE);
+        let deadline = if long { LONG_DEADLINE } else { DEADLINE };
+        self.send_order(Order { op, send: 0, service, key, deadline, resends: 0 });
     }
 
-    /// Sends an order to a random instance.
+    /// Sends an order to a random instance. A booking with a key may be sent again, sometimes
+    /// while the first request is still under way and sometimes after minutes.
     pub(super) fn send_order(&mut self, mut order: Order) {
         order.send = self.number();
         let i = self.cx.rng.random_range(0..INSTANCES);
@@ -80,7 +97,7 @@
             keyed: order.key.is_some(),
         });
         if order.key.is_some() && order.resends < MAX_RESENDS && self.cx.rng.random_bool(0.4) {
-            let longest = [600, 4_000, 120_000][self.cx.rng.random_range(0..3)];
+            let longest = [600, 4_000, 150_000][self.cx.rng.random_range(0..3)];
             let delay = Duration::from_millis(self.cx.rng.random_range(1..longest));
             let again = Order { resends: order.resends + 1, ..order.clone() };
             self.after(delay, Target::World, Event::Resend { order: again });
--- a/crates/fescuemux-measure/src/history/world.rs
+++ b/crates/fescuemux-measure/src/history/world.rs
@@ -28,8 +28,8 @@
 const ANNOUNCE: Duration = Duration::from_secs(1);
 /// Time between the phases of a planned stop, as in the daemon.
 const LEAVE_TIME: Duration = Duration::from_millis(1_500);
-/// Longest wait for work under way.
-const GRACE: Duration = Duration::from_secs(10);
+/// Longest wait for work under way, as the settings of the daemon have it.
+const GRACE: Duration = Duration::from_secs(30);
 
 /// Everything of one run.
 #[derive(Debug)]
