--- a/crates/fescuemux-measure/src/lib.rs
+++ b/crates/fescuemux-measure/src/lib.rs
@@ -4,4 +4,5 @@
 
 pub mod detection;
 pub mod fleet;
+pub mod history;
 pub mod overload;
