--- /dev/null
+++ b/crates/fescuemux-core/examples/judge_server.rs
@@ -0,0 +1,57 @@
+//! Judges a backend server from its requests: one that answers in 10 ms for a while and then
+//! becomes five times slower. Prints when requests are steered elsewhere and when an ejection is
+//! asked for.
+//!
+//! `cargo run --release -p fescuemux-core --example judge_server`
+
+use fescuemux_core::base::{Cx, Favor};
+use fescuemux_core::detect::{
+    Assessment, Baseline, Detector, DetectorConfig, Level, Observation, Outcome,
+};
+use std::time::{Duration, Instant};
+
+/// Time between two requests: 20 requests/s.
+const INTERVAL: Duration = Duration::from_millis(50);
+/// Latency of a healthy server.
+const HEALTHY: Duration = Duration::from_millis(10);
+/// Requests before the fault, and requests in it at most.
+const BEFORE: u32 = 200;
+const DURING: u32 = 200;
+
+/// Runs one request and returns the assessment after it.
+fn run(cx: &mut Cx, detector: &mut Detector, id: u128, latency: Duration) -> Assessment {
+    detector.on_baseline(cx, Baseline { median: HEALTHY, error_ratio: 0.0 });
+    detector.on_start(cx, id);
+    cx.now += latency;
+    detector.on_finish(cx, Observation { id, outcome: Outcome::Ok, latency });
+    let assessment = detector.assess(cx);
+    cx.now += INTERVAL.saturating_sub(latency);
+    assessment
+}
+
+fn main() {
+    let mut cx = Cx::new(Instant::now(), 1);
+    let config = DetectorConfig::new(Favor::FewFalseEjections);
+    let mut detector = Detector::new(config, cx.now);
+    for id in 0..BEFORE {
+        let assessment = run(&mut cx, &mut detector, id.into(), HEALTHY);
+        assert_eq!(assessment.level, Level::Healthy, "{assessment:?}");
+    }
+    let fault = cx.now;
+    let mut level = Level::Healthy;
+    for id in BEFORE..BEFORE + DURING {
+        let assessment = run(&mut cx, &mut detector, id.into(), HEALTHY * 5);
+        if assessment.level > level {
+            level = assessment.level;
+            let after = (cx.now - fault).as_millis();
+            println!("after {after} ms: {level:?}, score {:.1}", assessment.score);
+            for reason in &assessment.reasons {
+                println!("  {reason}");
+            }
+        }
+        if level == Level::Bad {
+            return;
+        }
+    }
+    println!("the server was not found bad");
+}
--- a/crates/fescuemux-core/src/lib.rs
+++ b/crates/fescuemux-core/src/lib.rs
@@ -4,6 +4,54 @@
 //! Every part takes typed inputs with the current time and returns typed outputs. The crate
 //! must not know threads, sockets, global state, a clock of its own or any wire format, so a
 //! daemon, a test or a measuring tool can drive the same code.
+//!
+//! # Example
+//!
+//! Routes one request, and learns from its answer:
+//!
+//! ```
+//! use fescuemux_core::base::{Cx, Phase, Verdict};
+//! use fescuemux_core::route::{
+//!     Answered, Endpoint, EndpointHealth, RequestKind, RouteQuery, Router, RouterConfig,
+//!     ServerLoad,
+//! };
+//! use std::time::{Duration, Instant};
+//!
+//! let mut cx = Cx::new(Instant::now(), 1);
+//! let mut router =
+//!     Router::new(RouterConfig::new("ingress-1".into(), "rack-a".into(), "north".into()));
+//! let endpoint = Endpoint {
+//!     server: "lookup-1".into(),
+//!     service: "lookup".into(),
+//!     instance: "guard-1".into(),
+//!     domain: "rack-a".into(),
+//!     region: "north".into(),
+//!     slots: 4,
+//!     phase: Phase::Ready,
+//!     incarnation: 1,
+//!     health: EndpointHealth::Serving,
+//! };
+//! router.upsert(&mut cx, endpoint);
+//!
+//! let service = "lookup".into();
+//! let choice = router.choose(&mut cx, &RouteQuery::first(&service, true)).unwrap();
+//! assert_eq!(choice.server, "lookup-1");
+//! assert_eq!(choice.kind, RequestKind::Normal);
+//!
+//! router.on_sent(&mut cx, &choice);
+//! cx.now += Duration::from_millis(25);
+//! let answered = Answered {
+//!     verdict: Verdict::Ran,
+//!     latency: Duration::from_millis(25),
+//!     load: Some(ServerLoad { busy: 1, slots: 4, queued: 0 }),
+//!     health: Some(EndpointHealth::Steered),
+//! };
+//! router.on_answer(&mut cx, &choice.server, answered);
+//!
+//! // The guard steers traffic away; without another server, the request is a last resort.
+//! let choice = router.choose(&mut cx, &RouteQuery::first(&service, true)).unwrap();
+//! assert_eq!(choice.kind, RequestKind::LastResort);
+//! ```
 
 pub mod admit;
 pub mod base;
--- /dev/null
+++ b/crates/fescuemux-daemon/tests/docs.rs
@@ -0,0 +1,120 @@
+//! The pages name what the daemon shows: every metric, every warning, every header.
+
+mod support;
+
+use std::collections::BTreeSet;
+use std::path::{Path, PathBuf};
+use support::{Fleet, send_raw};
+
+/// Headers between daemons, which callers never see.
+const BETWEEN_DAEMONS: [&str; 11] = [
+    fescuemux_wire::headers::SERVER,
+    fescuemux_wire::headers::INCARNATION,
+    fescuemux_wire::headers::ATTEMPT,
+    fescuemux_wire::headers::KIND,
+    fescuemux_wire::headers::IDEMPOTENT,
+    fescuemux_wire::headers::BASELINE,
+    fescuemux_wire::headers::PRIORITY,
+    fescuemux_wire::headers::LOAD,
+    fescuemux_wire::headers::SERVICE_TIME_US,
+    fescuemux_wire::headers::HEALTH,
+    fescuemux_wire::headers::MAC,
+];
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+fn read(path: &Path) -> String {
+    std::fs::read_to_string(path).unwrap_or_else(|e| panic!("{}: {e}", path.display()))
+}
+
+fn page(name: &str) -> String {
+    read(&root().join(name))
+}
+
+/// Returns all string literals without escapes of a source text.
+fn literals(source: &str) -> impl Iterator<Item = &str> {
+    source.lines().filter(|line| !line.trim_start().starts_with("//")).flat_map(|line| {
+        let mut parts = line.split('"');
+        parts.next();
+        parts.step_by(2)
+    })
+}
+
+fn missing<'a>(page: &str, words: impl IntoIterator<Item = &'a str>) -> Vec<&'a str> {
+    let quoted = |word: &str| page.contains(&format!("`{}`", word.to_ascii_lowercase()));
+    words.into_iter().filter(|word| !quoted(word)).collect()
+}
+
+/// Guards against a metric that operators find in no page.
+#[test]
+fn the_page_lists_every_metric() {
+    let fleet = Fleet::start(1);
+    let request = "GET /slots HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+    assert_eq!(send_raw(fleet.callers(0), request.as_bytes()).status, Some(200));
+    let request = "GET /metrics HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+    let shown = send_raw(fleet.operators(0), request.as_bytes()).text;
+    let shown = shown.lines().filter_map(|line| line.strip_prefix("# TYPE "));
+    let shown = shown.filter_map(|line| line.split(' ').next());
+    // A metric with labels is shown only once it has a value, so the source is read as well.
+    let source = include_str!("../src/metrics.rs");
+    let declared = literals(source).filter(|text| text.starts_with("fescuemux_"));
+    let metrics: BTreeSet<&str> = shown.chain(declared).collect();
+    assert!(metrics.len() >= 12, "{metrics:?}");
+    let missing = missing(&page("docs/operators/metrics-and-logs.md"), metrics);
+    assert!(missing.is_empty(), "docs/operators/metrics-and-logs.md lacks {missing:?}");
+}
+
+/// Guards against a warning that operators find in no page.
+#[test]
+fn the_page_lists_every_warning() {
+    let mut files = vec![root().join("crates/fescuemux-daemon/src")];
+    let mut messages = BTreeSet::new();
+    while let Some(path) = files.pop() {
+        if path.is_dir() {
+            files.extend(std::fs::read_dir(&path).unwrap().map(|entry| entry.unwrap().path()));
+            continue;
+        }
+        let source = read(&path);
+        for name in ["tracing::warn!(", "tracing::error!("] {
+            for call in source.split(name).skip(1) {
+                let call = call.split(");").next().unwrap_or_default();
+                // The message is the last literal of the call.
+                messages.extend(literals(call).last().map(str::to_owned));
+            }
+        }
+    }
+    assert!(messages.len() >= 15, "{messages:?}");
+    let page = page("docs/operators/metrics-and-logs.md").to_ascii_lowercase();
+    let missing = missing(&page, messages.iter().map(String::as_str));
+    assert!(missing.is_empty(), "docs/operators/metrics-and-logs.md lacks {missing:?}");
+}
+
+/// Guards against a header that callers find nowhere. A new header is listed in the README or in
+/// [`BETWEEN_DAEMONS`].
+#[test]
+fn the_readme_lists_every_header_of_callers() {
+    let source = include_str!("../../fescuemux-wire/src/headers.rs");
+    let constants = source.lines().filter(|line| line.starts_with("pub const "));
+    let constants: Vec<&str> = constants.collect();
+    let names: BTreeSet<&str> = constants
+        .iter()
+        .filter(|line| line.contains(": &str =") && !line.contains(" PREFIX:"))
+        .flat_map(|line| literals(line))
+        .collect();
+    assert!(names.len() > BETWEEN_DAEMONS.len(), "{names:?}");
+    let of_callers = names.into_iter().filter(|name| !BETWEEN_DAEMONS.contains(name));
+    let readme = page("README.md").to_ascii_lowercase();
+    let missing = missing(&readme, of_callers);
+    assert!(missing.is_empty(), "README.md lacks {missing:?}");
+}
+
+/// Guards against checks that would pass on any page.
+#[test]
+fn the_checks_catch_an_empty_page() {
+    assert_eq!(missing("", ["fescuemux_members"]), ["fescuemux_members"]);
+    assert_eq!(missing("`fescuemux_members`", ["fescuemux_members"]), [""; 0]);
+    let source = "// \"no\"\nf(\"a\", x, \"b\");\n";
+    assert_eq!(literals(source).collect::<Vec<_>>(), ["a", "b"]);
+}
