Send last-resort requests to servers in probation; ask refused callers to wait

Cause: with all servers of a service in probation and a trial at each, the router chose none, so callers got 503 although the guards admit last-resort requests; and a guard's refusal carried no Retry-After.

--- a/crates/fescuemux-core/src/route/choose.rs
+++ b/crates/fescuemux-core/src/route/choose.rs
@@ -70,6 +70,13 @@
         if let Some(found) = best {
             return self.choice(found.index, false);
         }
+        // Without a permit a server in probation still counts as capacity, and its guard takes
+        // requests of last resort. Servers whose trial is under way are on this list too.
+        let at = |position: usize| table.probation.get(position).copied();
+        if let Some(found) = self.best_of(cx, table, query, table.probation.len(), at) {
+            let choice = self.choice(found.index, false)?;
+            return Some(Choice { kind: RequestKind::LastResort, ..choice });
+        }
         // Every path looks broken, which is more likely a fault on this side: spread the load.
         for list in [&table.blocked, &table.half_open] {
             let at = |position: usize| list.get(position).copied();
--- a/crates/fescuemux-daemon/src/ingress/attempt.rs
+++ b/crates/fescuemux-daemon/src/ingress/attempt.rs
@@ -33,6 +33,10 @@
 /// the router what it did not know.
 const MAX_REDIRECTS: u8 = 2;
 
+/// Wait that callers are asked for after a refusal. By then most refusals for health or load have
+/// been routed around.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Result of one attempt.
 pub(super) enum Attempted {
     /// The backend server's answer.
@@ -344,8 +348,11 @@
         | Attempted::Declined(mut failure)
         | Attempted::PathFailed(mut failure) => {
             failure.verdict = verdict;
-            if verdict != Verdict::NotRun && failure.status == StatusCode::SERVICE_UNAVAILABLE {
-                failure.status = StatusCode::BAD_GATEWAY;
+            if failure.status == StatusCode::SERVICE_UNAVAILABLE {
+                match verdict {
+                    Verdict::NotRun => failure.retry_after = Some(RETRY_AFTER),
+                    _ => failure.status = StatusCode::BAD_GATEWAY,
+                }
             }
             Err(failure)
         }
