--- a/crates/fescuemux-core/src/admit/deadline_queue.rs
+++ b/crates/fescuemux-core/src/admit/deadline_queue.rs
@@ -41,7 +41,7 @@
         DeadlineQueue { cfg, classes: BTreeMap::new(), len: 0, service_time }
     }
 
-    /// Changes the most requests that wait at a time. Requests above a lower bound stay.
+    /// Changes the number of requests that may wait. Those that wait already stay.
     pub fn set_max_len(&mut self, max_len: usize) {
         self.cfg.max_len = max_len;
     }
