--- a/crates/fescuemux-measure/src/overload.rs
+++ b/crates/fescuemux-measure/src/overload.rs
@@ -8,6 +8,7 @@
 pub mod degrading;
 mod events;
 mod guard;
+pub mod hedging;
 mod ingress;
 pub mod report;
 pub mod route_cost;
--- a/crates/fescuemux-measure/src/overload/events.rs
+++ b/crates/fescuemux-measure/src/overload/events.rs
@@ -20,6 +20,8 @@
     Retry(usize),
     /// An attempt of a naive ingress took too long.
     Timeout(usize),
+    /// An attempt takes longer than most.
+    Hedge(usize),
     /// An ingress may probe a path.
     Probe(usize),
     /// The probe of a server's instance ends.
--- a/crates/fescuemux-measure/src/overload/ingress.rs
+++ b/crates/fescuemux-measure/src/overload/ingress.rs
@@ -2,7 +2,7 @@
 
 use crate::overload::setup::{RetryPolicy, RoutePolicy, Setup};
 use fescuemux_core::base::{Cx, Phase, ServerId, ServiceId, Verdict};
-use fescuemux_core::retry::{Attempt, RetryBudget, RetryConfig, RetryDecision};
+use fescuemux_core::retry::{Attempt, LatencyQuantile, RetryBudget, RetryConfig, RetryDecision};
 use fescuemux_core::route::{
     Answered, Endpoint, EndpointHealth, RouteQuery, Router, RouterConfig, ServerLoad,
 };
@@ -23,6 +23,7 @@
 pub(super) struct Ingress {
     route: Route,
     budget: Option<RetryBudget>,
+    latencies: LatencyQuantile,
     service: ServiceId,
     servers: usize,
 }
@@ -42,7 +43,8 @@
             RetryPolicy::Budget => Some(RetryBudget::new(RetryConfig::default(), cx.now)),
             RetryPolicy::Naive => None,
         };
-        Ingress { route, budget, service: SERVICE.into(), servers: setup.servers }
+        let latencies = LatencyQuantile::default();
+        Ingress { route, budget, latencies, service: SERVICE.into(), servers: setup.servers }
     }
 
     pub(super) fn on_request(&mut self, cx: &mut Cx) {
@@ -79,6 +81,9 @@
         latency: Duration,
         load: ServerLoad,
     ) {
+        if verdict == Verdict::Ran {
+            self.latencies.record(latency);
+        }
         if let Route::Router(router) = &mut self.route {
             let health = Some(EndpointHealth::Serving);
             let answered = Answered { verdict, latency, load: Some(load), health };
@@ -98,6 +103,16 @@
         }
     }
 
+    /// Returns the time after which an attempt is hedged.
+    pub(super) fn hedge_after(&self, percent: u8) -> Option<Duration> {
+        self.latencies.get(f64::from(percent) / 100.0)
+    }
+
+    pub(super) fn try_hedge(&mut self, cx: &mut Cx, deadline: Instant) -> bool {
+        let attempt = attempt(cx, 1, deadline);
+        self.budget.as_mut().is_some_and(|budget| budget.try_hedge(cx, &attempt))
+    }
+
     pub(super) fn next_probe(&mut self, cx: &mut Cx) -> Option<usize> {
         let Route::Router(router) = &mut self.route else {
             return None;
@@ -129,16 +144,7 @@
         let Some(budget) = &mut self.budget else {
             return (attempts < NAIVE_ATTEMPTS).then_some(Duration::ZERO);
         };
-        let attempt = Attempt {
-            verdict: Verdict::NotRun,
-            earlier: Verdict::NotRun,
-            idempotent: true,
-            body_replayable: true,
-            remaining_deadline: deadline.saturating_duration_since(cx.now),
-            expected_latency: Duration::ZERO,
-            attempts,
-            retry_after: None,
-        };
+        let attempt = attempt(cx, attempts, deadline);
         match budget.decide(cx, &attempt) {
             RetryDecision::Retry { after } => Some(after),
             RetryDecision::GiveUp { .. } => None,
@@ -146,6 +152,19 @@
     }
 }
 
+fn attempt(cx: &Cx, attempts: u32, deadline: Instant) -> Attempt {
+    Attempt {
+        verdict: Verdict::NotRun,
+        earlier: Verdict::NotRun,
+        idempotent: true,
+        body_replayable: true,
+        remaining_deadline: deadline.saturating_duration_since(cx.now),
+        expected_latency: Duration::ZERO,
+        attempts,
+        retry_after: None,
+    }
+}
+
 fn router(cx: &mut Cx, setup: &Setup, number: usize) -> Router {
     let domain = format!("d{}", number % setup.domains);
     let cfg = RouterConfig::new(format!("ingress{number}").into(), domain.into(), "r".into());
--- a/crates/fescuemux-measure/src/overload/setup.rs
+++ b/crates/fescuemux-measure/src/overload/setup.rs
@@ -48,6 +48,8 @@
     /// Whether a busy guard sends the first attempt of a request elsewhere, without charge to
     /// the retry budget, while the mean load of the service is below one request per slot.
     pub redirect: bool,
+    /// Quantile of the latency, in percent, after which the first attempt is hedged.
+    pub hedge_percent: Option<u8>,
 }
 
 impl Policy {
@@ -58,6 +60,7 @@
         retry: RetryPolicy::Budget,
         queue: QueuePolicy::Deadline,
         redirect: false,
+        hedge_percent: None,
     };
 }
 
@@ -72,6 +75,8 @@
     HalfDown,
     /// All take twice the time for a request.
     HalfSpeed,
+    /// The first takes five times the time for a request.
+    OneSlow,
 }
 
 /// A part of a run.
--- a/crates/fescuemux-measure/src/overload/stats.rs
+++ b/crates/fescuemux-measure/src/overload/stats.rs
@@ -23,6 +23,8 @@
     /// Time from arrival at the ingress to the start of the work, without network latency, in
     /// microseconds.
     pub wait: Histogram<u64>,
+    /// Time from arrival at the ingress to the answer in time, in microseconds.
+    pub latency: Histogram<u64>,
     /// Attempts that guards refused.
     pub refused: u64,
     /// Attempts whose work started after the caller's deadline.
@@ -36,7 +38,7 @@
             unreachable!("the bounds are valid");
         });
         wait.auto(true);
-        Stats { seconds: vec![], wait, refused: 0, wasted: 0 }
+        Stats { seconds: vec![], latency: wait.clone(), wait, refused: 0, wasted: 0 }
     }
 }
 
--- a/crates/fescuemux-measure/src/overload/storm.rs
+++ b/crates/fescuemux-measure/src/overload/storm.rs
@@ -21,6 +21,7 @@
         retry: RetryPolicy::Naive,
         queue: QueuePolicy::Fifo,
         redirect: false,
+        hedge_percent: None,
     },
     Policy { name: "parts, redirect", redirect: true, ..Policy::PARTS },
 ];
--- a/crates/fescuemux-measure/src/overload/world.rs
+++ b/crates/fescuemux-measure/src/overload/world.rs
@@ -51,7 +51,7 @@
     guards: Vec<Guard>,
     requests: Vec<Request>,
     attempts: Vec<Attempt>,
-    slowness: f64,
+    fault: Fault,
     rate: f64,
     end: Duration,
     stats: Stats,
@@ -95,7 +95,7 @@
             guards: (0..setup.servers).map(guard).collect(),
             requests: vec![],
             attempts: vec![],
-            slowness: 1.0,
+            fault: Fault::None,
             rate: 1.0,
             end: at,
             stats: Stats::default(),
@@ -111,6 +111,7 @@
             Event::Answer(attempt, reply) => self.answer(attempt, reply),
             Event::Retry(request) => self.send(request),
             Event::Timeout(attempt) => self.timeout(attempt),
+            Event::Hedge(attempt) => self.hedge(attempt),
             Event::Probe(ingress) => self.probe(ingress),
             Event::Probed(ingress, server) => self.probed(ingress, server),
             Event::Deadline(request) => self.deadline(request),
@@ -120,7 +121,7 @@
     fn phase(&mut self, number: usize) {
         let phase = self.setup.phases[number];
         self.rate = phase.rate;
-        self.slowness = if phase.fault == Fault::HalfSpeed { 2.0 } else { 1.0 };
+        self.fault = phase.fault;
         for (server, guard) in self.guards.iter_mut().enumerate() {
             guard.down = phase.fault == Fault::AllDown;
             guard.dead = phase.fault == Fault::HalfDown && server % 2 == 0;
@@ -180,6 +181,12 @@
             load: ServerLoad { busy: 0, slots: self.setup.slots, queued: 0 },
         });
         self.events.push(self.now + HOP, Event::AtGuard(attempt));
+        if let Some(percent) = self.setup.policy.hedge_percent
+            && self.requests[number].attempts == 1
+            && let Some(after) = self.ingresses[self.requests[number].ingress].hedge_after(percent)
+        {
+            self.events.push(self.now + after, Event::Hedge(attempt));
+        }
         if self.setup.policy.retry == RetryPolicy::Naive {
             self.events.push(self.now + self.setup.deadline / 4, Event::Timeout(attempt));
         }
@@ -224,7 +231,12 @@
     }
 
     fn start_work(&mut self, server: usize, number: usize, permit: PermitId) {
-        let mean = self.setup.service_time.as_secs_f64() * self.slowness;
+        let slowness = match self.fault {
+            Fault::HalfSpeed => 2.0,
+            Fault::OneSlow if server == 0 => 5.0,
+            Fault::None | Fault::AllDown | Fault::HalfDown | Fault::OneSlow => 1.0,
+        };
+        let mean = self.setup.service_time.as_secs_f64() * slowness;
         let mut time = self.exponential(mean);
         let attempt = &mut self.attempts[number];
         let arrived = self.requests[attempt.request].arrived;
@@ -287,6 +299,8 @@
         let arrived = request.arrived;
         if self.now < arrived + self.setup.deadline {
             self.stats.second(arrived).good += 1;
+            let latency = (self.now - arrived).as_micros() as u64;
+            self.stats.latency.saturating_record(latency);
         }
     }
 
@@ -320,6 +334,20 @@
         self.requests[number].done = true;
     }
 
+    /// Sends a second attempt beside one that takes long. The first is not canceled when the
+    /// second answers, so the cost of hedging is not understated.
+    fn hedge(&mut self, number: usize) {
+        let attempt = &self.attempts[number];
+        let request = &self.requests[attempt.request];
+        if !attempt.open || request.done {
+            return;
+        }
+        let deadline = self.start + request.arrived + self.setup.deadline;
+        if self.ingresses[request.ingress].try_hedge(&mut self.cx, deadline) {
+            self.send(self.attempts[number].request);
+        }
+    }
+
     fn probe(&mut self, ingress: usize) {
         if let Some(server) = self.ingresses[ingress].next_probe(&mut self.cx) {
             self.events.push(self.now + 2 * HOP, Event::Probed(ingress, server));
