--- a/crates/fescuemux-core/src/route/choose.rs
+++ b/crates/fescuemux-core/src/route/choose.rs
@@ -70,12 +70,8 @@
         if let Some(found) = best {
             return self.choice(found.index, false);
         }
-        // Without a permit a server in probation still counts as capacity, and its guard takes
-        // requests of last resort. Servers whose trial is under way are on this list too.
-        let at = |position: usize| table.probation.get(position).copied();
-        if let Some(found) = self.best_of(cx, table, query, table.probation.len(), at) {
-            let choice = self.choice(found.index, false)?;
-            return Some(Choice { kind: RequestKind::LastResort, ..choice });
+        if let Some(choice) = self.last_resort_in_probation(cx, table, query) {
+            return Some(choice);
         }
         // Every path looks broken, which is more likely a fault on this side: spread the load.
         for list in [&table.blocked, &table.half_open] {
@@ -87,6 +83,26 @@
         None
     }
 
+    /// Picks any server in probation. Without a permit such a server still counts as capacity,
+    /// and its guard takes requests of last resort, also while a trial is under way.
+    fn last_resort_in_probation(
+        &self,
+        cx: &mut Cx,
+        table: &ServiceTable,
+        query: &RouteQuery,
+    ) -> Option<Choice> {
+        let count = table.probation.len();
+        let start = if count > 0 { cx.rng.random_range(0..count) } else { 0 };
+        let index = (0..count.min(MAX_STEPS))
+            .map(|step| table.probation[(start + step) % count])
+            .find(|index| {
+            let entry = self.entries[*index as usize].as_ref();
+            entry.is_some_and(|entry| !excluded(query, entry))
+        })?;
+        let choice = self.choice(index, false)?;
+        Some(Choice { kind: RequestKind::LastResort, ..choice })
+    }
+
     /// Samples [`CHOICES`] of `count` servers and returns the one with the lowest load.
     fn best_of(
         &self,
--- a/crates/fescuemux-measure/src/history/guard.rs
+++ b/crates/fescuemux-measure/src/history/guard.rs
@@ -162,6 +162,7 @@
     }
 
     /// Lets a request start or wait. Returns one that is refused as not run.
+    #[expect(clippy::result_large_err, reason = "a refused request is moved back, not reported")]
     fn admit(&mut self, i: usize, item: HopWork) -> Result<(), HopWork> {
         let server = item.hop.server;
         let ignores = self.is(Broken::IgnoreDraining);
@@ -192,6 +193,7 @@
         self.wait(i, item, trial)
     }
 
+    #[expect(clippy::result_large_err, reason = "a refused request is moved back, not reported")]
     fn wait(&mut self, i: usize, item: HopWork, trial: bool) -> Result<(), HopWork> {
         let (server, id, deadline) = (item.hop.server, item.hop.id, item.deadline);
         let instance = self.instance(i);
--- a/crates/fescuemux-measure/src/history/world.rs
+++ b/crates/fescuemux-measure/src/history/world.rs
@@ -317,10 +317,10 @@
         match fault.kind {
             FaultKind::Pause => self.paused[i] = self.paused[i].max(fault.end()),
             FaultKind::Crash if self.instances[i].up => self.end(i, false),
-            FaultKind::PlannedStop => {
-                if self.instances[i].up && self.instances[i].stop == Stop::Running {
-                    self.after_in(i, Duration::ZERO, Event::StopCloses);
-                }
+            FaultKind::PlannedStop
+                if self.instances[i].up && self.instances[i].stop == Stop::Running =>
+            {
+                self.after_in(i, Duration::ZERO, Event::StopCloses);
             }
             FaultKind::ServerDrains => self.set_phase(fault.place, Phase::Draining),
             _ => {}
