Count servers in probation behind broken paths as a last resort

Cause: the stricter model found that a service whose only server is in probation behind a broken path got no choice at all. Before: lists_agree_with_a_scan fails with the stricter model.

--- a/crates/fescuemux-core/src/route/choose.rs
+++ b/crates/fescuemux-core/src/route/choose.rs
@@ -70,9 +70,6 @@
         if let Some(found) = best {
             return self.choice(found.index, false);
         }
-        if let Some(choice) = self.last_resort_in_probation(cx, table, query) {
-            return Some(choice);
-        }
         // Every path looks broken, which is more likely a fault on this side: spread the load.
         for list in [&table.blocked, &table.half_open] {
             let at = |position: usize| list.get(position).copied();
@@ -80,29 +77,37 @@
                 return self.choice(found.index, false);
             }
         }
-        None
+        self.last_resort_in_probation(cx, table, query)
     }
 
-    /// Picks any server in probation. Without a permit such a server still counts as capacity,
-    /// and its guard takes requests of last resort, also while a trial is under way.
+    /// Picks any server in probation when the service has no other. Without a permit such a server
+    /// still counts as capacity, and its guard takes requests of last resort, also while a trial
+    /// is under way.
     fn last_resort_in_probation(
         &self,
         cx: &mut Cx,
         table: &ServiceTable,
         query: &RouteQuery,
     ) -> Option<Choice> {
-        let count = table.probation.len();
-        let start = if count > 0 { cx.rng.random_range(0..count) } else { 0 };
-        let index = (0..count.min(MAX_STEPS))
-            .map(|step| table.probation[(start + step) % count])
-            .find(|index| {
-            let entry = self.entries[*index as usize].as_ref();
-            entry.is_some_and(|entry| !excluded(query, entry))
-        })?;
+        let lists = [&table.probation, &table.blocked, &table.half_open];
+        let list = lists
+            .into_iter()
+            .find(|list| list.iter().any(|index| self.is_in_probation(*index, query)))?;
+        let count = list.len();
+        let start = cx.rng.random_range(0..count);
+        let index = (0..count)
+            .map(|step| list[(start + step) % count])
+            .find(|index| self.is_in_probation(*index, query))?;
         let choice = self.choice(index, false)?;
         Some(Choice { kind: RequestKind::LastResort, ..choice })
     }
 
+    fn is_in_probation(&self, index: Index, query: &RouteQuery) -> bool {
+        self.entries[index as usize].as_ref().is_some_and(|entry| {
+            entry.health == EndpointHealth::Probation && !excluded(query, entry)
+        })
+    }
+
     /// Samples [`CHOICES`] of `count` servers and returns the one with the lowest load.
     fn best_of(
         &self,
--- a/crates/fescuemux-core/src/route/entry.rs
+++ b/crates/fescuemux-core/src/route/entry.rs
@@ -62,11 +62,6 @@
             return Class::Off;
         }
         match state {
-            BreakerState::Open(_) | BreakerState::Trying(_)
-                if self.health == EndpointHealth::Probation =>
-            {
-                return Class::Off;
-            }
             BreakerState::Open(_) | BreakerState::Trying(_) => return Class::Blocked,
             BreakerState::HalfOpen(_) => return Class::HalfOpen,
             BreakerState::Closed => {}
