Draw history faults of chosen kinds at one place

Random pairs strike one server in one of a few hundred seeds, which is too seldom to look for interactions of two named faults.

--- a/crates/fescuemux-measure/examples/history.rs
+++ b/crates/fescuemux-measure/examples/history.rs
@@ -1,9 +1,9 @@
 //! Runs seeds of the history check: `cargo run --release -p fescuemux-measure --example history
-//! -- --seeds A..B [--threads N] [--broken NAME] [--trace]`. Prints each failing seed with its
-//! properties and faults, and fails when there is one.
+//! -- --seeds A..B [--threads N] [--faults KIND,KIND] [--broken NAME] [--trace]`. Prints each
+//! failing seed with its properties and faults, and fails when there is one.
 
 use anyhow::Context;
-use fescuemux_measure::history::{Broken, Event, Run, run_with};
+use fescuemux_measure::history::{Broken, Event, FaultKind, Run, run_with};
 use std::ops::Range;
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -13,6 +13,7 @@
 struct Options {
     seeds: Range<u64>,
     threads: usize,
+    kinds: Vec<FaultKind>,
     broken: Option<Broken>,
     trace: bool,
 }
@@ -30,7 +31,7 @@
                     if seed >= options.seeds.end {
                         return;
                     }
-                    let run = run_with(seed, options.broken);
+                    let run = run_with(seed, &options.kinds, options.broken);
                     if !run.violations.is_empty() {
                         failed.fetch_add(1, Ordering::Relaxed);
                         report(&run);
@@ -49,7 +50,8 @@
 }
 
 fn parse(args: impl Iterator<Item = String>) -> anyhow::Result<Options> {
-    let mut options = Options { seeds: 0..100, threads: 1, broken: None, trace: false };
+    let mut options =
+        Options { seeds: 0..100, threads: 1, kinds: vec![], broken: None, trace: false };
     let mut args = args;
     while let Some(arg) = args.next() {
         let mut value = || args.next().with_context(|| format!("{arg} needs a value"));
@@ -65,6 +67,12 @@
                 let known = Broken::ALL.into_iter().find(|b| format!("{b:?}") == name);
                 options.broken = Some(known.with_context(|| format!("no version {name}"))?);
             }
+            "--faults" => {
+                for name in value()?.split(',') {
+                    let known = FaultKind::ALL.into_iter().find(|k| format!("{k:?}") == name);
+                    options.kinds.push(known.with_context(|| format!("no fault {name}"))?);
+                }
+            }
             "--trace" => options.trace = true,
             _ => anyhow::bail!("unknown argument {arg}"),
         }
--- a/crates/fescuemux-measure/src/history/fault.rs
+++ b/crates/fescuemux-measure/src/history/fault.rs
@@ -117,6 +117,18 @@
         faults
     }
 
+    /// Draws faults of the kinds given, all at one place and at nearly the same time.
+    pub(super) fn draw_kinds(rng: &mut Rng, kinds: &[FaultKind]) -> Vec<Fault> {
+        let first = Fault::draw_one(rng);
+        let mut next = |kind: &FaultKind| {
+            let drawn = Fault::draw_one(rng);
+            let from = first.from + Duration::from_millis(rng.random_range(0..20_000));
+            let length = drawn.length.min(Duration::from_secs(kind.longest()));
+            Fault { kind: *kind, from, length, place: first.place, ..drawn }
+        };
+        kinds.iter().map(&mut next).collect()
+    }
+
     fn draw_one(rng: &mut Rng) -> Fault {
         let kind = FaultKind::ALL[rng.random_range(0..FaultKind::ALL.len())];
         let span = LAST.as_millis() as u64 - FIRST.as_millis() as u64;
--- a/crates/fescuemux-measure/src/history/run.rs
+++ b/crates/fescuemux-measure/src/history/run.rs
@@ -3,7 +3,7 @@
 use super::broken::Broken;
 use super::check::{INSTANCES, Violation, check};
 use super::events::{Event, Order, Target};
-use super::fault::Fault;
+use super::fault::{Fault, FaultKind};
 use super::record::{Entry, Event as Seen};
 use super::world::World;
 use rand::Rng as _;
@@ -42,12 +42,13 @@
 
 /// Runs a seed over the glue as it is.
 pub fn run(seed: u64) -> Run {
-    run_with(seed, None)
+    run_with(seed, &[], None)
 }
 
-/// Runs a seed over the glue or a broken version of it.
-pub fn run_with(seed: u64, broken: Option<Broken>) -> Run {
-    let mut world = World::new(seed, broken);
+/// Runs a seed over the glue or a broken version of it, with faults of the kinds given at one
+/// place, or with drawn ones when no kind is given.
+pub fn run_with(seed: u64, kinds: &[FaultKind], broken: Option<Broken>) -> Run {
+    let mut world = World::new(seed, kinds, broken);
     for caller in 0..CALLERS {
         let delay = Duration::from_millis(5_000 + 50 * caller as u64);
         world.after(delay, Target::World, Event::Caller { caller });
--- /dev/null
+++ b/crates/fescuemux-measure/src/history/tests/checkers.rs
@@ -0,0 +1,151 @@
+//! Checkers over small histories written by hand.
+
+use crate::history::{Entry, Event, Property, check};
+use fescuemux_core::base::Verdict;
+use fescuemux_core::config::Outcome;
+use std::time::Duration;
+
+struct Case {
+    name: &'static str,
+    history: Vec<(u64, Event)>,
+    violated: Option<Property>,
+}
+
+fn sent(op: u64, send: u64, keyed: bool) -> Event {
+    Event::Sent { op, send, instance: 0, idempotent: false, keyed }
+}
+
+fn executed(op: u64, send: u64) -> Event {
+    Event::Executed { server: 1, op, send }
+}
+
+fn answered(send: u64, verdict: Verdict, body: Option<(u64, bool)>) -> Event {
+    Event::Answered { send, verdict, body }
+}
+
+fn in_force(instance: usize, generation: u64, plan: u128) -> Event {
+    Event::InForce { instance, generation, plan }
+}
+
+fn told(plan: u128, generation: u64) -> Event {
+    Event::Told { plan, outcome: Outcome::Confirmed(generation) }
+}
+
+fn up() -> Vec<(u64, Event)> {
+    (0..5).map(|instance| (0, Event::Up { instance })).collect()
+}
+
+fn ledger(held: &[usize]) -> Event {
+    Event::Ledger { service: 1, held: held.to_vec() }
+}
+
+fn all_in_force(at: u64, generation: u64, plan: u128) -> Vec<(u64, Event)> {
+    (0..5).map(|instance| (at, in_force(instance, generation, plan))).collect()
+}
+
+/// Guards against checkers that overlook a violation or report an allowed history.
+#[test]
+fn checkers_judge_small_histories() {
+    let with_up = |events: Vec<(u64, Event)>| [up(), events].concat();
+    let down = |at, planned| (at, Event::Down { instance: 0, planned });
+    let cut = (5_000, Event::Cut { instance: 0, send: 1 });
+    let drains = (0, Event::Draining { server: 1, draining: true });
+    let not_run = answered(1, Verdict::NotRun, None);
+    let spread = |late: u64| {
+        let mut events = vec![(1_000, told(9, 1))];
+        events.extend(all_in_force(late, 1, 9));
+        events.push((20_000, sent(1, 1, false)));
+        events
+    };
+    let hindered = |length: u64| {
+        let mut events = vec![(0, Event::FaultBegins { fault: 0 })];
+        events.push((length, Event::FaultEnds { fault: 0 }));
+        events.extend(spread(9_000));
+        events.sort_by_key(|(at, _)| *at);
+        events
+    };
+    let case = |name, history, violated| Case { name, history, violated };
+    let cases = [
+        case("one ejected", with_up(vec![(1, ledger(&[1]))]), None),
+        case("two in the ledger", with_up(vec![(1, ledger(&[1, 3]))]), Some(Property::F)),
+        case(
+            "one in the ledger, one refusing",
+            with_up(vec![(1, ledger(&[1])), (2, Event::Refusing { server: 3, all: true })]),
+            Some(Property::F),
+        ),
+        case(
+            "ejection long after a loss",
+            with_up(vec![down(0, false), (60_000, ledger(&[3]))]),
+            Some(Property::F),
+        ),
+        case(
+            "loss that nobody can know of yet",
+            with_up(vec![down(59_000, false), (60_000, ledger(&[3]))]),
+            None,
+        ),
+        case("whole answer", vec![(1, answered(1, Verdict::Ran, Some((1, true))))], None),
+        case(
+            "cut answer",
+            vec![(1, answered(1, Verdict::Ran, Some((1, false))))],
+            Some(Property::A),
+        ),
+        case(
+            "answer of another request",
+            vec![(1, answered(1, Verdict::Ran, Some((2, true))))],
+            Some(Property::A),
+        ),
+        case("two answers", vec![(1, not_run.clone()), (2, not_run.clone())], Some(Property::A)),
+        case(
+            "ran long after \"not run\"",
+            vec![(1, sent(1, 1, false)), (2, not_run.clone()), (99_000, executed(1, 1))],
+            Some(Property::N),
+        ),
+        case(
+            "ran before \"not run\"",
+            vec![(1, sent(1, 1, false)), (2, executed(1, 1)), (3, not_run)],
+            Some(Property::N),
+        ),
+        case(
+            "two sends of a booking without key",
+            vec![
+                (1, sent(1, 1, false)),
+                (2, sent(1, 2, false)),
+                (3, executed(1, 1)),
+                (4, executed(1, 2)),
+            ],
+            None,
+        ),
+        case(
+            "two sends of a booking with key",
+            vec![
+                (1, sent(1, 1, true)),
+                (2, sent(1, 2, true)),
+                (3, executed(1, 1)),
+                (4, executed(1, 2)),
+            ],
+            Some(Property::O),
+        ),
+        case(
+            "one send twice",
+            vec![(1, sent(1, 1, false)), (3, executed(1, 1)), (4, executed(1, 1))],
+            Some(Property::O),
+        ),
+        case("work at the bound", vec![drains.clone(), (2_000, executed(1, 1))], None),
+        case("work past the bound", vec![drains, (2_001, executed(1, 1))], Some(Property::D)),
+        case("crash cuts", vec![cut.clone(), down(5_000, false)], None),
+        case("planned stop cuts", vec![cut, down(5_000, true)], Some(Property::G)),
+        case("step back", vec![(1, in_force(0, 2, 8)), (2, in_force(0, 1, 9))], Some(Property::C)),
+        case("shared generation", vec![(1, told(8, 1)), (2, told(9, 1))], Some(Property::C)),
+        case("spread in time", spread(6_900), None),
+        case("spread too late", spread(7_100), Some(Property::C)),
+        case("spread during a fault", hindered(500), None),
+    ];
+    for Case { name, history, violated } in cases {
+        let entry = |(ms, event)| Entry { at: Duration::from_millis(ms), event };
+        let history: Vec<Entry> = history.into_iter().map(entry).collect();
+        let found = check(&history);
+        let properties: Vec<Property> = found.iter().map(|found| found.property).collect();
+        let expected: Vec<Property> = violated.into_iter().collect();
+        assert_eq!(properties.first(), expected.first(), "{name}: {found:?}");
+    }
+}
--- a/crates/fescuemux-measure/src/history/world.rs
+++ b/crates/fescuemux-measure/src/history/world.rs
@@ -51,10 +51,13 @@
 }
 
 impl World {
-    pub(super) fn new(seed: u64, broken: Option<Broken>) -> World {
+    pub(super) fn new(seed: u64, kinds: &[FaultKind], broken: Option<Broken>) -> World {
         let start = Instant::now();
         let mut cx = Cx::new(start, seed);
-        let faults = Fault::draw(&mut cx.rng);
+        let faults = match kinds {
+            [] => Fault::draw(&mut cx.rng),
+            kinds => Fault::draw_kinds(&mut cx.rng, kinds),
+        };
         let offsets = (0..16).map(|_| cx.rng.random_range(-CLOCK_OFFSET..=CLOCK_OFFSET)).collect();
         let mut world = World {
             cx,
