Judge an ejection by the capacity that it takes

The drain is a loss; the relapse takes no further capacity, since a server with an entry is not counted.

--- a/crates/fescuemux-measure/src/history.rs
+++ b/crates/fescuemux-measure/src/history.rs
@@ -15,6 +15,7 @@
 mod ingress;
 mod instance;
 mod ledger;
+mod lifecycle;
 mod members;
 mod record;
 mod run;
--- a/crates/fescuemux-measure/src/history/check.rs
+++ b/crates/fescuemux-measure/src/history/check.rs
@@ -74,7 +74,8 @@
 }
 
 /// F: at each ejection, the capacity that was announced and not lost for long stays at or above
-/// the floor.
+/// the floor. A server is ejected while the ledger holds it or its guard refuses all work; a
+/// relapse under an entry that is still held takes no further capacity.
 fn floor(history: &[Entry]) -> Vec<Violation> {
     let mut lost: [Option<Duration>; INSTANCES] = [Some(Duration::ZERO); INSTANCES];
     let mut drains: [Option<Duration>; SERVERS] = [None; SERVERS];
@@ -98,13 +99,15 @@
                 continue;
             }
             Event::Ledger { service, held: now } => {
-                let added = now.iter().copied().find(|server| !held[*service].contains(server));
+                let is_new = |s: &usize| !held[*service].contains(s) && !refusing[*s];
+                let added = now.iter().copied().find(is_new);
                 held[*service].clone_from(now);
                 added
             }
             Event::Refusing { server, all } => {
+                let is_new = *all && !refusing[*server] && !held[*server % 2].contains(server);
                 refusing[*server] = *all;
-                all.then_some(*server)
+                is_new.then_some(*server)
             }
             _ => continue,
         };
--- a/crates/fescuemux-measure/src/history/config.rs
+++ b/crates/fescuemux-measure/src/history/config.rs
@@ -1,13 +1,15 @@
 //! Configuration: operators that confirm plans, and how generations reach an instance.
 
 use super::broken::Broken;
+use super::check::FLOOR;
 use super::events::{Confirming, Event, Reply, Then};
 use super::fault::FaultKind;
+use super::instance::{domain_of, service_id};
 use super::record::Event as Seen;
 use super::store::{Answer, Key, Op, Value};
 use super::world::World;
 use fescuemux_core::base::Generation;
-use fescuemux_core::config::{Config, Confirm, Head, Offer, Reply as Told, Step, Update};
+use fescuemux_core::config::{Config, Confirm, Head, Offer, Reply as Told, Service, Step, Update};
 use rand::Rng as _;
 use std::time::Duration;
 
@@ -106,6 +108,28 @@
         self.step_confirm(i, confirming);
     }
 
+    fn is_watcher(&self, i: usize) -> bool {
+        let instance = &self.instances[i];
+        instance.membership.watchers(&domain_of(i)).contains(&instance.id)
+    }
+
+    /// Returns the content of a generation: two services with their floors.
+    fn content(generation: Generation) -> Config {
+        let mut config = Config::default();
+        for index in 0..2 {
+            let mut service = Service::new(service_id(index));
+            service.floor_slots = FLOOR;
+            service.default_deadline = Duration::from_secs(3) + Duration::from_millis(generation);
+            config.services.insert(service.id.clone(), service);
+        }
+        config
+    }
+
+    /// Starts a confirm of a plan at an instance.
+    fn begin_confirm(&mut self, i: usize, delay: Duration, confirming: Confirming) {
+        self.after_in(i, delay, Event::Confirm(Box::new(confirming)));
+    }
+
     pub(super) fn tick_watch(&mut self, i: usize) {
         let now = self.mono();
         let watches = self.is_watcher(i);
--- a/crates/fescuemux-measure/src/history/guard.rs
+++ b/crates/fescuemux-measure/src/history/guard.rs
@@ -162,27 +162,27 @@
     }
 
     /// Lets a request start or wait. Returns one that is refused as not run.
-    fn admit(&mut self, i: usize, item: HopWork) -> Result<(), HopWork> {
+    fn admit(&mut self, i: usize, item: HopWork) -> Result<(), Box<HopWork>> {
         let server = item.hop.server;
         let ignores = self.is(Broken::IgnoreDraining);
         let instance = self.instance(i);
         let cx = &mut instance.cx;
-        let Some(known) = instance.servers.get_mut(&server) else { return Err(item) };
+        let Some(known) = instance.servers.get_mut(&server) else { return Err(Box::new(item)) };
         if known.phase == Phase::Draining && !ignores {
-            return Err(item);
+            return Err(Box::new(item));
         }
         if let Some(baseline) = item.hop.baseline {
             known.detector.on_baseline(cx, baseline);
         }
         let idempotent = item.hop.order.service == 0;
         if known.health.admission(cx, item.hop.kind, idempotent) != Admission::Admit {
-            return Err(item);
+            return Err(Box::new(item));
         }
         let trial = item.hop.kind == RequestKind::Trial;
         if known.queue.is_empty() {
             if !known.queue.can_finish(cx.now, item.deadline) {
                 self.end_trial(i, server, trial, TrialOutcome::Unknown);
-                return Err(item);
+                return Err(Box::new(item));
             }
             if let Some(permit) = known.slots.admit(item.hop.id) {
                 self.begin_work(i, item, permit);
@@ -192,10 +192,10 @@
         self.wait(i, item, trial)
     }
 
-    fn wait(&mut self, i: usize, item: HopWork, trial: bool) -> Result<(), HopWork> {
+    fn wait(&mut self, i: usize, item: HopWork, trial: bool) -> Result<(), Box<HopWork>> {
         let (server, id, deadline) = (item.hop.server, item.hop.id, item.deadline);
         let instance = self.instance(i);
-        let Some(known) = instance.servers.get_mut(&server) else { return Err(item) };
+        let Some(known) = instance.servers.get_mut(&server) else { return Err(Box::new(item)) };
         let limit = known.slots.limit();
         let caller = format!("c{}", item.hop.order.op % 8).into();
         let waiting = Waiting { id, caller, priority: 155, cost: 1, deadline, item };
@@ -210,7 +210,7 @@
             }
             Err(refused) => {
                 self.end_trial(i, server, trial, TrialOutcome::Unknown);
-                Err(refused.waiting.item)
+                Err(Box::new(refused.waiting.item))
             }
         }
     }
--- a/crates/fescuemux-measure/src/history/tests/checkers.rs
+++ b/crates/fescuemux-measure/src/history/tests/checkers.rs
@@ -83,6 +83,26 @@
             with_up(vec![down(59_000, false), (60_000, ledger(&[3]))]),
             None,
         ),
+        case(
+            "relapse under a held entry after a loss",
+            with_up(vec![
+                (1, ledger(&[3])),
+                (2, Event::Refusing { server: 3, all: true }),
+                (3, Event::Refusing { server: 3, all: false }),
+                down(4, false),
+                (60_000, Event::Refusing { server: 3, all: true }),
+            ]),
+            None,
+        ),
+        case(
+            "refusal after the entry was lost",
+            with_up(vec![
+                (1, ledger(&[1])),
+                (2, ledger(&[3])),
+                (3, Event::Refusing { server: 1, all: true }),
+            ]),
+            Some(Property::F),
+        ),
         case("whole answer", vec![(1, answered(1, Verdict::Ran, Some((1, true))))], None),
         case(
             "cut answer",
