--- a/crates/fescuemux-core/tests/route_probation.rs
+++ b/crates/fescuemux-core/tests/route_probation.rs
@@ -1,11 +1,12 @@
-//! Routing while every backend server of a service returns from steering.
+//! Return of backend servers from steering where nothing but their own requests can help.
 
-use fescuemux_core::base::{Cx, Phase};
-use fescuemux_core::eject::{Action, Admission, Health, HealthConfig, State};
+use fescuemux_core::base::{Cx, Favor, Phase};
+use fescuemux_core::detect::{Assessment, Level, TrialOutcome};
+use fescuemux_core::eject::{self, Action, Admission, Health, HealthConfig, State};
 use fescuemux_core::route::{
     Endpoint, EndpointHealth, RequestKind, RouteQuery, Router, RouterConfig,
 };
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 const SEED: u64 = 7;
 
@@ -44,22 +45,45 @@
     assert_eq!(kind, Some(RequestKind::LastResort), "seed {SEED}: the service takes nothing");
 }
 
-/// Shows that the guard's side admits what the router withholds: no permit is held.
-#[test]
-fn a_guard_admits_last_resort_requests_in_probation_without_a_permit() {
-    use fescuemux_core::base::Favor;
-    use fescuemux_core::detect::{Assessment, Level};
-    use fescuemux_core::eject::RequestKind;
-
-    let mut cx = Cx::new(Instant::now(), SEED);
+/// Returns a server whose probation has begun without a permit.
+fn in_probation(cx: &mut Cx) -> Health {
     let config = HealthConfig::new(Favor::FewFalseEjections);
     let mut health = Health::new(config.clone(), cx.now);
     let suspect = Assessment { level: Level::Suspect, score: 20.0, reasons: Vec::new() };
-    health.on_assessment(&mut cx, &suspect);
+    health.on_assessment(cx, &suspect);
     assert_eq!(health.state(), State::Steered);
     cx.now += config.base_hold;
-    let actions = health.tick(&mut cx);
+    let actions = health.tick(cx);
     assert!(actions.contains(&Action::ResetEvidence), "{actions:?}");
     assert_eq!(health.state(), State::Probation);
-    assert_eq!(health.admission(&mut cx, RequestKind::LastResort, false), Admission::Admit);
+    health
+}
+
+/// Guards against a guard that refuses last-resort requests without a permit, which would be an
+/// ejection past the floor.
+#[test]
+fn a_guard_admits_last_resort_requests_in_probation_without_a_permit() {
+    let mut cx = Cx::new(Instant::now(), SEED);
+    let mut health = in_probation(&mut cx);
+    let admission = health.admission(&mut cx, eject::RequestKind::LastResort, false);
+    assert_eq!(admission, Admission::Admit);
+}
+
+/// Guards against a server that never returns because its service has no idempotent route. One
+/// trial a second is offered for an hour, and each that is admitted succeeds.
+#[test]
+fn a_service_without_idempotent_routes_returns() {
+    let mut cx = Cx::new(Instant::now(), SEED);
+    let mut health = in_probation(&mut cx);
+    let mut admitted = 0;
+    for _ in 0..3_600 {
+        cx.now += Duration::from_secs(1);
+        health.tick(&mut cx);
+        let admission = health.admission(&mut cx, eject::RequestKind::Trial, false);
+        if admission == Admission::Admit {
+            admitted += 1;
+            health.on_trial_end(&mut cx, TrialOutcome::Good);
+        }
+    }
+    assert_eq!(health.state(), State::Serving, "seed {SEED}: {admitted} trials were admitted");
 }
