core: do not take stragglers for a black hole

Two causes: two trial answers at twice the reference counted as confirmation, and three old requests of the long tail stayed in flight together while trials were answered fast.

Fresh requests must now reach a score of 6, and two fast answers to fresh requests show that old requests in flight are stragglers.

--- a/crates/fescuemux-core/src/detect/detector.rs
+++ b/crates/fescuemux-core/src/detect/detector.rs
@@ -33,9 +33,14 @@
 const OWN_PAST_SAMPLES: usize = 32;
 /// A trial answer this many octaves slower than the reference is bad: four times.
 const TRIAL_OCTAVES: f64 = 2.0;
-/// Slow answers to requests that started after the suspicion, before slowness alone may eject.
+/// Score that requests started after the suspicion must reach before slowness alone may eject.
 /// A pause of the whole server delays all its requests at once; they are one event, not four.
-const FRESH_NEEDED: u32 = 2;
+/// Two merely slow answers do not suffice: the long-tail trace shows them to a healthy server
+/// once in 21 server-hours.
+const FRESH_NEEDED: f64 = 6.0;
+/// Fast answers to fresh requests after which old requests in flight are stragglers of a healthy
+/// server, not a black hole.
+const STRAGGLERS: u32 = 2;
 /// Newest answers that show the current latency.
 const RECENT: usize = 5;
 /// Current latencies added to the confirmation time, and the longest latency that counts.
@@ -57,8 +62,10 @@
     in_flight: InFlight,
     probe_failures: u32,
     suspect_since: Option<Instant>,
-    /// Slow answers to requests that started after the suspicion.
-    fresh_against: u32,
+    /// Cumulative latency score of requests that started after the suspicion.
+    fresh: f64,
+    /// Of these requests, the ones answered as fast as by a healthy server.
+    fresh_good: u32,
     evidence_since: Instant,
     score: f64,
 }
@@ -75,7 +82,8 @@
             in_flight: InFlight::default(),
             probe_failures: 0,
             suspect_since: None,
-            fresh_against: 0,
+            fresh: 0.0,
+            fresh_good: 0,
             evidence_since: now,
             score: 0.0,
         }
@@ -139,7 +147,8 @@
         self.in_flight.restart(cx.now);
         self.probe_failures = 0;
         self.suspect_since = None;
-        self.fresh_against = 0;
+        self.fresh = 0.0;
+        self.fresh_good = 0;
         self.evidence_since = cx.now;
         self.score = 0.0;
     }
@@ -168,8 +177,8 @@
         let score = failures.max(latency + age) + probes;
         self.score = score;
         let independent = failures + probes >= self.config.bad_score
-            || age >= self.config.suspect_score
-            || self.fresh_against >= FRESH_NEEDED;
+            || (age >= self.config.suspect_score && self.fresh_good < STRAGGLERS)
+            || self.fresh >= FRESH_NEEDED;
         let level = self.level(cx.now, score, independent);
         Assessment { level, score, reasons }
     }
@@ -182,7 +191,8 @@
     fn level(&mut self, now: Instant, score: f64, independent: bool) -> Level {
         if score < self.config.suspect_score {
             self.suspect_since = None;
-            self.fresh_against = 0;
+            self.fresh = 0.0;
+            self.fresh_good = 0;
             return Level::Healthy;
         }
         let since = *self.suspect_since.get_or_insert(now);
@@ -201,9 +211,13 @@
     fn count_fresh(&mut self, started: Instant, sample: &Sample) {
         let fresh = self.suspect_since.is_some_and(|since| started > since);
         let Some(reference) = self.reference_octave() else { return };
-        if fresh && self.latency_score(sample, reference) > 0.0 {
-            self.fresh_against += 1;
+        if !fresh {
+            return;
         }
+        let score = self.latency_score(sample, reference);
+        self.fresh = (self.fresh + score).max(0.0);
+        let good = sample.outcome == Outcome::Ok && score < 0.0;
+        self.fresh_good += u32::from(good);
     }
 
     /// Returns the scores of finished requests and of requests in flight.
--- a/crates/fescuemux-core/src/detect/tests.rs
+++ b/crates/fescuemux-core/src/detect/tests.rs
@@ -212,6 +212,22 @@
     assert_eq!(bench.level(), Level::Healthy);
 }
 
+/// Three requests of a long tail may be in flight together while new ones are answered fast.
+#[test]
+fn stragglers_steer_but_never_eject() {
+    let mut bench = Bench::warm(Favor::FastDetection);
+    for _ in 0..3 {
+        bench.start();
+    }
+    bench.pass(MEDIAN * 50);
+    assert_eq!(bench.level(), Level::Suspect);
+    for _ in 0..4 {
+        bench.request(Outcome::Ok, MEDIAN);
+    }
+    bench.pass(Duration::from_secs(5));
+    assert_eq!(bench.level(), Level::Suspect);
+}
+
 /// A paused observer sees old requests that may long have been answered.
 #[test]
 fn a_pause_of_the_observer_is_no_evidence() {
