Let servers of services without idempotent routes return from probation

Cause: a guard on probation took only idempotent trials first, for ever; a booking service that was steered never came back. Before: 0 trials admitted in an hour.

--- a/crates/fescuemux-core/src/eject/probation.rs
+++ b/crates/fescuemux-core/src/eject/probation.rs
@@ -9,6 +9,9 @@
 
 /// A trial whose end was never reported no longer blocks the next one after this time.
 const LOST_TRIAL: Duration = Duration::from_secs(30);
+/// Time after which trials need not be idempotent, when none that is was offered. A service may
+/// have no idempotent route at all. Ingresses wait as long before they offer others.
+const IDEMPOTENT_WAIT: Duration = Duration::from_secs(10);
 
 /// Progress of one probation, or of the checks of a server that was just steered.
 #[derive(Clone, Debug)]
@@ -19,6 +22,8 @@
     next_trial: Option<Instant>,
     in_flight_since: Option<Instant>,
     shares_since: Option<Instant>,
+    /// Time of the first trial refused for not being idempotent.
+    refused_since: Option<Instant>,
 }
 
 impl Probation {
@@ -30,6 +35,7 @@
             next_trial: None,
             in_flight_since: None,
             shares_since: None,
+            refused_since: None,
         }
     }
 
@@ -78,7 +84,7 @@
         if !self.wants_trial(cx.now) {
             return Admission::Refuse(RefuseReason::TrialInFlight);
         }
-        if !idempotent && self.good_trials < config.idempotent_trials {
+        if !idempotent && self.insists_on_idempotent(cx.now, config) {
             return Admission::Refuse(RefuseReason::TrialNotIdempotent);
         }
         self.in_flight_since = Some(cx.now);
@@ -86,6 +92,14 @@
         Admission::Admit
     }
 
+    fn insists_on_idempotent(&mut self, now: Instant, config: &HealthConfig) -> bool {
+        if self.good_trials >= config.idempotent_trials {
+            return false;
+        }
+        let since = *self.refused_since.get_or_insert(now);
+        now.saturating_duration_since(since) < IDEMPOTENT_WAIT
+    }
+
     pub(super) fn admit_normal(&self, cx: &mut Cx, config: &HealthConfig) -> Admission {
         let share = self.share(cx.now, config);
         if share > 0.0 && cx.rng.random::<f64>() < share {
