--- a/crates/fescuemux-cli/src/main.rs
+++ b/crates/fescuemux-cli/src/main.rs
@@ -4,6 +4,7 @@
 mod check;
 mod demo;
 mod load;
+mod measure;
 mod operate;
 
 use clap::{Parser, Subcommand};
@@ -70,6 +71,9 @@
     Demo(demo::Args),
     /// Sends load at a fixed rate and reports latency and failed checks
     Load(Box<load::Args>),
+    /// Measures the decision parts on seeded traces
+    #[command(subcommand)]
+    Measure(measure::Measure),
 }
 
 fn main() -> ExitCode {
@@ -93,5 +97,6 @@
         Command::Check { file } => Ok(check::check(&file)),
         Command::Demo(args) => demo::run(&args),
         Command::Load(args) => load::run(*args),
+        Command::Measure(what) => measure::measure(&what),
     }
 }
--- /dev/null
+++ b/crates/fescuemux-cli/src/measure.rs
@@ -0,0 +1,77 @@
+//! Measurements of the decision parts on seeded traces and a virtual clock.
+
+use clap::{Args, Subcommand};
+use fescuemux_measure::detection::{Options, run, write_plots};
+use fescuemux_measure::overload::{Fault, report, storm};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// What to measure.
+#[derive(Debug, Subcommand)]
+pub(crate) enum Measure {
+    /// Detection time and false ejections against three baselines
+    Detection(DetectionArgs),
+    /// Retries in a total outage and recovery from an overload
+    RetryStorm {
+        /// Seeds for each case
+        #[arg(long, default_value_t = 1)]
+        seeds: u64,
+    },
+}
+
+/// Arguments of the measurement of detection.
+#[derive(Debug, Args)]
+pub(crate) struct DetectionArgs {
+    /// Seeds for each trace, pool and method
+    #[arg(long, default_value_t = 20)]
+    seeds: u64,
+    /// Threads
+    #[arg(long, default_value_t = 2)]
+    threads: usize,
+    /// Print JSON; the table goes to standard error
+    #[arg(long)]
+    json: bool,
+    /// Folder for plots
+    #[arg(long, value_name = "DIR")]
+    plot: Option<PathBuf>,
+}
+
+pub(crate) fn measure(what: &Measure) -> anyhow::Result<ExitCode> {
+    match what {
+        Measure::Detection(args) => detection(args)?,
+        Measure::RetryStorm { seeds } => retry_storm(*seeds)?,
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn detection(args: &DetectionArgs) -> anyhow::Result<()> {
+    let options = Options { threads: args.threads, seeds: args.seeds, ..Options::default() };
+    eprintln!("measuring {} seeds of each trace; 20 seeds take about a minute", args.seeds);
+    let report = run(&options);
+    if args.json {
+        eprint!("{report}");
+        println!("{}", report.to_json()?);
+    } else {
+        print!("{report}");
+    }
+    if let Some(dir) = &args.plot {
+        write_plots(&report, dir)?;
+    }
+    Ok(())
+}
+
+fn retry_storm(seeds: u64) -> anyhow::Result<()> {
+    eprintln!("measuring {seeds} seeds of each case");
+    let mut outages = Vec::new();
+    let mut halves = Vec::new();
+    for size in storm::SIZES {
+        for policy in storm::POLICIES {
+            outages.extend((1..=seeds).map(|seed| storm::outage(size, policy, seed)));
+            for fault in [Fault::HalfDown, Fault::HalfSpeed] {
+                halves.extend((1..=seeds).map(|seed| storm::half(size, fault, policy, seed)));
+            }
+        }
+    }
+    report::print("total outage, 60 s", &outages)?;
+    report::print("half capacity at twice the load, 30 s, then whole capacity", &halves)
+}
