--- a/crates/fescuemux-daemon/tests/refusals.rs
+++ b/crates/fescuemux-daemon/tests/refusals.rs
@@ -1,8 +1,9 @@
-//! Answers to callers whose request a guard refused.
+//! Requests that a guard refuses.
 
 mod support;
 
-use support::{Fleet, send_raw};
+use fescuemux_standins::server::ServerFault;
+use support::{Fleet, get, intent, send_raw};
 
 /// Guards against callers that send a refused request again at once: the design page promises
 /// `Retry-After` on every 503, whoever refused.
@@ -15,3 +16,26 @@
     assert_eq!((raw.status, raw.verdict.as_deref()), (Some(503), Some("not-run")), "{raw:?}");
     assert!(raw.text.to_ascii_lowercase().contains("\r\nretry-after: "), "{raw:?}");
 }
+
+/// Guards against a service whose `queue_limit` has no effect: with none to wait in, the request
+/// that finds all slots busy is refused.
+#[test]
+fn a_queue_limit_of_zero_refuses_when_all_slots_are_busy() {
+    let fleet = Fleet::start(1);
+    let mut limited = intent();
+    limited["content"]["services"][0]["queue_limit"] = 0.into();
+    let generation = fleet.confirm(&limited);
+    let dump = |fleet: &Fleet| get(fleet.operators(0), "/v1/dump");
+    fleet.wait_for("the queue limit", |fleet| dump(fleet)["generation"] == generation);
+    fleet.servers[0].set_fault(ServerFault::BlackHole);
+    let request = "GET /slots HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\
+                   fescuemux-deadline-ms: 3000\r\n\r\n";
+    let addr = fleet.callers(0);
+    let busy: Vec<_> =
+        (0..4).map(|_| std::thread::spawn(move || send_raw(addr, request.as_bytes()))).collect();
+    fleet.wait_for("four busy slots", |fleet| dump(fleet)["servers"][0]["busy"] == 4);
+    let raw = send_raw(addr, request.as_bytes());
+    busy.into_iter().for_each(|caller| drop(caller.join().unwrap()));
+    assert_eq!((raw.status, raw.verdict.as_deref()), (Some(503), Some("not-run")), "{raw:?}");
+    assert!(raw.text.contains("the queue is full"), "{raw:?}");
+}
