--- a/crates/fescuemux-measure/src/history/broken.rs
+++ b/crates/fescuemux-measure/src/history/broken.rs
@@ -5,7 +5,7 @@
 pub enum Broken {
     /// A guard ejects its server without asking the ledger.
     EjectAlone,
-    /// A guard writes the ledger without comparing versions.
+    /// A guard writes the ledger that it wrote last, without comparing versions.
     BlindLedger,
     /// An ingress takes the next answer of a guard for that of its oldest request there.
     AnswersInOrder,
--- a/crates/fescuemux-measure/src/history/ledger.rs
+++ b/crates/fescuemux-measure/src/history/ledger.rs
@@ -1,5 +1,6 @@
 //! Keeps the ejection ledgers of an instance's servers in the store.
 
+use super::broken::Broken;
 use super::events::Then;
 use super::instance::{Stop, server_id, service_id};
 use super::store::{Answer, Key, Op, Value};
@@ -18,6 +19,8 @@
     tasks: VecDeque<(usize, bool)>,
     job: Option<Job>,
     reviewed: Instant,
+    /// What this guard wrote last, by service. Used by a broken version only.
+    own: [Ledger; 2],
 }
 
 #[derive(Debug)]
@@ -32,7 +35,7 @@
 
 impl LedgerKeeper {
     pub(super) fn new(now: Instant) -> LedgerKeeper {
-        LedgerKeeper { tasks: VecDeque::new(), job: None, reviewed: now }
+        LedgerKeeper { tasks: VecDeque::new(), job: None, reviewed: now, own: Default::default() }
     }
 }
 
@@ -76,7 +79,10 @@
             self.end_job(i, PermitAnswer::StoreUnavailable);
             return;
         };
-        let ledger = ledger_of(value);
+        let blind = self.is(Broken::BlindLedger);
+        let known = &self.instances[i].ledger;
+        let own = known.job.as_ref().map_or(0, |job| job.server % 2);
+        let ledger = if blind { known.own[own].clone() } else { ledger_of(value) };
         let Some(job) = self.instances[i].ledger.job.as_mut() else { return };
         let (server, enter) = (job.server, job.enter);
         if job.doubt.take().is_some_and(|doubt| doubt == ledger) {
@@ -101,6 +107,7 @@
                 if let Some(job) = self.instances[i].ledger.job.as_mut() {
                     job.written = next.clone();
                 }
+                self.instances[i].ledger.own[server % 2] = next.clone();
                 let op = Op::Swap(Key::Ledger(server % 2), version, Value::Ledger(next));
                 self.store(i, op, Then::LedgerWritten);
             }
--- a/crates/fescuemux-measure/src/history/members.rs
+++ b/crates/fescuemux-measure/src/history/members.rs
@@ -81,6 +81,13 @@
         self.route(i, &instance_id(i));
     }
 
+    pub(super) fn carry_sends(&mut self, i: usize, sends: Vec<fescuemux_core::member::Send>) {
+        for send in sends {
+            let to = instance_at(send.addr);
+            self.send(i, to, Msg::Member(Box::new(send.message)));
+        }
+    }
+
     fn carry_outputs(&mut self, i: usize, outputs: Vec<Output>) {
         for output in outputs {
             match output {
--- a/crates/fescuemux-measure/src/history/world.rs
+++ b/crates/fescuemux-measure/src/history/world.rs
@@ -4,7 +4,7 @@
 use super::check::{INSTANCES, SERVERS};
 use super::events::{Event, Msg, Reply, Scheduled, Target, Then};
 use super::fault::{Fault, FaultKind};
-use super::instance::{Call, Instance, instance_at};
+use super::instance::{Call, Instance};
 use super::record::{Entry, Event as Seen};
 use super::store::{Answer, Key, MemoryStore, Op, Value};
 use fescuemux_core::base::{Cx, Phase};
@@ -173,7 +173,11 @@
         if parted && self.cx.rng.random_bool(0.5) {
             if let Some(call) = msg.call() {
                 let reply = Msg::Reply { call, reply: Reply::Unreached };
-                self.after_in(from, CONNECT_TIMEOUT, Event::Deliver { from: to, msg: reply });
+                self.after_in(
+                    from,
+                    CONNECT_TIMEOUT,
+                    Event::Deliver { from: to, msg: reply, copy: false },
+                );
             }
             return;
         }
@@ -187,11 +191,11 @@
         if self.fault(FaultKind::Duplicate).is_some() && self.cx.rng.random_bool(0.3) {
             let longest = if self.cx.rng.random_bool(0.1) { 40_000 } else { 500 };
             let late = delay + Duration::from_millis(self.cx.rng.random_range(0..longest));
-            let copy = Event::Deliver { from, msg: msg.clone() };
+            let copy = Event::Deliver { from, msg: msg.clone(), copy: true };
             self.after(late, Target::Instance(to), copy);
         }
         if !lost {
-            self.after(delay, Target::Instance(to), Event::Deliver { from, msg });
+            self.after(delay, Target::Instance(to), Event::Deliver { from, msg, copy: false });
         }
     }
 
@@ -281,7 +285,8 @@
                 self.after_in(i, ANNOUNCE, Event::Announce { server });
                 self.announce(i, server);
             }
-            Event::Deliver { from, msg } => self.deliver(i, from, msg),
+            Event::Deliver { copy: true, .. } if !self.instances[i].up => {}
+            Event::Deliver { from, msg, .. } => self.deliver(i, from, msg),
             Event::CallTimeout { call } => self.on_reply(i, call, Reply::Lost),
             Event::Settle { order, holder, outcome, attempt } => {
                 self.settle(i, order, holder, outcome, attempt);
@@ -387,11 +392,4 @@
             Then::Confirm(confirming) => self.on_confirm_reply(i, *confirming, answer),
         }
     }
-
-    pub(super) fn carry_sends(&mut self, i: usize, sends: Vec<fescuemux_core::member::Send>) {
-        for send in sends {
-            let to = instance_at(send.addr);
-            self.send(i, to, Msg::Member(Box::new(send.message)));
-        }
-    }
 }
