--- a/crates/fescuemux-daemon/src/guard.rs
+++ b/crates/fescuemux-daemon/src/guard.rs
@@ -162,6 +162,9 @@
         let silent: Vec<ServerId> = servers
             .iter()
             .filter(|server| server.silence() > ANNOUNCEMENT_TIMEOUT)
+            // A silent server keeps its slots while old work runs: announced again, it would
+            // otherwise start with all slots free.
+            .filter(|server| server.in_flight() == 0)
             .map(|server| server.id.clone())
             .collect();
         for server in &servers {
--- a/crates/fescuemux-daemon/src/ingress/hedge.rs
+++ b/crates/fescuemux-daemon/src/ingress/hedge.rs
@@ -6,7 +6,7 @@
 use super::incoming::IncomingRequest;
 use super::service_parts::ServiceParts;
 use fescuemux_core::base::Verdict;
-use fescuemux_core::route::Choice;
+use fescuemux_core::route::{Choice, RequestKind};
 use futures::future::{Either, select};
 use std::pin::pin;
 use std::sync::Arc;
@@ -39,12 +39,16 @@
         };
         let attempt = attempt_of(req, body, parts, tried, Verdict::MayHaveRun, None);
         let other = self.choose(req, tried).filter(|other| other.server != choice.server);
-        let Some(other) = other.filter(|_| parts.try_hedge(&attempt)) else {
+        // A trial is the fleet's own question, so its request is not charged for it. Guards take
+        // one trial at a time, which bounds these attempts.
+        let trial = choice.kind == RequestKind::Trial;
+        let Some(other) = other.filter(|_| trial || parts.try_hedge(&attempt)) else {
             let attempted = first.await;
             note_path(&attempted, choice, tried);
             return attempted;
         };
-        self.cx.metrics.attempt(&req.service.id, "hedged");
+        let kind = if trial { "trial hedged" } else { "hedged" };
+        self.cx.metrics.attempt(&req.service.id, kind);
         let number = tried.begin(&other);
         let second = pin!(self.attempt(req, body, parts, &other, number));
         let (attempted, chosen, rest) = match select(first, second).await {
