--- a/crates/fescuemux-core/src/base.rs
+++ b/crates/fescuemux-core/src/base.rs
@@ -8,6 +8,8 @@
 mod favor;
 mod ids;
 mod phase;
+mod request_kind;
+mod server_health;
 mod verdict;
 
 pub use clock::Clock;
@@ -19,4 +21,6 @@
     ServiceId,
 };
 pub use phase::Phase;
+pub use request_kind::RequestKind;
+pub use server_health::ServerHealth;
 pub use verdict::Verdict;
--- /dev/null
+++ b/crates/fescuemux-core/src/base/server_health.rs
@@ -0,0 +1,15 @@
+//! Health of a backend server as its guard publishes it.
+
+/// Which requests a backend server takes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub enum ServerHealth {
+    /// Normal requests.
+    #[default]
+    Serving,
+    /// Last-resort requests only.
+    Steered,
+    /// None.
+    Ejected,
+    /// Trial requests, and a growing share of normal ones.
+    Probation,
+}
--- a/crates/fescuemux-core/src/eject.rs
+++ b/crates/fescuemux-core/src/eject.rs
@@ -17,8 +17,9 @@
 #[cfg(test)]
 mod tests;
 
+pub use crate::base::RequestKind;
 pub use action::{Action, PermitAnswer};
-pub use admission::{Admission, RefuseReason, RequestKind};
+pub use admission::{Admission, RefuseReason};
 pub use capacity::{Capacity, ServerCapacity};
 pub use config::HealthConfig;
 pub use health::{Health, State};
--- a/crates/fescuemux-core/src/eject/admission.rs
+++ b/crates/fescuemux-core/src/eject/admission.rs
@@ -2,17 +2,6 @@
 
 use std::fmt;
 
-/// Why an ingress chose a backend server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum RequestKind {
-    /// The server is one of the preferred ones.
-    Normal,
-    /// The ingress has no preferred server with room.
-    LastResort,
-    /// The request tries a server that is returning.
-    Trial,
-}
-
 /// Answer to "may this request go to the backend server?". A refusal is "not run".
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Admission {
--- a/crates/fescuemux-core/src/eject/health.rs
+++ b/crates/fescuemux-core/src/eject/health.rs
@@ -1,11 +1,11 @@
 //! State machine of one backend server.
 
 use super::action::{Action, PermitAnswer};
-use super::admission::{Admission, RefuseReason, RequestKind};
+use super::admission::{Admission, RefuseReason};
 use super::config::HealthConfig;
 use super::hold::Hold;
 use super::probation::Probation;
-use crate::base::Cx;
+use crate::base::{Cx, RequestKind, ServerHealth};
 use crate::detect::{Assessment, Level, TrialOutcome};
 use std::time::{Duration, Instant};
 
@@ -335,3 +335,14 @@
         self.permit != Permit::Absent
     }
 }
+
+impl From<State> for ServerHealth {
+    fn from(state: State) -> ServerHealth {
+        match state {
+            State::Serving => ServerHealth::Serving,
+            State::Steered => ServerHealth::Steered,
+            State::Ejected => ServerHealth::Ejected,
+            State::Probation => ServerHealth::Probation,
+        }
+    }
+}
--- a/crates/fescuemux-core/src/lib.rs
+++ b/crates/fescuemux-core/src/lib.rs
@@ -12,7 +12,7 @@
 //! ```
 //! use fescuemux_core::base::{Cx, Phase, Verdict};
 //! use fescuemux_core::route::{
-//!     Answered, Endpoint, EndpointHealth, RequestKind, RouteQuery, Router, RouterConfig,
+//!     Answered, Endpoint, ServerHealth, RequestKind, RouteQuery, Router, RouterConfig,
 //!     ServerLoad,
 //! };
 //! use std::time::{Duration, Instant};
@@ -29,7 +29,7 @@
 //!     slots: 4,
 //!     phase: Phase::Ready,
 //!     incarnation: 1,
-//!     health: EndpointHealth::Serving,
+//!     health: ServerHealth::Serving,
 //! };
 //! router.upsert(&mut cx, endpoint);
 //!
@@ -44,7 +44,7 @@
 //!     verdict: Verdict::Ran,
 //!     latency: Duration::from_millis(25),
 //!     load: Some(ServerLoad { busy: 1, slots: 4, queued: 0 }),
-//!     health: Some(EndpointHealth::Steered),
+//!     health: Some(ServerHealth::Steered),
 //! };
 //! router.on_answer(&mut cx, &choice.server, answered);
 //!
--- a/crates/fescuemux-core/src/member.rs
+++ b/crates/fescuemux-core/src/member.rs
@@ -20,12 +20,12 @@
 mod sync;
 mod table;
 
+pub use crate::base::ServerHealth;
 pub use config::MemberConfig;
 pub use digest::{BUCKETS, stable_hash};
 pub use membership::{Counters, Membership};
 pub use message::{Body, ConfigStamp, Message, Update};
 pub use output::{Output, Send};
 pub use record::{
-    Addresses, InstanceRecord, MemberState, RecordKey, RegionId, ServerHealth, ServerRecord,
-    Standing,
+    Addresses, InstanceRecord, MemberState, RecordKey, RegionId, ServerRecord, Standing,
 };
--- a/crates/fescuemux-core/src/member/record.rs
+++ b/crates/fescuemux-core/src/member/record.rs
@@ -1,6 +1,8 @@
 //! Records of instances and their order.
 
-use crate::base::{DomainId, Generation, Incarnation, InstanceId, Phase, ServerId, ServiceId};
+use crate::base::{
+    DomainId, Generation, Incarnation, InstanceId, Phase, ServerHealth, ServerId, ServiceId,
+};
 use smol_str::SmolStr;
 use std::net::SocketAddr;
 
@@ -21,19 +23,6 @@
     Dead,
 }
 
-/// Health of a backend server as its guard decided it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum ServerHealth {
-    /// Takes normal requests.
-    Serving,
-    /// Takes only last-resort requests.
-    Steered,
-    /// Takes no requests.
-    Ejected,
-    /// Takes trial requests.
-    Probation,
-}
-
 /// One backend server of an instance.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ServerRecord {
--- a/crates/fescuemux-core/src/route.rs
+++ b/crates/fescuemux-core/src/route.rs
@@ -13,10 +13,11 @@
 mod router;
 mod service;
 
+pub use crate::base::{RequestKind, ServerHealth};
 pub use breaker::{BreakerConfig, BreakerState};
 pub use config::RouterConfig;
-pub use endpoint::{Endpoint, EndpointHealth};
-pub use query::{Answered, Choice, RequestKind, RouteQuery, ServerLoad};
+pub use endpoint::Endpoint;
+pub use query::{Answered, Choice, RouteQuery, ServerLoad};
 pub use router::Router;
 
 #[cfg(test)]
--- a/crates/fescuemux-core/src/route/choose.rs
+++ b/crates/fescuemux-core/src/route/choose.rs
@@ -3,7 +3,7 @@
 use crate::base::Cx;
 use crate::route::entry::{Entry, Index, Tier};
 use crate::route::service::ServiceTable;
-use crate::route::{BreakerState, Choice, EndpointHealth, RequestKind, RouteQuery, Router};
+use crate::route::{BreakerState, Choice, RequestKind, RouteQuery, Router, ServerHealth};
 use rand::Rng;
 use std::time::Duration;
 
@@ -116,9 +116,9 @@
     }
 
     fn is_in_probation(&self, index: Index, query: &RouteQuery) -> bool {
-        self.entries[index as usize].as_ref().is_some_and(|entry| {
-            entry.health == EndpointHealth::Probation && !excluded(query, entry)
-        })
+        self.entries[index as usize]
+            .as_ref()
+            .is_some_and(|entry| entry.health == ServerHealth::Probation && !excluded(query, entry))
     }
 
     /// Samples [`CHOICES`] of `count` servers and returns the one with the lowest load.
@@ -182,7 +182,7 @@
         for step in 0..count.min(MAX_STEPS) {
             let index = at((start + step) % count)?;
             let entry = self.entries[index as usize].as_ref()?;
-            let probation = entry.health == EndpointHealth::Probation;
+            let probation = entry.health == ServerHealth::Probation;
             if !probation && !excluded(query, entry) {
                 return Some((index, entry));
             }
@@ -270,9 +270,9 @@
     fn choice(&self, index: Index, path_trial: bool) -> Option<Choice> {
         let entry = self.entries[index as usize].as_ref()?;
         let kind = match entry.health {
-            EndpointHealth::Steered => RequestKind::LastResort,
-            EndpointHealth::Probation => RequestKind::Trial,
-            EndpointHealth::Serving | EndpointHealth::Ejected => RequestKind::Normal,
+            ServerHealth::Steered => RequestKind::LastResort,
+            ServerHealth::Probation => RequestKind::Trial,
+            ServerHealth::Serving | ServerHealth::Ejected => RequestKind::Normal,
         };
         let server = entry.endpoint.server.clone();
         Some(Choice { server, instance: entry.endpoint.instance.clone(), kind, path_trial })
--- a/crates/fescuemux-core/src/route/endpoint.rs
+++ b/crates/fescuemux-core/src/route/endpoint.rs
@@ -1,19 +1,6 @@
 //! A backend server as the router is told of it.
 
-use crate::base::{DomainId, Incarnation, InstanceId, Phase, ServerId, ServiceId};
-
-/// Health of a backend server as its guard reports it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum EndpointHealth {
-    /// Takes normal requests.
-    Serving,
-    /// Takes last-resort requests only.
-    Steered,
-    /// Takes nothing.
-    Ejected,
-    /// Takes trial requests only.
-    Probation,
-}
+use crate::base::{DomainId, Incarnation, InstanceId, Phase, ServerHealth, ServerId, ServiceId};
 
 /// A backend server behind a guard, from the membership record of the guard.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -35,5 +22,5 @@
     /// Incarnation of the guard. A record of an earlier incarnation is ignored.
     pub incarnation: Incarnation,
     /// Health as spread by membership.
-    pub health: EndpointHealth,
+    pub health: ServerHealth,
 }
--- a/crates/fescuemux-core/src/route/entry.rs
+++ b/crates/fescuemux-core/src/route/entry.rs
@@ -3,7 +3,7 @@
 use crate::base::{InstanceId, Phase, ServerId};
 use crate::route::breaker::Breaker;
 use crate::route::load::LoadEstimate;
-use crate::route::{BreakerState, Endpoint, EndpointHealth};
+use crate::route::{BreakerState, Endpoint, ServerHealth};
 use std::time::{Duration, Instant};
 
 /// Index of an entry in the router's table.
@@ -43,7 +43,7 @@
     pub(super) tier: Tier,
     /// Subset rank: the servers of lowest rank form this ingress's subset.
     pub(super) rank: u64,
-    pub(super) health: EndpointHealth,
+    pub(super) health: ServerHealth,
     pub(super) class: Class,
     pub(super) load: LoadEstimate,
     pub(super) in_flight: u32,
@@ -58,7 +58,7 @@
         if self.endpoint.phase == Phase::Draining {
             return Class::Off;
         }
-        if self.health == EndpointHealth::Ejected {
+        if self.health == ServerHealth::Ejected {
             return Class::Off;
         }
         match state {
@@ -67,10 +67,10 @@
             BreakerState::Closed => {}
         }
         match self.health {
-            EndpointHealth::Serving => Class::Ready,
-            EndpointHealth::Steered => Class::Steered,
-            EndpointHealth::Probation => Class::Probation,
-            EndpointHealth::Ejected => Class::Off,
+            ServerHealth::Serving => Class::Ready,
+            ServerHealth::Steered => Class::Steered,
+            ServerHealth::Probation => Class::Probation,
+            ServerHealth::Ejected => Class::Off,
         }
     }
 
--- a/crates/fescuemux-core/src/route/query.rs
+++ b/crates/fescuemux-core/src/route/query.rs
@@ -1,20 +1,9 @@
 //! Inputs and outputs of routing decisions.
 
-use crate::base::{InstanceId, ServerId, ServiceId, Verdict};
-use crate::route::EndpointHealth;
+use crate::base::{InstanceId, RequestKind, ServerId, ServiceId, Verdict};
+use crate::route::ServerHealth;
 use std::time::Duration;
 
-/// Tells a guard why a request was sent to its backend server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum RequestKind {
-    /// Sent to a serving backend server.
-    Normal,
-    /// Sent to a steered backend server, because no other server has room.
-    LastResort,
-    /// Sent to a backend server in probation, to learn whether it recovered.
-    Trial,
-}
-
 /// One routing question.
 #[derive(Clone, Copy, Debug)]
 pub struct RouteQuery<'a> {
@@ -70,5 +59,5 @@
     /// Load reported on the answer.
     pub load: Option<ServerLoad>,
     /// Health reported on the answer.
-    pub health: Option<EndpointHealth>,
+    pub health: Option<ServerHealth>,
 }
--- a/crates/fescuemux-core/src/route/router.rs
+++ b/crates/fescuemux-core/src/route/router.rs
@@ -6,7 +6,7 @@
 use crate::route::entry::{Class, Entry, Index, Path, Tier, rank};
 use crate::route::load::LoadEstimate;
 use crate::route::service::{Place, ServiceTable};
-use crate::route::{BreakerState, Endpoint, EndpointHealth, RouterConfig};
+use crate::route::{BreakerState, Endpoint, RouterConfig, ServerHealth};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
 use std::time::Instant;
@@ -95,7 +95,7 @@
     }
 
     /// Returns the health of a backend server as this ingress knows it.
-    pub fn health(&self, server: &ServerId) -> Option<EndpointHealth> {
+    pub fn health(&self, server: &ServerId) -> Option<ServerHealth> {
         let index = self.by_server.get(server)?;
         self.entries[*index as usize].as_ref().map(|e| e.health)
     }
@@ -193,15 +193,15 @@
         self.reclassify(index);
     }
 
-    pub(super) fn set_health(&mut self, cx: &mut Cx, index: Index, health: EndpointHealth) {
+    pub(super) fn set_health(&mut self, cx: &mut Cx, index: Index, health: ServerHealth) {
         let Some(entry) = self.entries[index as usize].as_mut() else {
             return;
         };
-        let was_out = matches!(entry.health, EndpointHealth::Ejected | EndpointHealth::Probation);
-        if was_out && health == EndpointHealth::Serving {
+        let was_out = matches!(entry.health, ServerHealth::Ejected | ServerHealth::Probation);
+        if was_out && health == ServerHealth::Serving {
             entry.ramp_start = Some(cx.now);
         }
-        if entry.health != health && health == EndpointHealth::Probation {
+        if entry.health != health && health == ServerHealth::Probation {
             entry.last_trial = cx.now;
         }
         entry.health = health;
--- a/crates/fescuemux-core/src/route/tests/breaker.rs
+++ b/crates/fescuemux-core/src/route/tests/breaker.rs
@@ -2,7 +2,7 @@
 
 use super::support::{answered, choose, cx, endpoint, router, share};
 use crate::base::Cx;
-use crate::route::{BreakerState, EndpointHealth, Router};
+use crate::route::{BreakerState, Router, ServerHealth};
 use std::time::Duration;
 
 fn fail(router: &mut Router, cx: &mut Cx, server: &str, n: usize) {
@@ -19,7 +19,7 @@
     router.upsert(&mut cx, endpoint("b", "d1"));
     fail(&mut router, &mut cx, "a", 3);
     assert_eq!(share(&mut router, &mut cx, 100, "a"), 0.0);
-    assert_eq!(router.health(&"a".into()), Some(EndpointHealth::Serving));
+    assert_eq!(router.health(&"a".into()), Some(ServerHealth::Serving));
 }
 
 /// Guards against a breaker that opens at single lost packets among many answers.
--- a/crates/fescuemux-core/src/route/tests/kinds.rs
+++ b/crates/fescuemux-core/src/route/tests/kinds.rs
@@ -2,20 +2,20 @@
 
 use super::support::{answered, choose, cx, endpoint, router};
 use crate::base::Phase;
-use crate::route::{EndpointHealth, RequestKind};
-use EndpointHealth::{Ejected, Probation, Serving, Steered};
+use crate::route::{RequestKind, ServerHealth};
+use ServerHealth::{Ejected, Probation, Serving, Steered};
 use std::collections::BTreeSet;
 
 struct Server {
     name: &'static str,
     domain: &'static str,
-    health: EndpointHealth,
+    health: ServerHealth,
     phase: Phase,
     /// Requests of other ingresses that run or wait.
     load: u32,
 }
 
-const fn server(name: &'static str, domain: &'static str, health: EndpointHealth) -> Server {
+const fn server(name: &'static str, domain: &'static str, health: ServerHealth) -> Server {
     Server { name, domain, health, phase: Phase::Ready, load: 0 }
 }
 
--- a/crates/fescuemux-core/src/route/tests/model.rs
+++ b/crates/fescuemux-core/src/route/tests/model.rs
@@ -2,7 +2,7 @@
 
 use super::support::{answered, cx, endpoint, router};
 use crate::base::{Cx, HashMap, Phase, ServerId, ServiceId};
-use crate::route::{Choice, EndpointHealth, RequestKind, RouteQuery, Router};
+use crate::route::{Choice, RequestKind, RouteQuery, Router, ServerHealth};
 use proptest::prelude::{Strategy, TestCaseError, any, prop_oneof};
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use std::time::Duration;
@@ -18,12 +18,8 @@
 }
 
 const PHASES: [Phase; 3] = [Phase::Cold, Phase::Ready, Phase::Draining];
-const HEALTHS: [EndpointHealth; 4] = [
-    EndpointHealth::Serving,
-    EndpointHealth::Steered,
-    EndpointHealth::Ejected,
-    EndpointHealth::Probation,
-];
+const HEALTHS: [ServerHealth; 4] =
+    [ServerHealth::Serving, ServerHealth::Steered, ServerHealth::Ejected, ServerHealth::Probation];
 const DOMAINS: [&str; 3] = ["d1", "d2", "x1"];
 
 fn event() -> impl Strategy<Value = Event> {
@@ -43,7 +39,7 @@
 /// Known servers with phase and health, kept without any index.
 #[derive(Default)]
 struct Model {
-    servers: HashMap<ServerId, (Phase, EndpointHealth)>,
+    servers: HashMap<ServerId, (Phase, ServerHealth)>,
     incarnation: u64,
     /// Makes the router a broken one that is not told of draining.
     lose_drains: bool,
@@ -58,34 +54,34 @@
             return false;
         }
         match health {
-            EndpointHealth::Serving => choice.kind == RequestKind::Normal,
-            EndpointHealth::Steered => match choice.kind {
+            ServerHealth::Serving => choice.kind == RequestKind::Normal,
+            ServerHealth::Steered => match choice.kind {
                 RequestKind::LastResort => true,
                 // Checks whether the evidence was a passing stall, beside ready servers only.
-                RequestKind::Trial => self.has(&[], &[EndpointHealth::Serving]),
+                RequestKind::Trial => self.has(&[], &[ServerHealth::Serving]),
                 RequestKind::Normal => false,
             },
-            EndpointHealth::Probation => match choice.kind {
+            ServerHealth::Probation => match choice.kind {
                 RequestKind::Trial => true,
                 // Its guard takes other requests only while the service has nothing else.
                 RequestKind::LastResort => !self.has_server(exclude),
                 RequestKind::Normal => false,
             },
-            EndpointHealth::Ejected => false,
+            ServerHealth::Ejected => false,
         }
     }
 
     /// Returns true when some server may take an ordinary request, whatever its path.
     fn has_server(&self, exclude: &[ServerId]) -> bool {
-        self.has(exclude, &[EndpointHealth::Serving, EndpointHealth::Steered])
+        self.has(exclude, &[ServerHealth::Serving, ServerHealth::Steered])
     }
 
     /// Returns true when some server may take a request of last resort, whatever its path.
     fn has_last_resort(&self, exclude: &[ServerId]) -> bool {
-        self.has_server(exclude) || self.has(exclude, &[EndpointHealth::Probation])
+        self.has_server(exclude) || self.has(exclude, &[ServerHealth::Probation])
     }
 
-    fn has(&self, exclude: &[ServerId], healths: &[EndpointHealth]) -> bool {
+    fn has(&self, exclude: &[ServerId], healths: &[ServerHealth]) -> bool {
         self.servers.iter().any(|(server, (phase, health))| {
             healths.contains(health) && *phase != Phase::Draining && !exclude.contains(server)
         })
--- a/crates/fescuemux-core/src/route/tests/slow_start.rs
+++ b/crates/fescuemux-core/src/route/tests/slow_start.rs
@@ -2,7 +2,7 @@
 
 use super::support::{cx, endpoint, router, share};
 use crate::base::{Cx, Phase};
-use crate::route::{EndpointHealth, Router};
+use crate::route::{Router, ServerHealth};
 use std::time::Duration;
 
 struct Case {
@@ -18,7 +18,7 @@
 }
 
 fn returned(router: &mut Router, cx: &mut Cx) {
-    for health in [EndpointHealth::Probation, EndpointHealth::Serving] {
+    for health in [ServerHealth::Probation, ServerHealth::Serving] {
         router.upsert(cx, crate::route::Endpoint { health, ..endpoint("a", "d1") });
     }
 }
--- a/crates/fescuemux-core/src/route/tests/support.rs
+++ b/crates/fescuemux-core/src/route/tests/support.rs
@@ -2,7 +2,7 @@
 
 use crate::base::{Cx, Phase, ServerId, ServiceId, Verdict};
 use crate::route::{
-    Answered, Choice, Endpoint, EndpointHealth, RouteQuery, Router, RouterConfig, ServerLoad,
+    Answered, Choice, Endpoint, RouteQuery, Router, RouterConfig, ServerHealth, ServerLoad,
 };
 use std::time::{Duration, Instant};
 
@@ -27,7 +27,7 @@
         slots: 4,
         phase: Phase::Ready,
         incarnation: 1,
-        health: EndpointHealth::Serving,
+        health: ServerHealth::Serving,
     }
 }
 
--- a/crates/fescuemux-core/src/route/tests/updates.rs
+++ b/crates/fescuemux-core/src/route/tests/updates.rs
@@ -2,20 +2,20 @@
 
 use super::support::{answered, cx, endpoint, router, share};
 use crate::base::Cx;
-use crate::route::{Answered, Endpoint, EndpointHealth, Router};
-use EndpointHealth::{Ejected, Serving, Steered};
+use crate::route::{Answered, Endpoint, Router, ServerHealth};
+use ServerHealth::{Ejected, Serving, Steered};
 
 struct Case {
     name: &'static str,
     steps: &'static [Step],
-    expected: EndpointHealth,
+    expected: ServerHealth,
 }
 
 enum Step {
     /// A membership record of this incarnation and health.
-    Record(u64, EndpointHealth),
+    Record(u64, ServerHealth),
     /// A report on an answer.
-    Report(EndpointHealth),
+    Report(ServerHealth),
 }
 use Step::{Record, Report};
 
--- a/crates/fescuemux-core/tests/route_probation.rs
+++ b/crates/fescuemux-core/tests/route_probation.rs
@@ -4,7 +4,7 @@
 use fescuemux_core::detect::{Assessment, Level, TrialOutcome};
 use fescuemux_core::eject::{self, Action, Admission, Health, HealthConfig, State};
 use fescuemux_core::route::{
-    Endpoint, EndpointHealth, RequestKind, RouteQuery, Router, RouterConfig,
+    Endpoint, RequestKind, RouteQuery, Router, RouterConfig, ServerHealth,
 };
 use std::time::{Duration, Instant};
 
@@ -20,7 +20,7 @@
         slots: 4,
         phase: Phase::Ready,
         incarnation: 1,
-        health: EndpointHealth::Probation,
+        health: ServerHealth::Probation,
     }
 }
 
--- /dev/null
+++ b/crates/fescuemux-daemon/src/daemon/bound.rs
@@ -0,0 +1,54 @@
+//! Sockets of a daemon that starts.
+
+use crate::http::Listener;
+use anyhow::Context;
+use fescuemux_core::base::Incarnation;
+use fescuemux_core::member::{Addresses, InstanceRecord, MemberState};
+use fescuemux_settings::Settings;
+use tokio::net::TcpListener;
+
+/// Sockets bound before anything starts, so that a daemon whose address is taken does nothing.
+pub(super) struct Bound {
+    pub(super) callers: Listener,
+    pub(super) hop: Listener,
+    pub(super) rpc: TcpListener,
+}
+
+impl Bound {
+    pub(super) async fn bind(settings: &Settings) -> anyhow::Result<Bound> {
+        let listen = &settings.listen;
+        let callers = Listener::bind(listen.callers).await;
+        let hop = Listener::bind(listen.hop).await;
+        let rpc = TcpListener::bind(listen.rpc).await;
+        Ok(Bound {
+            callers: callers
+                .with_context(|| format!("cannot bind `callers` {}", listen.callers))?,
+            hop: hop.with_context(|| format!("cannot bind `hop` {}", listen.hop))?,
+            rpc: rpc.with_context(|| format!("cannot bind `rpc` {}", listen.rpc))?,
+        })
+    }
+
+    /// Returns the own record. A port of zero in the settings stands for the one bound.
+    pub(super) fn record(&self, settings: &Settings, incarnation: Incarnation) -> InstanceRecord {
+        let mut hop = settings.advertise.hop;
+        if let (0, Ok(bound)) = (hop.port(), self.hop.local_addr()) {
+            hop.set_port(bound.port());
+        }
+        let mut rpc = settings.advertise.rpc;
+        if let (0, Ok(bound)) = (rpc.port(), self.rpc.local_addr()) {
+            rpc.set_port(bound.port());
+        }
+        InstanceRecord {
+            instance: settings.instance.clone(),
+            domain: settings.domain.clone(),
+            region: settings.region.clone(),
+            incarnation,
+            version: 1,
+            refutation: 0,
+            addresses: Addresses { rpc, hop },
+            state: MemberState::Alive,
+            servers: Vec::new(),
+            generation: 0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-daemon/src/daemon/parts.rs
@@ -0,0 +1,205 @@
+//! The parts of a daemon, before any of them runs.
+
+use super::bound::Bound;
+use crate::clock::SystemClock;
+use crate::config_sync::{ConfigContext, ConfigEvent, ConfigState};
+use crate::decisions::Decisions;
+use crate::demand::Demand;
+use crate::guard::{Guard, GuardContext, GuardEvent};
+use crate::homes::Homes;
+use crate::http::{HttpLimits, Pool};
+use crate::ingress::{Directory, Ingress, IngressContext};
+use crate::metrics::Metrics;
+use crate::operators::{OperatorContext, SetLogLevel};
+use crate::peers::{Members, MembersContext, PeerClients};
+use crate::stop::StopSignal;
+use anyhow::Context;
+use fescuemux_core::base::{Clock, Incarnation, InstanceId};
+use fescuemux_core::member::{MemberConfig, Membership};
+use fescuemux_core::route::RouterConfig;
+use fescuemux_settings::Settings;
+use fescuemux_store::{CallKind, HttpStore, HttpStoreSettings, config_store::ConfigStore};
+use fescuemux_wire::auth::KeyRing;
+use rand::RngCore;
+use std::sync::Arc;
+use std::time::{Duration, UNIX_EPOCH};
+
+/// Longest time to connect to a guard: ten times the round trip between failure domains with a
+/// retransmission.
+const HOP_CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Longest time to connect to a backend server over loopback.
+const LOCAL_CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Idle time of client connections, well below that of the servers, so that a connection is not
+/// reused while its server closes it.
+pub(super) const POOL_IDLE: Duration = Duration::from_secs(15);
+
+/// All parts of a daemon.
+pub(super) struct Parts {
+    pub(super) own: InstanceId,
+    pub(super) incarnation: Incarnation,
+    pub(super) clock: Arc<dyn Clock>,
+    pub(super) keys: KeyRing,
+    pub(super) limits: HttpLimits,
+    pub(super) metrics: Arc<Metrics>,
+    pub(super) stop: StopSignal,
+    pub(super) clients: Arc<PeerClients>,
+    pub(super) directory: Arc<Directory>,
+    pub(super) hop_pool: Arc<Pool>,
+    pub(super) homes: Arc<Homes>,
+    pub(super) guard: Arc<Guard>,
+    pub(super) ingress: Arc<Ingress>,
+    pub(super) members: Arc<Members>,
+    pub(super) state: Arc<ConfigState>,
+    pub(super) demand: Arc<Demand>,
+}
+
+/// Receiving ends of the channels between the parts.
+pub(super) struct Inboxes {
+    pub(super) guard_events: flume::Receiver<GuardEvent>,
+    pub(super) config_events: flume::Receiver<ConfigEvent>,
+}
+
+impl Parts {
+    pub(super) fn build(
+        settings: &Settings,
+        bound: &Bound,
+        stop: StopSignal,
+    ) -> anyhow::Result<(Parts, Inboxes)> {
+        let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+        let keys = settings.cluster_keys.iter().map(|key| *key.as_bytes()).collect();
+        let keys = KeyRing::new(keys).context("no cluster key is set")?;
+        let metrics = Arc::new(Metrics::new()?);
+        let incarnation = incarnation(&*clock);
+        let seed = rand::rng().next_u64();
+        let own = settings.instance.clone();
+        let limits = limits(settings);
+        let clients = PeerClients::new(keys.clone());
+        let directory = Arc::new(Directory::default());
+        let homes = Homes::new(
+            own.clone(),
+            Arc::clone(&clock),
+            Arc::clone(&directory),
+            Arc::clone(&clients),
+        );
+        let (guard_tx, guard_events) = flume::unbounded();
+        let guard_context = GuardContext {
+            clock: Arc::clone(&clock),
+            keys: keys.clone(),
+            incarnation,
+            limits,
+            queue: settings.limits.queue,
+            metrics: Arc::clone(&metrics),
+            events: guard_tx,
+            stop: stop.clone(),
+        };
+        let guard = Guard::new(guard_context, Pool::new(LOCAL_CONNECT_TIMEOUT, POOL_IDLE));
+        let ingress_context = IngressContext {
+            clock: Arc::clone(&clock),
+            keys: keys.clone(),
+            limits,
+            in_flight: settings.limits.in_flight,
+            metrics: Arc::clone(&metrics),
+            stop: stop.clone(),
+            seed,
+        };
+        let hop_pool = Pool::new(HOP_CONNECT_TIMEOUT, POOL_IDLE);
+        let ingress = Ingress::new(
+            ingress_context,
+            RouterConfig::new(own.clone(), settings.domain.clone(), settings.region.clone()),
+            Arc::clone(&hop_pool),
+            Arc::clone(&homes),
+            Arc::clone(&directory),
+        );
+        let (config_tx, config_events) = flume::unbounded();
+        let members_context = MembersContext {
+            clients: Arc::clone(&clients),
+            ingress: Arc::clone(&ingress),
+            guard: Arc::clone(&guard),
+            metrics: Arc::clone(&metrics),
+            config: config_tx,
+        };
+        let record = bound.record(settings, incarnation);
+        let membership = Membership::new(MemberConfig::default(), record, clock.now());
+        let membership = Decisions::new(Arc::clone(&clock), seed.wrapping_add(7), membership);
+        let members = Members::new(members_context, membership);
+        let state = ConfigState::new(ConfigContext {
+            ingress: Arc::clone(&ingress),
+            guard: Arc::clone(&guard),
+            metrics: Arc::clone(&metrics),
+        });
+        let demand = Demand::new(own.clone(), Arc::clone(&clock), Arc::clone(&clients));
+        let parts = Parts {
+            own,
+            incarnation,
+            clock,
+            keys,
+            limits,
+            metrics,
+            stop,
+            clients,
+            directory,
+            hop_pool,
+            homes,
+            guard,
+            ingress,
+            members,
+            state,
+            demand,
+        };
+        Ok((parts, Inboxes { guard_events, config_events }))
+    }
+
+    /// Returns a client of the store that counts its calls.
+    pub(super) fn store(&self, settings: &Settings) -> anyhow::Result<HttpStore> {
+        let mut http = HttpStoreSettings::new(settings.store.addresses.clone());
+        http.connect_timeout = settings.store.timeout;
+        http.call_timeout = settings.store.timeout;
+        let metrics = Arc::clone(&self.metrics);
+        let hook = move |kind| {
+            metrics.store_call(match kind {
+                CallKind::Read => "read",
+                CallKind::Write => "write",
+            });
+        };
+        Ok(HttpStore::new(http)?.with_hook(Arc::new(hook)))
+    }
+
+    pub(super) fn operator_context(
+        &self,
+        settings: &Settings,
+        set_log_level: SetLogLevel,
+    ) -> anyhow::Result<OperatorContext> {
+        Ok(OperatorContext {
+            instance: self.own.clone(),
+            operators: settings.operators.clone(),
+            clock: Arc::clone(&self.clock),
+            metrics: Arc::clone(&self.metrics),
+            store: ConfigStore::new(self.store(settings)?),
+            state: Arc::clone(&self.state),
+            members: Arc::clone(&self.members),
+            guard: Arc::clone(&self.guard),
+            ingress: Arc::clone(&self.ingress),
+            homes: Arc::clone(&self.homes),
+            stop: self.stop.clone(),
+            set_log_level,
+        })
+    }
+}
+
+fn limits(settings: &Settings) -> HttpLimits {
+    let limits = &settings.limits;
+    HttpLimits {
+        head_bytes: limits.head_bytes,
+        headers: limits.headers,
+        body_bytes: limits.body_bytes,
+        head_timeout: limits.head_timeout,
+        idle_timeout: limits.idle_timeout,
+        replay_bytes: limits.replay_bytes as u64,
+        connections: limits.caller_connections,
+    }
+}
+
+/// Returns the start time in milliseconds since 1970.
+fn incarnation(clock: &dyn Clock) -> Incarnation {
+    clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as Incarnation
+}
--- a/crates/fescuemux-daemon/src/guard/server.rs
+++ b/crates/fescuemux-daemon/src/guard/server.rs
@@ -10,13 +10,11 @@
 use fescuemux_core::admit::{
     DeadlineQueue, PermitId, Pushed, QueueConfig, Refusal, Slots, Waiting,
 };
-use fescuemux_core::base::{Cx, Phase, RequestId, ServerId, ServiceId};
+use fescuemux_core::base::{Cx, Phase, RequestId, ServerHealth, ServerId, ServiceId};
 use fescuemux_core::detect::{
     Baseline, Detector, DetectorConfig, Observation, ProbeResult, TrialOutcome,
 };
-use fescuemux_core::eject::{
-    Action, Admission, Health, HealthConfig, PermitAnswer, RequestKind, State,
-};
+use fescuemux_core::eject::{Action, Admission, Health, HealthConfig, PermitAnswer};
 use fescuemux_wire::announce::Announcement;
 use fescuemux_wire::hop::{HopBaseline, HopHealth, HopKind, HopRequest, ServerLoad};
 use std::net::SocketAddr;
@@ -138,7 +136,7 @@
             if let Some(HopBaseline { median, error_ratio }) = hop.baseline {
                 state.detector.on_baseline(cx, Baseline { median, error_ratio });
             }
-            match state.health.admission(cx, kind(hop.kind), hop.idempotent) {
+            match state.health.admission(cx, hop.kind.into(), hop.idempotent) {
                 Admission::Admit => None,
                 Admission::Refuse(reason) => Some(reason.as_str()),
             }
@@ -304,7 +302,7 @@
                 slots: state.announcement.slots,
                 queued: state.queue.len() as u32,
             };
-            (load, hop_health(state.health.state()))
+            (load, ServerHealth::from(state.health.state()).into())
         })
     }
 
@@ -410,20 +408,3 @@
     Slot(PermitId),
     Queued(flume::Receiver<Grant>),
 }
-
-fn kind(kind: HopKind) -> RequestKind {
-    match kind {
-        HopKind::Normal => RequestKind::Normal,
-        HopKind::LastResort => RequestKind::LastResort,
-        HopKind::Trial => RequestKind::Trial,
-    }
-}
-
-fn hop_health(state: State) -> HopHealth {
-    match state {
-        State::Serving => HopHealth::Serving,
-        State::Steered => HopHealth::Steered,
-        State::Ejected => HopHealth::Ejected,
-        State::Probation => HopHealth::Probation,
-    }
-}
--- a/crates/fescuemux-daemon/src/ingress/attempt.rs
+++ b/crates/fescuemux-daemon/src/ingress/attempt.rs
@@ -9,13 +9,11 @@
     Answer, Freshness, OutBody, PumpLimits, collect, full, is_replayable, relay,
     strip_connection_headers, strip_fleet_headers,
 };
-use fescuemux_core::base::{InstanceId, ServerId, Verdict};
+use fescuemux_core::base::{InstanceId, ServerHealth, ServerId, Verdict};
 use fescuemux_core::retry::{Attempt, RetryDecision};
-use fescuemux_core::route::{
-    Answered, Choice, EndpointHealth, RequestKind, RouteQuery, ServerLoad,
-};
+use fescuemux_core::route::{Answered, Choice, RouteQuery, ServerLoad};
 use fescuemux_wire::headers;
-use fescuemux_wire::hop::{HopAnswer, HopHealth, HopKind, HopRequest, sign_request, verify_answer};
+use fescuemux_wire::hop::{HopAnswer, HopHealth, HopRequest, sign_request, verify_answer};
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri, Version, header};
 use http_body_util::BodyExt;
 use hyper::body::Body;
@@ -212,7 +210,7 @@
             verdict: hop.verdict,
             latency: started.elapsed(),
             load: hop.load.map(load_of),
-            health: hop.health.map(health_of),
+            health: hop.health.map(ServerHealth::from),
         });
         self.cx.metrics.attempt(&req.service.id, hop.verdict.as_str());
         if hop.verdict != Verdict::Ran {
@@ -285,7 +283,7 @@
             server: choice.server.clone(),
             incarnation: peer.incarnation,
             deadline: left.saturating_sub(HOP_MARGIN.min(left / 2)),
-            kind: kind_of(choice.kind),
+            kind: choice.kind.into(),
             idempotent: req.idempotent,
             priority: req.service.priority,
             baseline: parts.baseline(),
@@ -375,23 +373,6 @@
     map.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default().to_owned()
 }
 
-fn kind_of(kind: RequestKind) -> HopKind {
-    match kind {
-        RequestKind::Normal => HopKind::Normal,
-        RequestKind::LastResort => HopKind::LastResort,
-        RequestKind::Trial => HopKind::Trial,
-    }
-}
-
 fn load_of(load: fescuemux_wire::hop::ServerLoad) -> ServerLoad {
     ServerLoad { busy: load.busy, slots: load.slots, queued: load.queued }
 }
-
-fn health_of(health: HopHealth) -> EndpointHealth {
-    match health {
-        HopHealth::Serving => EndpointHealth::Serving,
-        HopHealth::Steered => EndpointHealth::Steered,
-        HopHealth::Ejected => EndpointHealth::Ejected,
-        HopHealth::Probation => EndpointHealth::Probation,
-    }
-}
--- a/crates/fescuemux-daemon/src/peers/members.rs
+++ b/crates/fescuemux-daemon/src/peers/members.rs
@@ -7,11 +7,8 @@
 use crate::ingress::{Ingress, Peer};
 use crate::metrics::Metrics;
 use fescuemux_core::base::{Cx, DomainId, Generation, HashMap, InstanceId, ServerId};
-use fescuemux_core::eject::State;
-use fescuemux_core::member::{
-    InstanceRecord, MemberState, Membership, Output, Send, ServerHealth, ServerRecord,
-};
-use fescuemux_core::route::{Endpoint, EndpointHealth};
+use fescuemux_core::member::{InstanceRecord, MemberState, Membership, Output, Send, ServerRecord};
+use fescuemux_core::route::Endpoint;
 use fescuemux_wire::member::{decode, encode};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -214,12 +211,7 @@
         service: snapshot.service.clone(),
         slots: u16::try_from(snapshot.slots).unwrap_or(u16::MAX),
         phase: snapshot.phase,
-        health: match snapshot.state {
-            State::Serving => ServerHealth::Serving,
-            State::Steered => ServerHealth::Steered,
-            State::Ejected => ServerHealth::Ejected,
-            State::Probation => ServerHealth::Probation,
-        },
+        health: snapshot.state.into(),
         incarnation: snapshot.incarnation,
     }
 }
@@ -234,11 +226,6 @@
         slots: u32::from(server.slots),
         phase: server.phase,
         incarnation: record.incarnation,
-        health: match server.health {
-            ServerHealth::Serving => EndpointHealth::Serving,
-            ServerHealth::Steered => EndpointHealth::Steered,
-            ServerHealth::Ejected => EndpointHealth::Ejected,
-            ServerHealth::Probation => EndpointHealth::Probation,
-        },
+        health: server.health,
     }
 }
--- a/crates/fescuemux-measure/src/history/ingress.rs
+++ b/crates/fescuemux-measure/src/history/ingress.rs
@@ -9,7 +9,7 @@
 use fescuemux_core::dedup::KeyOutcome;
 use fescuemux_core::eject::{RequestKind as HopKind, State};
 use fescuemux_core::retry::{Attempt, RetryDecision};
-use fescuemux_core::route::{Answered, Choice, EndpointHealth, RequestKind, RouteQuery};
+use fescuemux_core::route::{Answered, Choice, RequestKind, RouteQuery, ServerHealth};
 use rand::Rng as _;
 use std::time::{Duration, Instant};
 
@@ -262,11 +262,11 @@
     }
 }
 
-fn health_of(state: State) -> EndpointHealth {
+fn health_of(state: State) -> ServerHealth {
     match state {
-        State::Serving => EndpointHealth::Serving,
-        State::Steered => EndpointHealth::Steered,
-        State::Ejected => EndpointHealth::Ejected,
-        State::Probation => EndpointHealth::Probation,
+        State::Serving => ServerHealth::Serving,
+        State::Steered => ServerHealth::Steered,
+        State::Ejected => ServerHealth::Ejected,
+        State::Probation => ServerHealth::Probation,
     }
 }
--- a/crates/fescuemux-measure/src/history/members.rs
+++ b/crates/fescuemux-measure/src/history/members.rs
@@ -7,7 +7,7 @@
 use fescuemux_core::eject::State;
 use fescuemux_core::member::{InstanceRecord, MemberState, Message, Output};
 use fescuemux_core::member::{ServerHealth, ServerRecord};
-use fescuemux_core::route::{Endpoint, EndpointHealth};
+use fescuemux_core::route::Endpoint;
 use std::time::Duration;
 
 /// A tick that comes this much too late shows that the process was paused.
@@ -150,10 +150,10 @@
         phase: server.phase,
         incarnation: record.incarnation,
         health: match server.health {
-            ServerHealth::Serving => EndpointHealth::Serving,
-            ServerHealth::Steered => EndpointHealth::Steered,
-            ServerHealth::Ejected => EndpointHealth::Ejected,
-            ServerHealth::Probation => EndpointHealth::Probation,
+            ServerHealth::Serving => ServerHealth::Serving,
+            ServerHealth::Steered => ServerHealth::Steered,
+            ServerHealth::Ejected => ServerHealth::Ejected,
+            ServerHealth::Probation => ServerHealth::Probation,
         },
     }
 }
--- a/crates/fescuemux-measure/src/overload/ingress.rs
+++ b/crates/fescuemux-measure/src/overload/ingress.rs
@@ -4,7 +4,7 @@
 use fescuemux_core::base::{Cx, Phase, ServerId, ServiceId, Verdict};
 use fescuemux_core::retry::{Attempt, LatencyQuantile, RetryBudget, RetryConfig, RetryDecision};
 use fescuemux_core::route::{
-    Answered, Endpoint, EndpointHealth, RouteQuery, Router, RouterConfig, ServerLoad,
+    Answered, Endpoint, RouteQuery, Router, RouterConfig, ServerHealth, ServerLoad,
 };
 use rand::Rng;
 use std::time::{Duration, Instant};
@@ -85,7 +85,7 @@
             self.latencies.record(latency);
         }
         if let Route::Router(router) = &mut self.route {
-            let health = Some(EndpointHealth::Serving);
+            let health = Some(ServerHealth::Serving);
             let answered = Answered { verdict, latency, load: Some(load), health };
             router.on_answer(cx, &server_name(server), answered);
         }
@@ -179,7 +179,7 @@
             slots: setup.slots,
             phase: Phase::Ready,
             incarnation: 1,
-            health: EndpointHealth::Serving,
+            health: ServerHealth::Serving,
         };
         router.upsert(cx, endpoint);
     }
--- a/crates/fescuemux-measure/src/overload/route_cost.rs
+++ b/crates/fescuemux-measure/src/overload/route_cost.rs
@@ -2,7 +2,7 @@
 
 use fescuemux_core::base::{Cx, HashMap, Phase, RouteId, ServiceId, Verdict};
 use fescuemux_core::route::{
-    Answered, Endpoint, EndpointHealth, RouteQuery, Router, RouterConfig, ServerLoad,
+    Answered, Endpoint, RouteQuery, Router, RouterConfig, ServerHealth, ServerLoad,
 };
 use rand::Rng;
 use std::time::{Duration, Instant};
@@ -45,7 +45,7 @@
                 slots: 4,
                 phase: Phase::Ready,
                 incarnation: 1,
-                health: EndpointHealth::Serving,
+                health: ServerHealth::Serving,
             };
             router.upsert(&mut cx, endpoint);
         }
@@ -74,7 +74,7 @@
             verdict: Verdict::Ran,
             latency: Duration::from_millis(25),
             load: Some(ServerLoad { busy, slots: 4, queued: 0 }),
-            health: Some(EndpointHealth::Serving),
+            health: Some(ServerHealth::Serving),
         };
         self.router.on_answer(&mut self.cx, &choice.server, answered);
         Some(())
--- a/crates/fescuemux-wire/src/hop/kind.rs
+++ b/crates/fescuemux-wire/src/hop/kind.rs
@@ -1,5 +1,7 @@
 //! Closed sets of words in hop headers.
 
+use fescuemux_core::base::{RequestKind, ServerHealth};
+
 /// How an ingress means a request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum HopKind {
@@ -62,3 +64,45 @@
         HopHealth::ALL.into_iter().find(|health| health.as_str() == text)
     }
 }
+
+impl From<RequestKind> for HopKind {
+    fn from(kind: RequestKind) -> HopKind {
+        match kind {
+            RequestKind::Normal => HopKind::Normal,
+            RequestKind::LastResort => HopKind::LastResort,
+            RequestKind::Trial => HopKind::Trial,
+        }
+    }
+}
+
+impl From<HopKind> for RequestKind {
+    fn from(kind: HopKind) -> RequestKind {
+        match kind {
+            HopKind::Normal => RequestKind::Normal,
+            HopKind::LastResort => RequestKind::LastResort,
+            HopKind::Trial => RequestKind::Trial,
+        }
+    }
+}
+
+impl From<ServerHealth> for HopHealth {
+    fn from(health: ServerHealth) -> HopHealth {
+        match health {
+            ServerHealth::Serving => HopHealth::Serving,
+            ServerHealth::Steered => HopHealth::Steered,
+            ServerHealth::Ejected => HopHealth::Ejected,
+            ServerHealth::Probation => HopHealth::Probation,
+        }
+    }
+}
+
+impl From<HopHealth> for ServerHealth {
+    fn from(health: HopHealth) -> ServerHealth {
+        match health {
+            HopHealth::Serving => ServerHealth::Serving,
+            HopHealth::Steered => ServerHealth::Steered,
+            HopHealth::Ejected => ServerHealth::Ejected,
+            HopHealth::Probation => ServerHealth::Probation,
+        }
+    }
+}
