Restore a lost store from a daemon

After: fescuemux restore writes the generation in force to a store without one; a test deletes the content of a store and gets it back.

--- a/crates/fescuemux-cli/src/main.rs
+++ b/crates/fescuemux-cli/src/main.rs
@@ -50,6 +50,11 @@
         #[command(flatten)]
         api: api::ApiArgs,
     },
+    /// Writes the configuration in force at a daemon to a store that lost its content
+    Restore {
+        #[command(flatten)]
+        api: api::ApiArgs,
+    },
     /// Prints the state of one daemon as JSON
     Dump {
         #[command(flatten)]
@@ -92,6 +97,7 @@
         Command::Confirm { api, plan } => operate::confirm(&api, &plan),
         Command::Status { api } => operate::status(&api),
         Command::History { api } => operate::history(&api),
+        Command::Restore { api } => operate::restore(&api),
         Command::Dump { api } => operate::dump(&api),
         Command::LogLevel { api, level } => operate::log_level(&api, &level),
         Command::Check { file } => Ok(check::check(&file)),
--- a/crates/fescuemux-cli/src/operate.rs
+++ b/crates/fescuemux-cli/src/operate.rs
@@ -58,6 +58,13 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Writes the configuration in force at a daemon to a store that lost its content.
+pub(crate) fn restore(api: &ApiArgs) -> anyhow::Result<ExitCode> {
+    let restored = api.post("/v1/restore", Vec::new())?.ok()?;
+    print(api, &restored, text::restore);
+    Ok(ExitCode::SUCCESS)
+}
+
 /// Prints the state of one daemon.
 pub(crate) fn dump(api: &ApiArgs) -> anyhow::Result<ExitCode> {
     let dump = api.get("/v1/dump")?.ok()?;
--- a/crates/fescuemux-cli/src/operate/text.rs
+++ b/crates/fescuemux-cli/src/operate/text.rs
@@ -47,6 +47,10 @@
     }
 }
 
+pub(super) fn restore(body: &Value) -> String {
+    format!("the store has generation {} again\n", body["generation"])
+}
+
 pub(super) fn status(status: &Value) -> String {
     let mut out = String::new();
     let store = match &status["store_generation"] {
--- a/crates/fescuemux-daemon/examples/daemon_cost.rs
+++ b/crates/fescuemux-daemon/examples/daemon_cost.rs
@@ -42,7 +42,9 @@
     if sizes.is_empty() {
         sizes = vec![3, 6, 12];
     }
-    println!("daemons  rest ms/s  rest RSS MB  store reads/s  store writes/s  load ms/s  load RSS MB");
+    println!(
+        "daemons  rest ms/s  rest RSS MB  store reads/s  store writes/s  load ms/s  load RSS MB"
+    );
     for size in sizes {
         measure(size)?;
     }
--- a/crates/fescuemux-daemon/src/operators.rs
+++ b/crates/fescuemux-daemon/src/operators.rs
@@ -55,6 +55,7 @@
         ("POST", ["v1", "plans"]) => plans::propose(cx, req, &operator),
         ("GET", ["v1", "plans", id]) => plans::show(cx, id),
         ("POST", ["v1", "plans", id, "confirm"]) => plans::confirm(cx, id, &operator),
+        ("POST", ["v1", "restore"]) => plans::restore(cx),
         ("PUT", ["v1", "log", level]) => set_level(cx, level),
         _ => error(404, "no such operation"),
     }
--- a/crates/fescuemux-daemon/src/operators/plans.rs
+++ b/crates/fescuemux-daemon/src/operators/plans.rs
@@ -26,6 +26,11 @@
     time_ms: u64,
 }
 
+#[derive(Serialize)]
+struct RestoreBody {
+    generation: u64,
+}
+
 #[derive(Serialize)]
 #[serde(tag = "result", rename_all = "snake_case")]
 enum ConfirmBody {
@@ -99,6 +104,20 @@
     }
 }
 
+/// Writes the generation in force here to a store that lost its content.
+pub(super) fn restore(cx: &OperatorContext) -> Response {
+    let (head, chunks) = cx.state.known();
+    let Some(head) = head else { return error(404, "no configuration is in force here") };
+    match cx.store.restore(&head, &chunks) {
+        Ok(true) => {
+            tracing::info!(generation = head.generation(), "configuration written to the store");
+            json(&RestoreBody { generation: head.generation() })
+        }
+        Ok(false) => error(409, "the store has a configuration; it was left as it is"),
+        Err(e) => store_error(&e),
+    }
+}
+
 /// Returns the content in force, in the form of an intent that would set it.
 pub(super) fn config(cx: &OperatorContext) -> Response {
     let Some(effective) = cx.ingress.effective() else {
--- /dev/null
+++ b/crates/fescuemux-daemon/tests/restore.rs
@@ -0,0 +1,25 @@
+//! A store that lost its content gets the configuration back from a daemon.
+
+mod support;
+
+use fescuemux_store::{Change, Expect, Store};
+use support::{Fleet, get, intent, post};
+
+/// Guards against a store that stays empty, and against a configuration that is overwritten.
+#[test]
+fn a_lost_configuration_is_written_back_and_an_existing_one_is_kept() {
+    let fleet = Fleet::start(1);
+    let addr = fleet.operators(0);
+    let kept = post(addr, "/v1/restore", b"");
+    assert!(kept["error"].as_str().unwrap().contains("left as it is"), "{kept}");
+    let store = fleet.store.memory();
+    for listed in store.list("cfg/").unwrap() {
+        let expect = Expect::Version(listed.version);
+        store.compare_and_swap(&listed.key, expect, Change::Delete).unwrap();
+    }
+    let refused = post(addr, "/v1/plans", intent().to_string().as_bytes());
+    assert!(refused["error"].as_str().unwrap().contains("generation 1 is in force"), "{refused}");
+    let restored = post(addr, "/v1/restore", b"");
+    assert_eq!(restored["generation"], 1, "{restored}");
+    assert_eq!(get(addr, "/v1/status")["store_generation"], 1);
+}
