Keep the strongest verdict of hedged attempts

Cause: found in the read-through: when the first of two parallel attempts timed out and the second was refused, the caller was told "not run" although the first may have run. Before: the first verdict was dropped. Also: the state of a guarded server has a file of its own.

--- a/crates/fescuemux-daemon/src/guard.rs
+++ b/crates/fescuemux-daemon/src/guard.rs
@@ -10,6 +10,7 @@
 mod probe;
 mod refused;
 mod server;
+mod server_state;
 mod snapshot;
 mod work;
 mod work_body;
--- a/crates/fescuemux-daemon/src/guard/server.rs
+++ b/crates/fescuemux-daemon/src/guard/server.rs
@@ -5,6 +5,7 @@
 use super::lease::{Grant, Lease, Ticket};
 use super::policy::ServicePolicy;
 use super::refused::Refused;
+use super::server_state::ServerState;
 use super::snapshot::ServerSnapshot;
 use crate::decisions::Decisions;
 use fescuemux_core::admit::{
@@ -21,10 +22,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Age of an announcement from which it no longer counts. A guard that was paused may hold a request
-/// ahead of the news that its server drains, which must not get new work after 2 s.
-const ANNOUNCEMENT_AGE: Duration = Duration::from_secs(2);
-
 /// A backend server and everything that is decided about it.
 #[derive(Debug)]
 pub(super) struct GuardedServer {
@@ -33,18 +30,6 @@
     state: Decisions<ServerState>,
 }
 
-/// Decision parts of one server.
-#[derive(Debug)]
-pub(super) struct ServerState {
-    announcement: Announcement,
-    announced: Instant,
-    detector: Detector,
-    health: Health,
-    pub(super) slots: Slots<RequestId>,
-    pub(super) queue: DeadlineQueue<flume::Sender<Grant>>,
-    peak_busy: u32,
-}
-
 impl GuardedServer {
     pub(super) fn new(
         cx: &GuardContext,
@@ -360,49 +345,6 @@
     }
 }
 
-impl ServerState {
-    fn assess(&mut self, cx: &mut Cx) -> Vec<Action> {
-        let assessment = self.detector.assess(cx);
-        self.health.on_assessment(cx, &assessment)
-    }
-
-    /// Returns why the server gets no new work whatever its health.
-    fn unannounced_reason(&self, cx: &Cx) -> Option<&'static str> {
-        if self.announcement.phase == Phase::Draining {
-            return Some("the server is draining");
-        }
-        let age = cx.now.saturating_duration_since(self.announced);
-        (age > ANNOUNCEMENT_AGE).then_some("the server has not announced itself lately")
-    }
-
-    /// Answers all waiting requests as not run.
-    fn refuse_waiting(&mut self) {
-        while let Some(waiting) = self.queue.take_any() {
-            let _ = waiting.item.send(Grant::Draining);
-        }
-    }
-
-    fn grant_free_slots(&mut self, cx: &mut Cx) {
-        if self.unannounced_reason(cx).is_some() {
-            self.refuse_waiting();
-            return;
-        }
-        while self.slots.free() > 0 {
-            let mut expired = Vec::new();
-            let next = self.queue.pop(cx, &mut expired);
-            for late in expired {
-                let _ = late.item.send(Grant::Expired);
-            }
-            let Some(next) = next else { return };
-            let Some(permit) = self.slots.admit(next.id) else { return };
-            self.peak_busy = self.peak_busy.max(self.slots.busy());
-            if next.item.send(Grant::Slot(permit)).is_err() {
-                self.slots.finish(permit);
-            }
-        }
-    }
-}
-
 /// Result of asking for a slot.
 enum Taken {
     Slot(PermitId),
--- a/crates/fescuemux-daemon/src/ingress.rs
+++ b/crates/fescuemux-daemon/src/ingress.rs
@@ -15,6 +15,9 @@
 mod sent;
 mod service_parts;
 
+#[cfg(test)]
+mod tests;
+
 pub(crate) use directory::{Directory, Peer};
 pub(crate) use effective::Effective;
 pub(crate) use failure::Failure;
--- a/crates/fescuemux-daemon/src/ingress/attempt.rs
+++ b/crates/fescuemux-daemon/src/ingress/attempt.rs
@@ -72,6 +72,38 @@
     pub(super) fn path_failed(&mut self, choice: &Choice) {
         self.instances.push(choice.instance.clone());
     }
+
+    /// Notes what an attempt says that another one follows or accompanies. The caller is told
+    /// the strongest verdict of all.
+    pub(super) fn note_verdict(&mut self, verdict: Verdict) {
+        self.earlier = self.earlier.max(Some(verdict));
+    }
+
+    /// Returns the strongest verdict noted.
+    pub(super) fn earlier(&self) -> Verdict {
+        self.earlier.unwrap_or(Verdict::NotRun)
+    }
+}
+
+impl Attempted {
+    /// Returns what the attempt says about the request.
+    pub(super) fn verdict(&self) -> Verdict {
+        match self {
+            Attempted::Answer(_) | Attempted::ServerError(_) => Verdict::Ran,
+            Attempted::Failed(failure)
+            | Attempted::Declined(failure)
+            | Attempted::PathFailed(failure) => failure.verdict,
+        }
+    }
+
+    fn retry_after(&self) -> Option<Duration> {
+        match self {
+            Attempted::Answer(_) | Attempted::ServerError(_) => None,
+            Attempted::Failed(failure)
+            | Attempted::Declined(failure)
+            | Attempted::PathFailed(failure) => failure.retry_after,
+        }
+    }
 }
 
 impl Ingress {
@@ -87,18 +119,13 @@
         loop {
             let Some(choice) = self.choose(req, &tried) else {
                 let reason = "no backend server can take the request";
-                return Err(match tried.earlier.unwrap_or(Verdict::NotRun) {
+                return Err(match tried.earlier() {
                     Verdict::NotRun => Failure::unavailable(reason),
                     Verdict::MayHaveRun | Verdict::Ran => Failure::broken(reason),
                 });
             };
             let attempted = self.attempt_hedged(req, body, &parts, &choice, &mut tried).await;
-            let (verdict, retry_after) = match &attempted {
-                Attempted::Answer(_) | Attempted::ServerError(_) => (Verdict::Ran, None),
-                Attempted::Failed(failure)
-                | Attempted::Declined(failure)
-                | Attempted::PathFailed(failure) => (failure.verdict, failure.retry_after),
-            };
+            let (verdict, retry_after) = (attempted.verdict(), attempted.retry_after());
             if let Attempted::Answer(answer) = attempted {
                 return Ok(answer);
             }
@@ -109,7 +136,7 @@
             match parts.decide(&attempt_of(req, body, &parts, &tried, verdict, retry_after)) {
                 RetryDecision::Retry { after } => {
                     tokio::time::sleep(after).await;
-                    tried.earlier = tried.earlier.max(Some(verdict));
+                    tried.note_verdict(verdict);
                     self.cx.metrics.attempt(&req.service.id, "retried");
                 }
                 RetryDecision::GiveUp { verdict, .. } => {
@@ -330,7 +357,7 @@
 ) -> Attempt {
     Attempt {
         verdict,
-        earlier: tried.earlier.unwrap_or(Verdict::NotRun),
+        earlier: tried.earlier(),
         idempotent: req.idempotent,
         body_replayable: body.is_whole(),
         remaining_deadline: req.deadline.saturating_duration_since(Instant::now()),
--- a/crates/fescuemux-daemon/src/ingress/hedge.rs
+++ b/crates/fescuemux-daemon/src/ingress/hedge.rs
@@ -59,7 +59,9 @@
         if matches!(attempted, Attempted::Answer(_)) {
             return attempted;
         }
-        // The attempt that ended first failed, so the other one decides.
+        // The attempt that ended first failed, so the other one decides. Its failure alone would
+        // hide that the request may have run in the first.
+        tried.note_verdict(attempted.verdict());
         let (attempted, chosen) = match rest {
             Either::Left(first) => (first.await, choice),
             Either::Right(second) => (second.await, &other),
--- a/crates/fescuemux-measure/src/history/members.rs
+++ b/crates/fescuemux-measure/src/history/members.rs
@@ -149,11 +149,6 @@
         slots: u32::from(server.slots),
         phase: server.phase,
         incarnation: record.incarnation,
-        health: match server.health {
-            ServerHealth::Serving => ServerHealth::Serving,
-            ServerHealth::Steered => ServerHealth::Steered,
-            ServerHealth::Ejected => ServerHealth::Ejected,
-            ServerHealth::Probation => ServerHealth::Probation,
-        },
+        health: server.health,
     }
 }
