--- a/crates/fescuemux-core/src/route/endpoint.rs
+++ b/crates/fescuemux-core/src/route/endpoint.rs
@@ -1,6 +1,7 @@
 //! A backend server as the router is told of it.
 
 use crate::base::{DomainId, Incarnation, InstanceId, Phase, ServerHealth, ServerId, ServiceId};
+use crate::member::{InstanceRecord, ServerRecord};
 
 /// A backend server behind a guard, from the membership record of the guard.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -24,3 +25,20 @@
     /// Health as spread by membership.
     pub health: ServerHealth,
 }
+
+impl Endpoint {
+    /// Returns the endpoint of a server in the membership record of its guard.
+    pub fn from_record(record: &InstanceRecord, server: &ServerRecord) -> Endpoint {
+        Endpoint {
+            server: server.server.clone(),
+            service: server.service.clone(),
+            instance: record.instance.clone(),
+            domain: record.domain.clone(),
+            region: record.region.clone(),
+            slots: u32::from(server.slots),
+            phase: server.phase,
+            incarnation: record.incarnation,
+            health: server.health,
+        }
+    }
+}
--- a/crates/fescuemux-daemon/src/peers/members.rs
+++ b/crates/fescuemux-daemon/src/peers/members.rs
@@ -184,7 +184,7 @@
         let names: Vec<ServerId> = servers.iter().map(|server| server.server.clone()).collect();
         self.remove_servers(before.iter().filter(|server| !names.contains(server)));
         for server in servers {
-            let endpoint = endpoint_of(&record, server);
+            let endpoint = Endpoint::from_record(&record, server);
             self.cx.ingress.router.with(|cx, router| router.upsert(cx, endpoint));
         }
         routed.insert(instance.clone(), names);
@@ -215,17 +215,3 @@
         incarnation: snapshot.incarnation,
     }
 }
-
-fn endpoint_of(record: &InstanceRecord, server: &ServerRecord) -> Endpoint {
-    Endpoint {
-        server: server.server.clone(),
-        service: server.service.clone(),
-        instance: record.instance.clone(),
-        domain: record.domain.clone(),
-        region: record.region.clone(),
-        slots: u32::from(server.slots),
-        phase: server.phase,
-        incarnation: record.incarnation,
-        health: server.health,
-    }
-}
--- a/crates/fescuemux-measure/src/history/members.rs
+++ b/crates/fescuemux-measure/src/history/members.rs
@@ -5,7 +5,7 @@
 use super::world::World;
 use fescuemux_core::base::{Generation, InstanceId, ServerId};
 use fescuemux_core::eject::State;
-use fescuemux_core::member::{InstanceRecord, MemberState, Message, Output};
+use fescuemux_core::member::{MemberState, Message, Output};
 use fescuemux_core::member::{ServerHealth, ServerRecord};
 use fescuemux_core::route::Endpoint;
 use std::time::Duration;
@@ -133,22 +133,8 @@
             instance.router.remove(gone);
         }
         for server in servers {
-            instance.router.upsert(&mut instance.cx, endpoint_of(&record, server));
+            instance.router.upsert(&mut instance.cx, Endpoint::from_record(&record, server));
         }
         instance.routed.insert(of.clone(), names);
     }
 }
-
-fn endpoint_of(record: &InstanceRecord, server: &ServerRecord) -> Endpoint {
-    Endpoint {
-        server: server.server.clone(),
-        service: server.service.clone(),
-        instance: record.instance.clone(),
-        domain: record.domain.clone(),
-        region: record.region.clone(),
-        slots: u32::from(server.slots),
-        phase: server.phase,
-        incarnation: record.incarnation,
-        health: server.health,
-    }
-}
