Choose homes with the stable hash; keep one copy of the mixing function

Cause: the roster weighed homes with the map hasher, whose result may change with a release of its package, so daemons of two releases could grant one key at two homes. The project had stable_hash for exactly this, and three copies of the same finalizer. Conclusion: stable_hash lies in base, and membership, roster and demand share it. Which home a key has changes once, at the upgrade; nothing is stored by it.

--- a/crates/fescuemux-core/src/base.rs
+++ b/crates/fescuemux-core/src/base.rs
@@ -10,6 +10,7 @@
 mod phase;
 mod request_kind;
 mod server_health;
+mod stable_hash;
 mod verdict;
 
 pub use clock::Clock;
@@ -23,4 +24,6 @@
 pub use phase::Phase;
 pub use request_kind::RequestKind;
 pub use server_health::ServerHealth;
+pub(crate) use stable_hash::mix;
+pub use stable_hash::stable_hash;
 pub use verdict::Verdict;
--- a/crates/fescuemux-core/src/dedup/roster.rs
+++ b/crates/fescuemux-core/src/dedup/roster.rs
@@ -1,7 +1,6 @@
 //! Which instances are homes of idempotency keys.
 
-use crate::base::{InstanceId, ServiceId};
-use std::hash::{Hash, Hasher};
+use crate::base::{InstanceId, ServiceId, stable_hash};
 use std::time::Duration;
 use thiserror::Error;
 
@@ -107,15 +106,8 @@
     }
 }
 
+/// Returns the rendezvous weight of a home. Daemons of different releases must choose the same
+/// home, or one key could be granted at two.
 fn weight(instance: &InstanceId, service: &ServiceId, key: &str) -> u64 {
-    let mut hasher = rustc_hash::FxHasher::default();
-    service.as_str().hash(&mut hasher);
-    key.hash(&mut hasher);
-    instance.as_str().hash(&mut hasher);
-    // The multiply of the fast hasher leaves low bits poorly mixed; this finalizer is that of
-    // SplitMix64.
-    let mut x = hasher.finish();
-    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
+    stable_hash(&[service.as_bytes(), key.as_bytes(), instance.as_bytes()])
 }
--- a/crates/fescuemux-core/src/member.rs
+++ b/crates/fescuemux-core/src/member.rs
@@ -22,7 +22,7 @@
 
 pub use crate::base::ServerHealth;
 pub use config::MemberConfig;
-pub use digest::{BUCKETS, stable_hash};
+pub use digest::BUCKETS;
 pub use membership::{Counters, Membership};
 pub use message::{Body, ConfigStamp, Message, Update};
 pub use output::{Output, Send};
--- a/crates/fescuemux-core/src/member/membership.rs
+++ b/crates/fescuemux-core/src/member/membership.rs
@@ -1,14 +1,13 @@
 //! The membership protocol: its state and what the driver reads from it.
 
 use super::config::MemberConfig;
-use super::digest::stable_hash;
 use super::gossip::GossipQueue;
 use super::health::LocalHealth;
 use super::message::ConfigStamp;
 use super::probe::{Probe, Relay};
 use super::record::{InstanceRecord, MemberState, RecordKey, ServerRecord};
 use super::table::Table;
-use crate::base::{Cx, DomainId, Incarnation, InstanceId};
+use crate::base::{Cx, DomainId, Incarnation, InstanceId, stable_hash};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
--- a/crates/fescuemux-core/src/member/table.rs
+++ b/crates/fescuemux-core/src/member/table.rs
@@ -1,8 +1,8 @@
 //! The records held, with the lists and digests that follow from them.
 
-use super::digest::{BUCKETS, Digest, bucket_of, stable_hash};
+use super::digest::{BUCKETS, Digest, bucket_of};
 use super::record::{InstanceRecord, MemberState, Standing};
-use crate::base::{Cx, HashMap, InstanceId};
+use crate::base::{Cx, HashMap, InstanceId, stable_hash};
 use rand::Rng as _;
 use rand::seq::SliceRandom as _;
 use std::time::{Duration, Instant};
--- a/crates/fescuemux-core/src/route/entry.rs
+++ b/crates/fescuemux-core/src/route/entry.rs
@@ -1,6 +1,6 @@
 //! Router state of one backend server and of one path.
 
-use crate::base::{InstanceId, Phase, ServerId};
+use crate::base::{InstanceId, Phase, ServerId, mix};
 use crate::route::breaker::Breaker;
 use crate::route::load::LoadEstimate;
 use crate::route::{BreakerState, Endpoint, ServerHealth};
@@ -105,8 +105,5 @@
     instance.hash(&mut hasher);
     server.hash(&mut hasher);
     // FxHasher leaves the upper bits of similar names alike, so they are mixed once more.
-    let mut x = hasher.finish();
-    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
+    mix(hasher.finish())
 }
--- a/crates/fescuemux-daemon/src/demand.rs
+++ b/crates/fescuemux-daemon/src/demand.rs
@@ -6,8 +6,7 @@
 use crate::ingress::{Directory, Ingress};
 use crate::peers::{Members, PeerClients};
 use fescuemux_core::admit::{CallerDemand, CallerHome};
-use fescuemux_core::base::{CallerId, Clock, HashMap, InstanceId};
-use fescuemux_core::member::stable_hash;
+use fescuemux_core::base::{CallerId, Clock, HashMap, InstanceId, stable_hash};
 use std::sync::Arc;
 use std::time::Duration;
 
