--- a/crates/fescuemux-core/src/lib.rs
+++ b/crates/fescuemux-core/src/lib.rs
@@ -60,5 +60,6 @@
 pub mod detect;
 pub mod eject;
 pub mod member;
+pub mod placement;
 pub mod retry;
 pub mod route;
--- /dev/null
+++ b/crates/fescuemux-core/src/placement/quote.rs
@@ -0,0 +1,40 @@
+//! What a guard offers to a request.
+
+use std::time::Duration;
+
+/// Whether a guard's server takes work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Readiness {
+    /// Takes any request.
+    Sound,
+    /// Is suspect and has room for one trial.
+    Trial,
+    /// Is suspect and takes only what finds no other server.
+    Suspect,
+    /// Takes nothing: no server, a leaving one, or a stopping daemon.
+    Closed,
+}
+
+/// Load and expected times at one guard, at the moment of the quote.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Quote {
+    /// Whether work is taken.
+    pub readiness: Readiness,
+    /// Slots of the server.
+    pub slots: u32,
+    /// Slots in use.
+    pub busy: u32,
+    /// Requests that wait.
+    pub queued: u32,
+    /// Expected wait for a slot.
+    pub wait: Duration,
+    /// Mean running time of the request's route at this server.
+    pub running: Duration,
+}
+
+impl Quote {
+    /// Returns whether a slot is free at once.
+    pub fn has_room(&self) -> bool {
+        self.busy < self.slots && self.queued == 0
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-core/src/placement/rank.rs
@@ -0,0 +1,69 @@
+//! Order of the guards that offered to take a request.
+
+use crate::placement::{Quote, Readiness};
+use std::cmp::Ordering;
+use std::time::Duration;
+
+/// What placement weighs besides waiting and running time.
+#[derive(Clone, Debug)]
+pub struct PlacementCost {
+    /// Cost of another failure domain, as time.
+    pub domain: Duration,
+    /// Cost of each kilobyte that crosses failure domains, as time. At the users' price a
+    /// kilobyte costs half a percent of a request, which is about as much as 5 ms of waiting.
+    pub per_kb: Duration,
+    /// Share of the running time that a fully used server adds; servers slow down as they fill.
+    pub crowding: f64,
+}
+
+impl Default for PlacementCost {
+    fn default() -> PlacementCost {
+        PlacementCost {
+            domain: Duration::from_millis(15),
+            per_kb: Duration::from_millis(5),
+            crowding: 0.5,
+        }
+    }
+}
+
+/// Sorts offers, best first, and leaves out those that take nothing. `same_domain` and `quote`
+/// read an offer; `kilobytes` are expected to travel with the request and its answer.
+pub fn rank<T>(
+    offers: &mut Vec<T>,
+    cost: &PlacementCost,
+    kilobytes: f64,
+    idempotent: bool,
+    read: impl Fn(&T) -> (bool, Quote),
+) {
+    offers.retain(|offer| read(offer).1.readiness != Readiness::Closed);
+    let key = |offer: &T| {
+        let (same_domain, quote) = read(offer);
+        (tier(&quote, idempotent), time(cost, kilobytes, same_domain, &quote))
+    };
+    offers.sort_by(|a, b| {
+        let (a, b) = (key(a), key(b));
+        a.0.cmp(&b.0).then(a.1.partial_cmp(&b.1).unwrap_or(Ordering::Equal))
+    });
+}
+
+/// A trial goes first for a request that may be repeated, as it is how a suspect server shows
+/// its recovery; other requests go to suspect servers last.
+fn tier(quote: &Quote, idempotent: bool) -> u8 {
+    match quote.readiness {
+        Readiness::Trial if idempotent => 0,
+        Readiness::Sound => 1,
+        Readiness::Trial => 2,
+        Readiness::Suspect => 3,
+        Readiness::Closed => 4,
+    }
+}
+
+fn time(cost: &PlacementCost, kilobytes: f64, same_domain: bool, quote: &Quote) -> f64 {
+    let running = quote.running.as_secs_f64();
+    let used = f64::from(quote.busy + 1) / f64::from(quote.slots.max(1));
+    let distance = match same_domain {
+        true => 0.0,
+        false => cost.domain.as_secs_f64() + kilobytes * cost.per_kb.as_secs_f64(),
+    };
+    quote.wait.as_secs_f64() + running * (1.0 + cost.crowding * used) + distance
+}
--- /dev/null
+++ b/crates/fescuemux-core/src/placement/route_map.rs
@@ -0,0 +1,46 @@
+//! Routes by host and longest path prefix.
+
+use crate::base::{HashMap, HashSet, ServiceId};
+use crate::placement::RoutePolicy;
+use smol_str::SmolStr;
+use std::sync::Arc;
+
+/// Routes of one configuration. A look-up costs one hash per path segment, whatever the number
+/// of routes.
+#[derive(Clone, Debug, Default)]
+pub struct RouteMap {
+    hosts: HashMap<SmolStr, HashMap<SmolStr, Arc<RoutePolicy>>>,
+    services: HashSet<ServiceId>,
+}
+
+impl RouteMap {
+    /// Adds a route. Hosts are compared without regard to case.
+    pub fn insert(&mut self, host: &str, prefix: &str, policy: RoutePolicy) {
+        self.services.extend(policy.parts.iter().map(|part| part.service.clone()));
+        let routes = self.hosts.entry(host.to_ascii_lowercase().into()).or_default();
+        routes.insert(prefix.into(), Arc::new(policy));
+    }
+
+    /// Returns the route of `host` with the longest prefix of `path`. A prefix ends with a
+    /// slash, so it is searched at each slash of the path, from the last to the first.
+    pub fn lookup(&self, host: &str, path: &str) -> Option<&Arc<RoutePolicy>> {
+        let routes = self.hosts.get(host.to_ascii_lowercase().as_str())?;
+        let slashes = path.bytes().enumerate().rev().filter(|(_, byte)| *byte == b'/');
+        slashes.map(|(at, _)| &path[..=at]).find_map(|prefix| routes.get(prefix))
+    }
+
+    /// Returns whether some route sends requests to `service`.
+    pub fn serves(&self, service: &str) -> bool {
+        self.services.contains(service)
+    }
+
+    /// Returns the number of routes.
+    pub fn len(&self) -> usize {
+        self.hosts.values().map(|routes| routes.len()).sum()
+    }
+
+    /// Returns whether there is no route.
+    pub fn is_empty(&self) -> bool {
+        self.hosts.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-core/src/placement/work.rs
@@ -0,0 +1,88 @@
+//! A request at a guard, and what the guard says to it.
+
+use std::time::{Duration, Instant};
+
+/// A request that asks a guard for a slot.
+#[derive(Clone, Debug)]
+pub struct Work {
+    /// Rank of the route; zero is the most urgent.
+    pub priority: u8,
+    /// Whether the request may run again elsewhere.
+    pub idempotent: bool,
+    /// Hash of the route, for its running times.
+    pub route: u64,
+    /// Time at which the caller gets its final answer.
+    pub deadline: Instant,
+    /// Time at which an answer loses part of its value.
+    pub objective: Instant,
+    /// Whether no server without suspicion was found.
+    pub last_resort: bool,
+    /// Whether the request waits when no slot is free.
+    pub may_wait: bool,
+}
+
+/// Answer to a request that asks for a slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// The slot is held for a moment; the request may be sent.
+    Granted,
+    /// The request waits; the time is an estimate.
+    Queued(Duration),
+    /// The request does not run here.
+    Refused(Refusal),
+}
+
+/// Why a request does not run at a guard. It has not run there and never will.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Reason.
+    pub reason: RefusalReason,
+    /// Time after which a slot is expected.
+    pub retry_in: Duration,
+}
+
+/// Reason of a [`Refusal`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RefusalReason {
+    /// No server has announced itself, or it has left.
+    NoServer,
+    /// The server leaves.
+    Draining,
+    /// The daemon stops.
+    Stopping,
+    /// The server is suspect and runs a trial already.
+    Suspect,
+    /// No slot is free and the request does not wait.
+    Full,
+    /// The wait would outlast the request's deadline.
+    TooLate,
+}
+
+impl RefusalReason {
+    /// Returns the spelling used in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            RefusalReason::NoServer => "no_server",
+            RefusalReason::Draining => "draining",
+            RefusalReason::Stopping => "stopping",
+            RefusalReason::Suspect => "suspect",
+            RefusalReason::Full => "full",
+            RefusalReason::TooLate => "too_late",
+        }
+    }
+}
+
+/// How the work of a slot ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WorkOutcome {
+    /// The server answered as asked.
+    Answered,
+    /// The server answered with an error of its own, broke off or answered wrongly.
+    Failed,
+    /// The server refused the request without running it.
+    Shed,
+    /// The caller left, or its time was over.
+    Abandoned,
+    /// The server could not be reached.
+    Unreachable,
+}
--- /dev/null
+++ b/crates/fescuemux-sidecar/src/control.rs
@@ -0,0 +1,62 @@
+//! Reports of the own backend server, the readiness question, and metrics.
+
+use crate::ControlCall;
+use crate::node::Node;
+use crate::serve::{SmallResponse, text};
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::Full;
+use tracing::{info, warn};
+
+/// Answers a call of a backend server.
+pub(crate) fn on_control(node: &Node, req: &Request<()>, body: &[u8]) -> SmallResponse {
+    let path = req.uri().path_and_query().map_or("/", |path| path.as_str());
+    match node.dialect.decode_control(path, body) {
+        Ok(ControlCall::Report(report)) => {
+            let (id, phase, born) = (report.id.clone(), report.phase, report.born);
+            let changed = node.gate.borrow_mut().on_report(node.now(), report);
+            if changed {
+                info!(event = "server_report", server = %id, phase = ?phase, born);
+                node.advance_gate();
+            }
+            acknowledged(node)
+        }
+        Ok(ControlCall::Leave(id)) => {
+            let current = node.gate.borrow_mut().on_leave(&id);
+            info!(event = "server_left", server = %id, current);
+            node.advance_gate();
+            acknowledged(node)
+        }
+        Err(e) => {
+            warn!(event = "control_call_refused", path, error = %e);
+            text(StatusCode::BAD_REQUEST, "not understood")
+        }
+    }
+}
+
+fn acknowledged(node: &Node) -> SmallResponse {
+    let mut response = text(StatusCode::OK, node.dialect.control_ack());
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    response
+}
+
+/// Answers whether callers may come.
+pub(crate) fn on_ready(node: &Node, _: &Request<()>, _: &[u8]) -> SmallResponse {
+    let stopping = *node.stopping.borrow();
+    if stopping || node.config.borrow().is_none() {
+        return text(StatusCode::SERVICE_UNAVAILABLE, "not ready");
+    }
+    text(StatusCode::OK, "ready")
+}
+
+/// Answers with all metrics.
+pub(crate) fn on_metrics(node: &Node, _: &Request<()>, _: &[u8]) -> SmallResponse {
+    match node.metrics.text() {
+        Ok(buf) => Response::new(Full::new(Bytes::from(buf))),
+        Err(e) => {
+            warn!(event = "metrics_failed", error = %e);
+            text(StatusCode::INTERNAL_SERVER_ERROR, "metrics")
+        }
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-sidecar/src/guard/relay.rs
@@ -0,0 +1,287 @@
+//! One request at the own backend server.
+
+use super::{Held, log_suspicion};
+use crate::HeaderNames;
+use crate::guard::servers;
+use crate::h1::{BodyReader, Connection, Framing, H1Error, Head, Reader, RequestHead};
+use crate::hop::{AnswerHead, Commit, Failure, Frame, HopCodec, HopConnection, HopError, Message};
+use crate::node::Node;
+use fescuemux_core::placement::WorkOutcome;
+use futures::stream::{SplitSink, SplitStream};
+use futures::{SinkExt, StreamExt};
+use std::cell::Cell;
+use std::io;
+use std::time::{Duration, Instant};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio_util::codec::Framed;
+use tracing::{info, warn};
+
+/// Answers to earlier requests that are skipped in search of the right one.
+const MAX_FOREIGN_ANSWERS: usize = 4;
+
+type HopFrames<'a> = &'a mut Framed<TcpStream, HopCodec>;
+type HopSink<'a> = SplitSink<HopFrames<'a>, Frame>;
+type HopStream<'a> = SplitStream<HopFrames<'a>>;
+
+/// How the exchange with the server ended.
+struct Ended {
+    outcome: WorkOutcome,
+    /// What the ingress is told, when the answer is not whole.
+    failure: Option<Failure>,
+    /// How long the server keeps the connection, when another request may use it.
+    reusable: Option<Option<Duration>>,
+}
+
+impl Ended {
+    fn failed(outcome: WorkOutcome, failure: Failure) -> Ended {
+        Ended { outcome, failure: Some(failure), reusable: None }
+    }
+}
+
+/// Runs a committed request and sends its answer.
+///
+/// # Errors
+/// Fails when the hop connection is of no further use.
+pub(super) async fn run(
+    node: &Node,
+    hop: &mut HopConnection,
+    held: &Held,
+    commit: Commit,
+    idempotent: bool,
+) -> Result<(), HopError> {
+    let now = node.now();
+    let deadline = now + Duration::from_millis(u64::from(commit.left_ms));
+    let begun = node.gate.borrow_mut().begin(now, held.ticket);
+    let server = node.gate.borrow().server().map(|s| (s.report.addr, s.report.id.clone()));
+    let Some((addr, server)) = server.filter(|_| begun) else {
+        return refuse(node, hop, &commit, Failure::Expired).await;
+    };
+    let names = node.dialect.headers();
+    let head = request_head(&names, &commit, &server, deadline, node.now());
+    let opened = servers::take(node, addr, idempotent).await;
+    let mut connection = match opened {
+        Ok(connection) => connection,
+        Err(e) => {
+            warn!(event = "server_unreachable", request = commit.request_id, error = %e);
+            finish(node, held, &commit, WorkOutcome::Unreachable);
+            return refuse(node, hop, &commit, Failure::Unreachable).await;
+        }
+    };
+    let body_whole = Cell::new(false);
+    let (mut sink, mut stream) = (&mut hop.frames).split();
+    let ended = {
+        let Connection { reader, writer, .. } = &mut connection;
+        let chunked = commit.body_len.is_none();
+        let upload = upload(&mut stream, writer, &head, chunked, &body_whole);
+        let download = download(&mut sink, reader, &names, &commit);
+        let left = deadline.saturating_duration_since(node.now());
+        tokio::select! {
+            () = upload => Ended { outcome: WorkOutcome::Abandoned, failure: None, reusable: None },
+            ended = download => ended,
+            () = tokio::time::sleep(left) => {
+                Ended::failed(WorkOutcome::Abandoned, Failure::Deadline)
+            }
+        }
+    };
+    drop((sink, stream));
+    finish(node, held, &commit, ended.outcome);
+    if let Some(idle_timeout) = ended.reusable.filter(|_| body_whole.get()) {
+        connection.idle_timeout = idle_timeout;
+        servers::put(node, addr, connection);
+    }
+    match ended.failure {
+        Some(failure) => {
+            log_failure(&commit, failure);
+            hop.send(Message::Failed(failure)).await?;
+        }
+        None if ended.outcome == WorkOutcome::Abandoned => return Err(HopError::Closed),
+        None => {}
+    }
+    // Frames of a body that the server did not wait for may still come.
+    if body_whole.get() { Ok(()) } else { Err(HopError::Closed) }
+}
+
+/// Tells the ingress that the server saw nothing, and ends the connection if a body follows.
+async fn refuse(
+    node: &Node,
+    hop: &mut HopConnection,
+    commit: &Commit,
+    failure: Failure,
+) -> Result<(), HopError> {
+    log_failure(commit, failure);
+    node.metrics.on_admission(failure.as_str());
+    hop.send(Message::Failed(failure)).await?;
+    Err(HopError::Closed)
+}
+
+fn log_failure(commit: &Commit, failure: Failure) {
+    info!(
+        event = "work_failed",
+        request = commit.request_id,
+        reason = failure.as_str(),
+        verdict = %failure.verdict()
+    );
+}
+
+fn finish(node: &Node, held: &Held, commit: &Commit, outcome: WorkOutcome) {
+    let changed = node.gate.borrow_mut().finish(node.now(), held.ticket, outcome);
+    if changed {
+        log_suspicion(node, &commit.request_id);
+    }
+    node.advance_gate();
+}
+
+fn request_head(
+    names: &HeaderNames,
+    commit: &Commit,
+    server: &str,
+    deadline: Instant,
+    now: Instant,
+) -> bytes::BytesMut {
+    let mut head = RequestHead::new(&commit.method, &commit.path);
+    for (name, value) in &commit.headers {
+        head.header(name, value);
+    }
+    let left = deadline.saturating_duration_since(now).as_millis().max(1);
+    head.header(names.deadline_ms, left.to_string().as_bytes());
+    head.header(names.target_server, server.as_bytes());
+    match commit.body_len {
+        Some(0) if commit.method == "GET" || commit.method == "HEAD" => {}
+        Some(len) => head.header("content-length", len.to_string().as_bytes()),
+        None => head.header("transfer-encoding", b"chunked"),
+    }
+    head.finish()
+}
+
+/// Passes the request on. Returns only when the ingress withdraws; a server that stops reading
+/// may still answer.
+async fn upload(
+    stream: &mut HopStream<'_>,
+    writer: &mut OwnedWriteHalf,
+    head: &[u8],
+    chunked: bool,
+    whole: &Cell<bool>,
+) {
+    let mut sent = writer.write_all(head).await;
+    while let Some(Ok(frame)) = stream.next().await {
+        let wrote = match frame {
+            _ if sent.is_err() => Ok(()),
+            Frame::Body(bytes) => write_body(writer, &bytes, chunked).await,
+            Frame::Message(Message::BodyEnd) => {
+                let end = if chunked { writer.write_all(b"0\r\n\r\n").await } else { Ok(()) };
+                whole.set(end.is_ok());
+                end
+            }
+            // Nothing else belongs here, so the connection is of no use.
+            Frame::Message(_) => return,
+        };
+        sent = sent.and(wrote);
+    }
+}
+
+async fn write_body(writer: &mut OwnedWriteHalf, bytes: &[u8], chunked: bool) -> io::Result<()> {
+    if !chunked {
+        return writer.write_all(bytes).await;
+    }
+    writer.write_all(format!("{:x}\r\n", bytes.len()).as_bytes()).await?;
+    writer.write_all(bytes).await?;
+    writer.write_all(b"\r\n").await
+}
+
+/// Passes the answer on.
+async fn download(
+    sink: &mut HopSink<'_>,
+    reader: &mut Reader,
+    names: &HeaderNames,
+    commit: &Commit,
+) -> Ended {
+    let head = match own_answer(reader, names, &commit.request_id).await {
+        Ok(head) => head,
+        Err(e) => {
+            info!(event = "answer_missing", request = commit.request_id, error = %e);
+            return Ended::failed(WorkOutcome::Failed, Failure::Broken);
+        }
+    };
+    let Ok(framing) = framing(&head, commit) else {
+        return Ended::failed(WorkOutcome::Failed, Failure::Broken);
+    };
+    if head.header(names.not_run).is_some() || head.status == 421 {
+        return Ended::failed(WorkOutcome::Shed, Failure::Shed);
+    }
+    let success = (200..300).contains(&head.status);
+    let encoded = head.header("content-encoding").is_some();
+    if success && (head.header(names.server_stamp).is_none() || encoded) {
+        info!(event = "answer_unproved", request = commit.request_id, status = head.status);
+        return Ended::failed(WorkOutcome::Failed, Failure::Broken);
+    }
+    match relay_answer(sink, reader, &head, framing).await {
+        Ok(()) => Ended {
+            outcome: if head.status >= 500 { WorkOutcome::Failed } else { WorkOutcome::Answered },
+            failure: None,
+            reusable: (!head.closes() && framing != Framing::UntilClose)
+                .then(|| head.idle_timeout()),
+        },
+        Err(RelayError::Server(e)) => {
+            info!(event = "answer_cut", request = commit.request_id, error = %e);
+            Ended::failed(WorkOutcome::Failed, Failure::Broken)
+        }
+        Err(RelayError::Ingress) => {
+            Ended { outcome: WorkOutcome::Abandoned, failure: None, reusable: None }
+        }
+    }
+}
+
+fn framing(head: &Head, commit: &Commit) -> Result<Framing, H1Error> {
+    if commit.method == "HEAD" { Ok(Framing::Length(0)) } else { head.framing() }
+}
+
+/// Returns the head of the answer with the request's id; late answers to earlier requests on
+/// the same connection are read over.
+async fn own_answer(
+    reader: &mut Reader,
+    names: &HeaderNames,
+    request_id: &str,
+) -> Result<Head, H1Error> {
+    for _ in 0..MAX_FOREIGN_ANSWERS {
+        let head = reader.head().await?;
+        if head.header(names.request_id) == Some(request_id) {
+            return Ok(head);
+        }
+        let framing = head.framing()?;
+        if framing == Framing::UntilClose {
+            return Err(H1Error::Malformed);
+        }
+        let mut body = BodyReader::new(framing);
+        while body.next(reader).await?.is_some() {}
+    }
+    Err(H1Error::Malformed)
+}
+
+enum RelayError {
+    Server(H1Error),
+    Ingress,
+}
+
+async fn relay_answer(
+    sink: &mut HopSink<'_>,
+    reader: &mut Reader,
+    head: &Head,
+    framing: Framing,
+) -> Result<(), RelayError> {
+    let body_len = match framing {
+        Framing::Length(len) => Some(len),
+        Framing::Chunked | Framing::UntilClose => None,
+    };
+    let headers = head.headers.iter().filter(|(name, _)| !servers::is_hop_by_hop(name));
+    let headers = headers.map(|(name, value)| (name.clone(), value.to_vec())).collect();
+    let head = AnswerHead { status: head.status, headers, body_len };
+    let ingress = |_: io::Error| RelayError::Ingress;
+    sink.feed(Frame::Message(Message::Head(head))).await.map_err(ingress)?;
+    let mut body = BodyReader::new(framing);
+    while let Some(piece) = body.next(reader).await.map_err(RelayError::Server)? {
+        sink.feed(Frame::Body(piece)).await.map_err(ingress)?;
+    }
+    sink.send(Frame::Message(Message::End)).await.map_err(ingress)
+}
--- /dev/null
+++ b/crates/fescuemux-sidecar/src/h1/body.rs
@@ -0,0 +1,139 @@
+//! Bodies of answers.
+
+use crate::h1::{H1Error, Reader};
+use bytes::{Buf, Bytes};
+
+/// Longest line of a chunk size or trailer.
+const MAX_LINE: usize = 8 * 1024;
+
+/// How a body ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// After this many bytes.
+    Length(u64),
+    /// After the last chunk.
+    Chunked,
+    /// With the connection.
+    UntilClose,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Fixed(u64),
+    ChunkSize,
+    ChunkData(u64),
+    ChunkEnd,
+    Trailers,
+    UntilClose,
+    Done,
+}
+
+/// Reads a body piece by piece.
+#[derive(Debug)]
+pub struct BodyReader {
+    state: State,
+}
+
+impl BodyReader {
+    /// Returns a reader for the framing of a head.
+    pub fn new(framing: Framing) -> BodyReader {
+        let state = match framing {
+            Framing::Length(0) => State::Done,
+            Framing::Length(left) => State::Fixed(left),
+            Framing::Chunked => State::ChunkSize,
+            Framing::UntilClose => State::UntilClose,
+        };
+        BodyReader { state }
+    }
+
+    /// Returns the next piece, or `None` after the last.
+    ///
+    /// # Errors
+    /// Fails when the body breaks off or its framing is wrong.
+    pub async fn next(&mut self, reader: &mut Reader) -> Result<Option<Bytes>, H1Error> {
+        loop {
+            match self.state {
+                State::Done => return Ok(None),
+                State::Fixed(left) => return self.fixed(reader, left).await,
+                State::UntilClose => {
+                    if reader.buf.is_empty() && !reader.fill().await? {
+                        self.state = State::Done;
+                        return Ok(None);
+                    }
+                    return Ok(Some(reader.buf.split().freeze()));
+                }
+                State::ChunkSize => self.chunk_size(reader).await?,
+                State::ChunkData(left) => return self.chunk_data(reader, left).await,
+                State::ChunkEnd => {
+                    if !reader.line(MAX_LINE).await?.is_empty() {
+                        return Err(H1Error::Malformed);
+                    }
+                    self.state = State::ChunkSize;
+                }
+                State::Trailers => {
+                    if reader.line(MAX_LINE).await?.is_empty() {
+                        self.state = State::Done;
+                    }
+                }
+            }
+        }
+    }
+
+    async fn fixed(&mut self, reader: &mut Reader, left: u64) -> Result<Option<Bytes>, H1Error> {
+        let piece = reader.piece(left).await?;
+        let left = left - piece.len() as u64;
+        self.state = if left == 0 { State::Done } else { State::Fixed(left) };
+        Ok(Some(piece))
+    }
+
+    async fn chunk_size(&mut self, reader: &mut Reader) -> Result<(), H1Error> {
+        let line = reader.line(MAX_LINE).await?;
+        let digits = line.split(|byte| *byte == b';').next().unwrap_or_default();
+        let digits = std::str::from_utf8(digits).map_err(|_| H1Error::Malformed)?.trim();
+        let size = u64::from_str_radix(digits, 16).map_err(|_| H1Error::Malformed)?;
+        self.state = if size == 0 { State::Trailers } else { State::ChunkData(size) };
+        Ok(())
+    }
+
+    async fn chunk_data(
+        &mut self,
+        reader: &mut Reader,
+        left: u64,
+    ) -> Result<Option<Bytes>, H1Error> {
+        let piece = reader.piece(left).await?;
+        let left = left - piece.len() as u64;
+        self.state = if left == 0 { State::ChunkEnd } else { State::ChunkData(left) };
+        Ok(Some(piece))
+    }
+}
+
+impl Reader {
+    /// Returns up to `most` bytes, at least one.
+    async fn piece(&mut self, most: u64) -> Result<Bytes, H1Error> {
+        if self.buf.is_empty() && !self.fill().await? {
+            return Err(H1Error::Cut);
+        }
+        let len = self.buf.len().min(usize::try_from(most).unwrap_or(usize::MAX));
+        Ok(self.buf.split_to(len).freeze())
+    }
+
+    /// Returns a line without its end.
+    async fn line(&mut self, most: usize) -> Result<Bytes, H1Error> {
+        loop {
+            if let Some(at) = self.buf.iter().position(|byte| *byte == b'\n') {
+                let mut line = self.buf.split_to(at + 1).freeze();
+                line.truncate(at);
+                if line.last() == Some(&b'\r') {
+                    line.truncate(line.remaining() - 1);
+                }
+                return Ok(line);
+            }
+            if self.buf.len() > most {
+                return Err(H1Error::Malformed);
+            }
+            if !self.fill().await? {
+                return Err(H1Error::Cut);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-sidecar/src/h1/head.rs
@@ -0,0 +1,106 @@
+//! Heads of requests and answers.
+
+use crate::h1::{Framing, H1Error};
+use bytes::{BufMut, Bytes, BytesMut};
+use std::time::Duration;
+
+/// Most headers of an answer.
+const MAX_HEADERS: usize = 64;
+
+/// Head of a request to send.
+#[derive(Debug)]
+pub struct RequestHead {
+    buf: BytesMut,
+}
+
+impl RequestHead {
+    /// Begins a head.
+    pub fn new(method: &str, path_and_query: &str) -> RequestHead {
+        let mut buf = BytesMut::with_capacity(512);
+        for part in [method, " ", path_and_query, " HTTP/1.1\r\n"] {
+            buf.put_slice(part.as_bytes());
+        }
+        RequestHead { buf }
+    }
+
+    /// Adds a header. Name and value come from parsed heads and hold no line ends.
+    pub fn header(&mut self, name: &str, value: &[u8]) {
+        self.buf.put_slice(name.as_bytes());
+        self.buf.put_slice(b": ");
+        self.buf.put_slice(value);
+        self.buf.put_slice(b"\r\n");
+    }
+
+    /// Ends the head and returns its bytes.
+    pub fn finish(mut self) -> BytesMut {
+        self.buf.put_slice(b"\r\n");
+        self.buf
+    }
+}
+
+/// Head of an answer.
+#[derive(Clone, Debug)]
+pub struct Head {
+    /// Status.
+    pub status: u16,
+    /// Headers with names in lower case.
+    pub headers: Vec<(String, Bytes)>,
+}
+
+impl Head {
+    /// Parses a head at the start of `buf` and returns it with its length, or `None` when more
+    /// bytes are needed.
+    ///
+    /// # Errors
+    /// Fails when the bytes are no head.
+    pub(super) fn parse(buf: &[u8]) -> Result<Option<(Head, usize)>, H1Error> {
+        let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut parsed = httparse::Response::new(&mut headers);
+        let status = parsed.parse(buf).map_err(|_| H1Error::Malformed)?;
+        let httparse::Status::Complete(len) = status else { return Ok(None) };
+        let headers = parsed.headers.iter();
+        let headers = headers
+            .map(|h| (h.name.to_ascii_lowercase(), Bytes::copy_from_slice(h.value)))
+            .collect();
+        let status = parsed.code.ok_or(H1Error::Malformed)?;
+        Ok(Some((Head { status, headers }, len)))
+    }
+
+    /// Returns the first header with the name, given in lower case.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let found = self.headers.iter().find(|(other, _)| other == name);
+        found.and_then(|(_, value)| std::str::from_utf8(value).ok()).map(str::trim)
+    }
+
+    /// Returns whether the connection ends after this answer.
+    pub fn closes(&self) -> bool {
+        self.header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"))
+    }
+
+    /// Returns how long the server keeps the connection open while it is idle.
+    pub fn idle_timeout(&self) -> Option<Duration> {
+        let parts = self.header("keep-alive")?.split(',');
+        let seconds = parts.filter_map(|part| part.trim().strip_prefix("timeout=")).next()?;
+        seconds.parse().ok().map(Duration::from_secs)
+    }
+
+    /// Returns how the body ends.
+    ///
+    /// # Errors
+    /// Fails when two headers contradict each other.
+    pub fn framing(&self) -> Result<Framing, H1Error> {
+        if matches!(self.status, 204 | 304) {
+            return Ok(Framing::Length(0));
+        }
+        let lengths = self.headers.iter().filter(|(name, _)| name == "content-length").count();
+        let chunked = self.header("transfer-encoding");
+        match (chunked, self.header("content-length")) {
+            (Some(coding), None) if coding.eq_ignore_ascii_case("chunked") => Ok(Framing::Chunked),
+            (None, Some(length)) if lengths == 1 => {
+                length.parse().map(Framing::Length).map_err(|_| H1Error::Malformed)
+            }
+            (None, None) => Ok(Framing::UntilClose),
+            _ => Err(H1Error::Malformed),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-sidecar/src/hop/codec.rs
@@ -0,0 +1,78 @@
+//! Frames: a length, a tag, and either body bytes or a message.
+
+use crate::hop::Message;
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use std::io;
+use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
+
+/// Longest frame: a configuration of the largest stored value with its frame.
+const MAX_FRAME: usize = 4 << 20;
+
+const BODY: u8 = 0;
+const MESSAGE: u8 = 1;
+
+/// A frame.
+#[derive(Clone, Debug)]
+pub(crate) enum Frame {
+    /// Part of a body.
+    Body(Bytes),
+    /// A message.
+    Message(Message),
+}
+
+/// Codec of the frames.
+#[derive(Debug)]
+pub(crate) struct HopCodec {
+    frames: LengthDelimitedCodec,
+}
+
+impl Default for HopCodec {
+    fn default() -> HopCodec {
+        HopCodec { frames: LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME).new_codec() }
+    }
+}
+
+impl Decoder for HopCodec {
+    type Item = Frame;
+    type Error = io::Error;
+
+    fn decode(&mut self, src: &mut BytesMut) -> io::Result<Option<Frame>> {
+        let Some(mut frame) = self.frames.decode(src)? else { return Ok(None) };
+        if frame.is_empty() {
+            return Err(invalid("empty frame"));
+        }
+        match frame.get_u8() {
+            BODY => Ok(Some(Frame::Body(frame.freeze()))),
+            MESSAGE => {
+                let message = postcard::from_bytes(&frame).map_err(|_| invalid("message"))?;
+                Ok(Some(Frame::Message(message)))
+            }
+            _ => Err(invalid("tag")),
+        }
+    }
+}
+
+impl Encoder<Frame> for HopCodec {
+    type Error = io::Error;
+
+    fn encode(&mut self, frame: Frame, dst: &mut BytesMut) -> io::Result<()> {
+        let mut buf = BytesMut::new();
+        match frame {
+            Frame::Body(bytes) => {
+                buf.reserve(bytes.len() + 1);
+                buf.put_u8(BODY);
+                buf.put_slice(&bytes);
+            }
+            Frame::Message(message) => {
+                buf.put_u8(MESSAGE);
+                let encoded = postcard::to_stdvec(&message).map_err(|_| invalid("message"))?;
+                buf.put_slice(&encoded);
+            }
+        }
+        self.frames.encode(buf.freeze(), dst)
+    }
+}
+
+fn invalid(what: &str) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, format!("invalid hop frame: {what}"))
+}
--- /dev/null
+++ b/crates/fescuemux-sidecar/src/hop/connection.rs
@@ -0,0 +1,99 @@
+//! A connection between two instances.
+
+use crate::hop::{Frame, HopCodec, Message};
+use futures::{SinkExt, StreamExt};
+use std::io;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio_util::codec::Framed;
+
+/// Why an exchange with another instance ended.
+#[derive(Debug, Error)]
+pub(crate) enum HopError {
+    /// The connection failed.
+    #[error("connection: {0}")]
+    Io(#[from] io::Error),
+    /// The other side closed the connection.
+    #[error("closed")]
+    Closed,
+    /// The other side sent what does not belong here.
+    #[error("unexpected message")]
+    Unexpected,
+    /// The other side did not answer in time.
+    #[error("timed out")]
+    TimedOut,
+}
+
+/// An open connection.
+#[derive(Debug)]
+pub(crate) struct HopConnection {
+    /// Frames in both directions.
+    pub(crate) frames: Framed<TcpStream, HopCodec>,
+    /// Time of the last answer.
+    pub(crate) idle_since: Instant,
+}
+
+impl HopConnection {
+    /// Opens a connection within `timeout`.
+    ///
+    /// # Errors
+    /// Fails when the other side does not accept in time.
+    pub(crate) async fn open(
+        addr: SocketAddr,
+        now: Instant,
+        timeout: Duration,
+    ) -> Result<HopConnection, HopError> {
+        let connecting = tokio::time::timeout(timeout, TcpStream::connect(addr));
+        let stream = connecting.await.map_err(|_| HopError::TimedOut)??;
+        HopConnection::accepted(stream, now)
+    }
+
+    /// Returns the connection of an accepted stream.
+    ///
+    /// # Errors
+    /// Fails when the stream is closed already.
+    pub(crate) fn accepted(stream: TcpStream, now: Instant) -> Result<HopConnection, HopError> {
+        stream.set_nodelay(true)?;
+        Ok(HopConnection { frames: Framed::new(stream, HopCodec::default()), idle_since: now })
+    }
+
+    /// Sends a message at once.
+    ///
+    /// # Errors
+    /// Fails when the connection is closed.
+    pub(crate) async fn send(&mut self, message: Message) -> Result<(), HopError> {
+        Ok(self.frames.send(Frame::Message(message)).await?)
+    }
+
+    /// Returns the next frame.
+    ///
+    /// # Errors
+    /// Fails when the connection ends or holds no frame.
+    pub(crate) async fn next(&mut self) -> Result<Frame, HopError> {
+        match self.frames.next().await {
+            Some(frame) => Ok(frame?),
+            None => Err(HopError::Closed),
+        }
+    }
+
+    /// Returns the next message.
+    ///
+    /// # Errors
+    /// Fails when the connection ends or a body frame comes.
+    pub(crate) async fn message(&mut self) -> Result<Message, HopError> {
+        match self.next().await? {
+            Frame::Message(message) => Ok(message),
+            Frame::Body(_) => Err(HopError::Unexpected),
+        }
+    }
+
+    /// Returns whether the other side neither closed nor sent anything.
+    pub(crate) fn is_quiet(&self) -> bool {
+        let mut byte = [0; 1];
+        let read = self.frames.get_ref().try_read(&mut byte);
+        self.frames.read_buffer().is_empty()
+            && matches!(read, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-sidecar/src/ingress.rs
@@ -0,0 +1,101 @@
+//! The ingress: takes requests of callers and of the own backend server, and answers them.
+
+mod answer;
+mod answer_body;
+mod call;
+mod caller_connection;
+mod place;
+mod request_body;
+mod run;
+mod try_once;
+
+use crate::node::Node;
+use answer::Answer;
+use answer_body::AnswerBody;
+use call::Call;
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use request_body::RequestBody;
+use std::rc::Rc;
+use std::time::Duration;
+use tracing::info;
+
+pub(crate) use caller_connection::serve;
+
+/// Time after which a caller may come back when nothing better is known: about a server's
+/// restart or the return of a lost instance's load to the others.
+const RETRY_IN: Duration = Duration::from_millis(800);
+
+/// Answers one request.
+async fn handle(node: Rc<Node>, req: Request<Incoming>) -> Response<AnswerBody> {
+    let arrival = node.now();
+    let _counted = InFlight::new(&node);
+    let (parts, body) = req.into_parts();
+    let call = match Call::new(&node, &parts, arrival) {
+        Ok(call) => call,
+        Err(answer) => return finish(&node, None, answer, &parts),
+    };
+    let bounds = node.config.borrow().as_ref().map(|config| config.bounds);
+    let limit = bounds.map_or(u64::MAX, |bounds| bounds.body_bytes);
+    let read = tokio::time::timeout_at(call.deadline.into(), RequestBody::read(body, limit)).await;
+    let answer = match read {
+        Ok(Ok(body)) => run::run(&node, &call, body).await,
+        Ok(Err(answer)) => answer,
+        Err(_) => Answer::refused(StatusCode::REQUEST_TIMEOUT, "body_timeout", None),
+    };
+    finish(&node, Some(&call), answer, &parts)
+}
+
+/// Logs and counts an answer and puts it into the caller's protocol.
+fn finish(
+    node: &Node,
+    call: Option<&Call>,
+    answer: Answer,
+    parts: &http::request::Parts,
+) -> Response<AnswerBody> {
+    let names = node.dialect.headers();
+    let given_id = parts.headers.get(names.request_id).and_then(|id| id.to_str().ok());
+    let id = given_id.unwrap_or_default();
+    let status = answer.status.as_u16();
+    let reason = answer.reason.unwrap_or("answered");
+    let arrival = call.map(|call| call.arrival);
+    let took = arrival.map_or(Duration::ZERO, |at| node.now().saturating_duration_since(at));
+    info!(
+        event = "request",
+        request = id,
+        route = call.map_or("", |call| call.policy.id.as_str()),
+        service = call.map_or("", |call| call.service.as_str()),
+        status,
+        reason,
+        verdict = %answer.verdict,
+        peer = answer.peer.as_deref().unwrap_or_default(),
+        sent = call.map_or(0, |call| call.sent.get()),
+        ms = took.as_millis() as u64,
+        left_ms = call.map_or(0, |call| call.left(node.now()).as_millis() as u64),
+        retry_ms = answer.retry_in.map_or(0, |retry| retry.as_millis() as u64),
+        config = node.config_version()
+    );
+    let service = call.map_or("none", |call| call.service.as_str());
+    node.metrics.on_request(service, status, reason, took);
+    answer.into_response(names.request_id, id)
+}
+
+/// Counts a request while it is under way.
+struct InFlight<'a> {
+    node: &'a Node,
+}
+
+impl InFlight<'_> {
+    fn new(node: &Node) -> InFlight<'_> {
+        node.in_flight.set(node.in_flight.get() + 1);
+        node.metrics.in_flight.inc();
+        InFlight { node }
+    }
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        self.node.in_flight.set(self.node.in_flight.get() - 1);
+        self.node.metrics.in_flight.dec();
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-sidecar/src/ingress/place.rs
@@ -0,0 +1,199 @@
+//! Finds a guard that holds a slot for a request.
+
+use super::RETRY_IN;
+use super::call::Call;
+use crate::hop::{HopConnection, HopError, Message, Reserve};
+use crate::node::Node;
+use crate::quotes::{self, Offer};
+use fescuemux_core::base::InstanceId;
+use fescuemux_core::placement::{Peer, PlacementCost, Readiness, Refusal, RefusalReason, rank};
+use std::time::Duration;
+
+/// Guards that are asked at once. With two thirds of them in the own failure domain, both the
+/// near and the far ones offer a choice.
+const WIDTH: usize = 5;
+
+/// Rounds of questions before a request is refused.
+const MAX_ROUNDS: usize = 4;
+
+/// Pause between rounds that found nobody.
+const ROUND_PAUSE: Duration = Duration::from_millis(25);
+
+/// Time after which a request that waits at one guard looks for a free slot at others.
+const LOOK_AGAIN: Duration = Duration::from_millis(120);
+
+/// Time for the answer to a reservation, after the guard has just answered a question.
+const RESERVE_TIMEOUT: Duration = Duration::from_millis(120);
+
+/// A slot that is held for the request.
+#[derive(Debug)]
+pub(super) struct Placed {
+    pub(super) hop: HopConnection,
+    pub(super) peer: Peer,
+    /// Expected running time at the server.
+    pub(super) running: Duration,
+}
+
+/// Answer to a reservation.
+enum Reserved {
+    Granted(Placed),
+    Queued(Placed),
+    Refused(Refusal),
+    /// No answer; the path or the instance does not work.
+    Silent,
+}
+
+/// Finds a guard that holds a slot for the request. Nothing is sent to a server meanwhile, so a
+/// caller that leaves, or a refusal, leaves no doubt.
+///
+/// # Errors
+/// Returns why the request cannot be placed, and when a slot is expected.
+pub(super) async fn place(
+    node: &Node,
+    call: &Call,
+    body_len: usize,
+    may_wait: bool,
+) -> Result<Placed, Refusal> {
+    let mut waiting: Option<Placed> = None;
+    let mut passed: Vec<InstanceId> = Vec::new();
+    let mut refusal = Refusal { reason: RefusalReason::NoServer, retry_in: RETRY_IN };
+    let mut rounds = 0;
+    loop {
+        let offers = ask(node, call, body_len, &passed, waiting.as_ref()).await;
+        for offer in offers {
+            let free = offer.quote.has_room() && offer.quote.readiness != Readiness::Suspect;
+            if waiting.is_some() && !free {
+                continue;
+            }
+            match reserve(node, call, &offer, may_wait && waiting.is_none()).await {
+                Reserved::Granted(placed) => return Ok(placed),
+                Reserved::Queued(placed) => {
+                    waiting = Some(placed);
+                    break;
+                }
+                Reserved::Refused(other) => {
+                    refusal = soonest(refusal, other);
+                    passed.push(offer.peer.id);
+                }
+                Reserved::Silent => passed.push(offer.peer.id),
+            }
+        }
+        let Some(placed) = &mut waiting else {
+            rounds += 1;
+            if rounds >= MAX_ROUNDS {
+                return Err(refusal);
+            }
+            tokio::time::sleep(ROUND_PAUSE).await;
+            continue;
+        };
+        tokio::select! {
+            message = placed.hop.message() => {
+                let placed = waiting.take().expect("the request waits");
+                match message {
+                    Ok(Message::Granted) => return Ok(placed),
+                    Ok(Message::Refused(other)) => {
+                        refusal = soonest(refusal, other.into());
+                        node.hops.put(placed.peer.addr, node.now(), placed.hop);
+                    }
+                    Ok(_) | Err(_) => node.metrics.on_attempt("wait_broken"),
+                }
+                passed.push(placed.peer.id);
+            }
+            () = tokio::time::sleep(LOOK_AGAIN) => passed.clear(),
+        }
+    }
+}
+
+/// Keeps the refusal that says most: one with a wait for a slot before one without a server.
+fn soonest(held: Refusal, other: Refusal) -> Refusal {
+    let says_wait =
+        |refusal: &Refusal| matches!(refusal.reason, RefusalReason::Full | RefusalReason::TooLate);
+    match (says_wait(&held), says_wait(&other)) {
+        (true, false) => held,
+        (true, true) if held.retry_in <= other.retry_in => held,
+        _ => other,
+    }
+}
+
+/// Asks some guards and returns their offers, best first.
+async fn ask(
+    node: &Node,
+    call: &Call,
+    body_len: usize,
+    passed: &[InstanceId],
+    waiting: Option<&Placed>,
+) -> Vec<Offer> {
+    let mut excluded = call.tried.borrow().clone();
+    excluded.extend_from_slice(passed);
+    excluded.extend(waiting.map(|placed| placed.peer.id.clone()));
+    let domain = node.settings.borrow().domain.clone();
+    let picked = node
+        .decide(|cx| node.directory.borrow().pick(cx, &call.service, &domain, WIDTH, &excluded));
+    if picked.is_empty() {
+        return Vec::new();
+    }
+    let mut offers = quotes::collect(node, picked, call.policy.priority, call.route).await;
+    let answer_kb = node.answer_kb.borrow().get(&call.route).copied().unwrap_or(1.0);
+    let kilobytes = answer_kb + body_len as f64 / 1024.0;
+    let idempotent = call.policy.class.is_idempotent();
+    rank(&mut offers, &PlacementCost::default(), kilobytes, idempotent, |offer| {
+        (offer.peer.domain == domain, offer.quote)
+    });
+    offers
+}
+
+async fn reserve(node: &Node, call: &Call, offer: &Offer, may_wait: bool) -> Reserved {
+    let reserving = tokio::time::timeout(RESERVE_TIMEOUT, exchange(node, call, offer, may_wait));
+    let peer = &offer.peer;
+    let result = reserving.await.unwrap_or(Err(HopError::TimedOut));
+    match result {
+        Ok(reserved) => reserved,
+        Err(e) => {
+            tracing::info!(
+                event = "reservation_failed",
+                request = call.request_id,
+                peer = %peer.id,
+                error = %e
+            );
+            node.metrics.on_attempt("reservation_failed");
+            node.hops.forget(peer.addr);
+            node.directory.borrow_mut().on_unanswered(node.now(), &peer.id);
+            Reserved::Silent
+        }
+    }
+}
+
+async fn exchange(
+    node: &Node,
+    call: &Call,
+    offer: &Offer,
+    may_wait: bool,
+) -> Result<Reserved, HopError> {
+    let peer = offer.peer.clone();
+    let mut hop = node.hops.take(peer.addr, node.now()).await?;
+    let now = node.now();
+    let objective = call.arrival + call.policy.objective;
+    let message = Message::Reserve(Reserve {
+        instance: peer.id.to_string(),
+        service: call.service.to_string(),
+        priority: call.policy.priority,
+        idempotent: call.policy.class.is_idempotent(),
+        route: call.route,
+        left_ms: call.left(now).as_millis() as u32,
+        objective_ms: objective.saturating_duration_since(now).as_millis() as u32,
+        last_resort: offer.quote.readiness == Readiness::Suspect,
+        may_wait,
+    });
+    hop.send(message).await?;
+    let answer = hop.message().await?;
+    let running = offer.quote.running;
+    match answer {
+        Message::Granted => Ok(Reserved::Granted(Placed { hop, peer, running })),
+        Message::Queued(_) => Ok(Reserved::Queued(Placed { hop, peer, running })),
+        Message::Refused(refused) => {
+            node.hops.put(peer.addr, node.now(), hop);
+            Ok(Reserved::Refused(refused.into()))
+        }
+        _ => Err(HopError::Unexpected),
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-sidecar/src/metrics.rs
@@ -0,0 +1,112 @@
+//! Counters and latency histograms.
+//!
+//! Must not know how the values come about.
+
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
+use std::time::Duration;
+
+/// Buckets of request times in seconds, from a millisecond to half a minute.
+const SECONDS: [f64; 12] = [0.001, 0.005, 0.025, 0.1, 0.25, 0.5, 1.0, 1.5, 3.0, 6.0, 15.0, 30.0];
+
+/// Metrics of a process.
+#[derive(Clone, Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    request_seconds: HistogramVec,
+    attempts: IntCounterVec,
+    admissions: IntCounterVec,
+    store_calls: IntCounterVec,
+    /// Version of the configuration in force.
+    pub(crate) config_version: IntGauge,
+    /// Instances known.
+    pub(crate) peers: IntGauge,
+    /// Requests of callers under way.
+    pub(crate) in_flight: IntGauge,
+}
+
+impl Metrics {
+    /// Returns metrics in a registry of their own.
+    ///
+    /// # Errors
+    /// Fails when two metrics share a name, which a test rules out.
+    pub(crate) fn new() -> prometheus::Result<Metrics> {
+        let registry = Registry::new();
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            let metric = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(metric.clone()))?;
+            Ok::<_, prometheus::Error>(metric)
+        };
+        let gauge = |name: &str, help: &str| {
+            let metric = IntGauge::new(name, help)?;
+            registry.register(Box::new(metric.clone()))?;
+            Ok::<_, prometheus::Error>(metric)
+        };
+        let seconds = HistogramOpts::new(
+            "fescuemux_request_seconds",
+            "Time from the head of a caller's request to the head of its answer",
+        );
+        let request_seconds = HistogramVec::new(seconds.buckets(SECONDS.to_vec()), &["service"])?;
+        registry.register(Box::new(request_seconds.clone()))?;
+        Ok(Metrics {
+            requests: counters(
+                "fescuemux_requests_total",
+                "Requests of callers by service, status and reason of a refusal or failure",
+                &["service", "status", "reason"],
+            )?,
+            request_seconds,
+            attempts: counters(
+                "fescuemux_attempts_total",
+                "Attempts at guards by result",
+                &["result"],
+            )?,
+            admissions: counters(
+                "fescuemux_admissions_total",
+                "Decisions of the own guard",
+                &["decision"],
+            )?,
+            store_calls: counters(
+                "fescuemux_store_calls_total",
+                "Calls to the store by kind and result",
+                &["call", "result"],
+            )?,
+            config_version: gauge("fescuemux_config_version", "Configuration in force")?,
+            peers: gauge("fescuemux_peers", "Instances known")?,
+            in_flight: gauge("fescuemux_requests_in_flight", "Requests of callers under way")?,
+            registry,
+        })
+    }
+
+    /// Counts a request of a caller.
+    pub(crate) fn on_request(&self, service: &str, status: u16, reason: &str, took: Duration) {
+        self.requests.with_label_values(&[service, &status.to_string(), reason]).inc();
+        self.request_seconds.with_label_values(&[service]).observe(took.as_secs_f64());
+    }
+
+    /// Counts an attempt.
+    pub(crate) fn on_attempt(&self, result: &str) {
+        self.attempts.with_label_values(&[result]).inc();
+    }
+
+    /// Counts a decision of the own guard.
+    pub(crate) fn on_admission(&self, decision: &str) {
+        self.admissions.with_label_values(&[decision]).inc();
+    }
+
+    /// Counts a call to the store.
+    pub(crate) fn on_store_call(&self, call: &str, ok: bool) {
+        self.store_calls.with_label_values(&[call, if ok { "ok" } else { "error" }]).inc();
+    }
+
+    /// Returns all metrics as text.
+    ///
+    /// # Errors
+    /// Fails when a metric cannot be written as text.
+    pub(crate) fn text(&self) -> prometheus::Result<Vec<u8>> {
+        let mut buf = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut buf)?;
+        Ok(buf)
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-sidecar/src/node.rs
@@ -0,0 +1,169 @@
+//! State that the tasks of a process share.
+
+use crate::h1::Connection;
+use crate::hop::HopPool;
+use crate::metrics::Metrics;
+use crate::quotes::Quotes;
+use crate::{Dialect, FleetConfig, NodeSettings};
+use anyhow::Result;
+use fescuemux_core::base::{Clock, Cx, Generation, HashMap, Incarnation, ServiceId};
+use fescuemux_core::placement::{Admission, Directory, Gate, Peer, RepeatBudget, Splitter, Ticket};
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Instant, UNIX_EPOCH};
+use tokio::sync::{Notify, oneshot, watch};
+use tracing::info;
+
+/// Shared state of one process, used by tasks of one thread.
+pub(crate) struct Node {
+    pub(crate) settings: RefCell<NodeSettings>,
+    pub(crate) dialect: Rc<dyn Dialect>,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) metrics: Metrics,
+    pub(crate) gate: RefCell<Gate>,
+    /// Where requests that wait at the gate learn of the decision.
+    pub(crate) waiting: RefCell<HashMap<Ticket, oneshot::Sender<Admission>>>,
+    /// Idle connections to the own backend server, the most recent last.
+    pub(crate) servers: RefCell<Vec<(SocketAddr, Connection)>>,
+    pub(crate) directory: RefCell<Directory>,
+    pub(crate) config: RefCell<Option<Rc<FleetConfig>>>,
+    pub(crate) splitter: RefCell<Splitter>,
+    pub(crate) budgets: RefCell<HashMap<ServiceId, RepeatBudget>>,
+    /// Mean size of the answers of a route, in kilobytes.
+    pub(crate) answer_kb: RefCell<HashMap<u64, f64>>,
+    pub(crate) hops: HopPool,
+    pub(crate) quotes: Quotes,
+    /// True once the process stops.
+    pub(crate) stopping: watch::Sender<bool>,
+    /// Wakes the task that fetches what another instance knows, with its address.
+    pub(crate) pull_from: RefCell<Option<SocketAddr>>,
+    pub(crate) pull_wake: Notify,
+    pub(crate) in_flight: Cell<usize>,
+    rng: RefCell<fescuemux_core::base::Rng>,
+    next_ticket: Cell<Ticket>,
+}
+
+impl Node {
+    /// Returns the state of a process that starts now.
+    ///
+    /// # Errors
+    /// Fails when the socket for questions cannot be bound.
+    pub(crate) fn new(
+        settings: NodeSettings,
+        dialect: Rc<dyn Dialect>,
+        clock: Arc<dyn Clock>,
+    ) -> Result<Node> {
+        let now = clock.now();
+        let since_epoch = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let incarnation = since_epoch.as_millis() as Incarnation;
+        let quotes = Quotes::bind(settings.listen.peers)?;
+        Ok(Node {
+            metrics: Metrics::new()?,
+            gate: RefCell::new(Gate::new(now)),
+            waiting: RefCell::default(),
+            servers: RefCell::default(),
+            directory: RefCell::default(),
+            config: RefCell::default(),
+            splitter: RefCell::default(),
+            budgets: RefCell::default(),
+            answer_kb: RefCell::default(),
+            hops: HopPool::default(),
+            quotes,
+            stopping: watch::Sender::new(false),
+            pull_from: RefCell::default(),
+            pull_wake: Notify::new(),
+            in_flight: Cell::new(0),
+            rng: RefCell::new(Cx::new(now, rand::random()).rng),
+            next_ticket: Cell::new(0),
+            settings: RefCell::new(settings),
+            dialect,
+            clock,
+            incarnation,
+        })
+    }
+
+    /// Returns the current time.
+    pub(crate) fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    /// Runs a decision with the current time and the process's generator.
+    pub(crate) fn decide<T>(&self, decision: impl FnOnce(&mut Cx) -> T) -> T {
+        let mut rng = self.rng.borrow_mut();
+        let mut cx = Cx { now: self.now(), rng: rng.clone() };
+        let result = decision(&mut cx);
+        *rng = cx.rng;
+        result
+    }
+
+    /// Returns a number for a request at the own gate.
+    pub(crate) fn next_ticket(&self) -> Ticket {
+        self.next_ticket.set(self.next_ticket.get() + 1);
+        self.next_ticket.get()
+    }
+
+    /// Returns the entry of this process for other instances.
+    pub(crate) fn own_peer(&self) -> Peer {
+        let settings = self.settings.borrow();
+        Peer {
+            id: settings.instance.clone(),
+            addr: settings.listen.peers,
+            domain: settings.domain.clone(),
+            service: settings.service.clone(),
+            incarnation: self.incarnation,
+        }
+    }
+
+    /// Returns the version of the configuration in force; zero stands for none.
+    pub(crate) fn config_version(&self) -> Generation {
+        self.config.borrow().as_ref().map_or(0, |config| config.version)
+    }
+
+    /// Puts a configuration in force unless it is not newer than the current one.
+    pub(crate) fn install(&self, config: FleetConfig, source: &str) {
+        let held = self.config_version();
+        if config.version <= held {
+            return;
+        }
+        info!(
+            event = "config_installed",
+            version = config.version,
+            previous = held,
+            source,
+            routes = config.routes.len()
+        );
+        self.metrics.config_version.set(config.version as i64);
+        *self.config.borrow_mut() = Some(Rc::new(config));
+    }
+
+    /// Adds an instance to the directory.
+    pub(crate) fn learn_peer(&self, peer: Peer, source: &str) {
+        let id = peer.id.clone();
+        let mut directory = self.directory.borrow_mut();
+        if directory.insert(self.now(), peer) {
+            info!(event = "peer_learned", peer = %id, source);
+        }
+        self.metrics.peers.set(directory.len() as i64);
+    }
+
+    /// Asks for what the instance at `addr` knows, when it knows more.
+    pub(crate) fn request_pull(&self, addr: SocketAddr) {
+        *self.pull_from.borrow_mut() = Some(addr);
+        self.pull_wake.notify_one();
+    }
+
+    /// Tells waiting requests what the gate decides as time passes or slots become free.
+    pub(crate) fn advance_gate(&self) {
+        let decided = self.gate.borrow_mut().advance(self.now());
+        for (ticket, admission) in decided {
+            let waiting = self.waiting.borrow_mut().remove(&ticket);
+            let told = waiting.is_some_and(|tx| tx.send(admission).is_ok());
+            if !told {
+                self.gate.borrow_mut().withdraw(ticket);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-sidecar/src/run.rs
@@ -0,0 +1,138 @@
+//! Start, wiring and stop of a process.
+
+use crate::node::Node;
+use crate::serve::{accept, listen, serve_small};
+use crate::{Dialect, MetadataStore, NodeSettings, SettingsSource};
+use crate::{control, guard, hop, ingress, quotes, sync};
+use anyhow::Result;
+use fescuemux_core::base::Clock;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::spawn_local;
+use tracing::{info, warn};
+
+/// Time after SIGTERM for which callers may still come: two missed readiness questions, a
+/// second apart, and one second for what is on its way.
+const CALLERS_LEAVE: Duration = Duration::from_millis(2_600);
+
+/// Time before SIGKILL at which the process ends, whatever is under way.
+const KILL_MARGIN: Duration = Duration::from_millis(300);
+
+/// Pause between looks at the number of requests under way.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+/// Pause between looks at the settings, which may change without a signal.
+const SETTINGS_POLL: Duration = Duration::from_secs(2);
+
+/// Clock of the operating system.
+#[derive(Debug)]
+struct SystemClock;
+
+impl Clock for SystemClock {
+    fn now(&self) -> Instant {
+        Instant::now()
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::now()
+    }
+}
+
+/// Runs the process until it is told to stop. Must be called within a
+/// [`tokio::task::LocalSet`].
+///
+/// # Errors
+/// Fails when the settings are wrong or an address cannot be bound.
+pub async fn run<S: MetadataStore + 'static>(
+    source: impl SettingsSource + 'static,
+    dialect: Rc<dyn Dialect>,
+    store: Rc<S>,
+) -> Result<()> {
+    let settings = source.read()?;
+    let addresses = settings.listen;
+    let node = Rc::new(Node::new(settings, dialect, Arc::new(SystemClock))?);
+    node.learn_peer(node.own_peer(), "own");
+    info!(event = "started", instance = %node.own_peer().id, incarnation = node.incarnation);
+
+    let peers = listen(addresses.peers).await?;
+    serve_small(node.clone(), listen(addresses.control).await?, control::on_control);
+    serve_small(node.clone(), listen(addresses.ready).await?, control::on_ready);
+    serve_small(node.clone(), listen(addresses.metrics).await?, control::on_metrics);
+    spawn_local(ingress::serve(node.clone(), listen(addresses.callers).await?));
+    spawn_local(serve_peers(node.clone(), peers));
+    spawn_local(quotes::serve(node.clone()));
+    spawn_local(guard::tick(node.clone()));
+    spawn_local(sync::pull(node.clone()));
+    spawn_local(sync::gossip(node.clone()));
+    spawn_local(sync::watch_config(node.clone(), store.clone()));
+    spawn_local(sync::watch_peers(node.clone(), store.clone()));
+    spawn_local(reload(node.clone(), source));
+    let registration = spawn_local(sync::register(node.clone(), store));
+
+    let mut terminate = signal(SignalKind::terminate())?;
+    terminate.recv().await;
+    drain(&node).await;
+    registration.abort();
+    info!(event = "stopped", in_flight = node.in_flight.get());
+    Ok(())
+}
+
+async fn serve_peers(node: Rc<Node>, listener: tokio::net::TcpListener) {
+    let now_node = node.clone();
+    accept(listener, move |stream| match hop::HopConnection::accepted(stream, now_node.now()) {
+        Ok(hop) => drop(spawn_local(guard::serve(node.clone(), hop))),
+        Err(e) => info!(event = "connection_lost", error = %e),
+    })
+    .await;
+}
+
+/// Refuses new work at the guard, lets callers go elsewhere, and waits for what is under way.
+async fn drain(node: &Node) {
+    let grace = node.settings.borrow().grace;
+    let begun = node.now();
+    info!(event = "stopping", in_flight = node.in_flight.get());
+    node.stopping.send_replace(true);
+    node.gate.borrow_mut().stop();
+    node.advance_gate();
+    loop {
+        tokio::time::sleep(DRAIN_POLL).await;
+        let passed = node.now().saturating_duration_since(begun);
+        let idle = node.in_flight.get() == 0 && node.gate.borrow().busy() == 0;
+        if (passed >= CALLERS_LEAVE && idle) || passed + KILL_MARGIN >= grace {
+            return;
+        }
+    }
+}
+
+/// Takes changed settings, after SIGHUP or found by looking.
+async fn reload(node: Rc<Node>, source: impl SettingsSource) {
+    let mut hangup = match signal(SignalKind::hangup()) {
+        Ok(hangup) => hangup,
+        Err(e) => {
+            warn!(event = "signal_unavailable", error = %e);
+            return;
+        }
+    };
+    loop {
+        tokio::select! {
+            _ = hangup.recv() => info!(event = "reload_requested"),
+            () = tokio::time::sleep(SETTINGS_POLL) => {}
+        }
+        match source.read() {
+            Ok(settings) => apply(&node, settings),
+            Err(e) => warn!(event = "settings_unreadable", error = %e),
+        }
+    }
+}
+
+/// Addresses of a running process stay; the rest takes effect.
+fn apply(node: &Node, settings: NodeSettings) {
+    let mut held = node.settings.borrow_mut();
+    if held.service != settings.service || held.grace != settings.grace {
+        info!(event = "settings_changed", service = %settings.service);
+    }
+    let listen = held.listen;
+    *held = NodeSettings { listen, ..settings };
+}
--- /dev/null
+++ b/crates/fescuemux-sidecar/src/serve.rs
@@ -0,0 +1,92 @@
+//! HTTP servers of the process.
+
+use crate::node::Node;
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tracing::{info, warn};
+
+/// Pause after a failed accept, so that a lack of descriptors does not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Most bytes of a server's report.
+const MAX_CONTROL_BODY: usize = 64 * 1024;
+
+/// Answers with a small body.
+pub(crate) type SmallResponse = Response<Full<Bytes>>;
+
+/// Accepts connections and gives each to `on_connection`, until the process ends.
+pub(crate) async fn accept(listener: TcpListener, on_connection: impl Fn(TcpStream)) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => match stream.set_nodelay(true) {
+                Ok(()) => on_connection(stream),
+                Err(e) => info!(event = "connection_lost", error = %e),
+            },
+            Err(e) => {
+                warn!(event = "accept_failed", error = %e);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Serves short requests that `answer` decides at once.
+pub(crate) fn serve_small(
+    node: Rc<Node>,
+    listener: TcpListener,
+    answer: fn(&Node, &Request<()>, &[u8]) -> SmallResponse,
+) {
+    tokio::task::spawn_local(accept(listener, move |stream| {
+        let node = node.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(|req: Request<Incoming>| {
+                let node = node.clone();
+                async move { Ok::<_, hyper::Error>(small(&node, req, answer).await) }
+            });
+            let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            if let Err(e) = served.await {
+                info!(event = "connection_ended", error = %e);
+            }
+        });
+    }));
+}
+
+async fn small(
+    node: &Node,
+    req: Request<Incoming>,
+    answer: fn(&Node, &Request<()>, &[u8]) -> SmallResponse,
+) -> SmallResponse {
+    let (parts, body) = req.into_parts();
+    match Limited::new(body, MAX_CONTROL_BODY).collect().await {
+        Ok(body) => answer(node, &Request::from_parts(parts, ()), &body.to_bytes()),
+        Err(e) => {
+            info!(event = "control_body_failed", error = %e);
+            text(StatusCode::BAD_REQUEST, "body")
+        }
+    }
+}
+
+/// Returns an answer with a short text.
+pub(crate) fn text(status: StatusCode, body: &'static str) -> SmallResponse {
+    let mut response = Response::new(Full::new(Bytes::from_static(body.as_bytes())));
+    *response.status_mut() = status;
+    response
+}
+
+/// Binds a listener.
+///
+/// # Errors
+/// Fails when the address cannot be bound.
+pub(crate) async fn listen(addr: SocketAddr) -> anyhow::Result<TcpListener> {
+    use anyhow::Context;
+    TcpListener::bind(addr).await.with_context(|| format!("cannot listen on {addr}"))
+}
--- /dev/null
+++ b/crates/fescuemux-sidecar/src/sync/configuration.rs
@@ -0,0 +1,59 @@
+//! The operator's configuration in the store.
+
+use super::{RETRY_PAUSE, WATCH_WAIT};
+use crate::node::Node;
+use crate::{Change, Entry, MetadataStore, Revision};
+use std::rc::Rc;
+use tracing::warn;
+
+/// Follows the configuration, until the process ends.
+pub(crate) async fn watch_config<S: MetadataStore>(node: Rc<Node>, store: Rc<S>) {
+    let key = node.dialect.config_key();
+    loop {
+        let read = store.get(key).await;
+        node.metrics.on_store_call("get", read.is_ok());
+        match read {
+            Ok((entry, revision)) => {
+                if let Some(entry) = entry {
+                    apply(&node, &entry);
+                }
+                follow(&node, &*store, key, revision).await;
+            }
+            Err(e) => warn!(event = "read_failed", key, error = %e),
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
+
+/// Applies changes until a watch fails.
+async fn follow<S: MetadataStore>(node: &Node, store: &S, key: &str, mut after: Revision) {
+    loop {
+        let changes = store.watch(key, after, WATCH_WAIT).await;
+        node.metrics.on_store_call("watch", changes.is_ok());
+        match changes {
+            Ok(changes) => {
+                after = changes.revision;
+                for change in changes.changes {
+                    match change {
+                        Change::Put(entry) => apply(node, &entry),
+                        Change::Removed(_) => warn!(event = "configuration_removed", key),
+                    }
+                }
+            }
+            Err(e) => {
+                warn!(event = "watch_failed", prefix = key, error = %e);
+                return;
+            }
+        }
+    }
+}
+
+fn apply(node: &Node, entry: &Entry) {
+    if entry.key != node.dialect.config_key() {
+        return;
+    }
+    match node.dialect.decode_config(&entry.value) {
+        Ok(config) => node.install(config, "store"),
+        Err(e) => warn!(event = "configuration_invalid", revision = entry.revision, error = %e),
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-sidecar/src/sync/pull.rs
@@ -0,0 +1,83 @@
+//! Exchange of configuration and instances between daemons.
+
+use crate::hop::{Message, State};
+use crate::node::Node;
+use crate::quotes;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tracing::{info, warn};
+
+/// Pause between questions to a random instance while the process has nothing to send. A change
+/// that a few instances know reaches all others within a few of them.
+const GOSSIP_PAUSE: Duration = Duration::from_millis(700);
+
+/// Time for an answer with a whole configuration.
+const PULL_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Pause between two pulls, so that many answers with a new version cause one.
+const PULL_PAUSE: Duration = Duration::from_millis(30);
+
+/// Fetches what another instance knows whenever it is seen to know more.
+pub(crate) async fn pull(node: Rc<Node>) {
+    loop {
+        node.pull_wake.notified().await;
+        let addr = node.pull_from.borrow_mut().take();
+        let Some(addr) = addr else { continue };
+        match tokio::time::timeout(PULL_TIMEOUT, fetch(&node, addr)).await {
+            Ok(Ok(state)) => apply(&node, state),
+            Ok(Err(e)) => info!(event = "pull_failed", from = %addr, error = %e),
+            Err(_) => info!(event = "pull_failed", from = %addr, error = "timed out"),
+        }
+        tokio::time::sleep(PULL_PAUSE).await;
+    }
+}
+
+async fn fetch(node: &Node, addr: SocketAddr) -> Result<State, crate::hop::HopError> {
+    let mut hop = node.hops.take(addr, node.now()).await?;
+    hop.send(Message::Pull(node.config_version())).await?;
+    match hop.message().await? {
+        Message::State(state) => {
+            node.hops.put(addr, node.now(), hop);
+            Ok(state)
+        }
+        _ => Err(crate::hop::HopError::Unexpected),
+    }
+}
+
+fn apply(node: &Node, state: State) {
+    if let Some(raw) = state.config {
+        match node.dialect.decode_config(&raw) {
+            Ok(config) => node.install(config, "instance"),
+            Err(e) => warn!(event = "configuration_invalid", source = "instance", error = %e),
+        }
+    }
+    let own = node.own_peer();
+    for record in state.peers {
+        let peer: fescuemux_core::placement::Peer = record.into();
+        let known = node.directory.borrow().get(&peer.id).is_some();
+        if peer.id != own.id && !known {
+            let id = peer.id.clone();
+            node.learn_peer(peer, "instance");
+            // Only the store lists instances; one that never answers is dropped.
+            node.directory.borrow_mut().unlist(node.now(), &id);
+        }
+    }
+}
+
+/// Asks a random instance now and then, so that versions spread without traffic, and drops
+/// instances that are gone.
+pub(crate) async fn gossip(node: Rc<Node>) {
+    loop {
+        tokio::time::sleep(GOSSIP_PAUSE).await;
+        let own = node.settings.borrow().instance.clone();
+        let peer = node.decide(|cx| node.directory.borrow().any(cx, &own));
+        if let Some(peer) = peer {
+            quotes::collect(&node, vec![peer], 0, 0).await;
+        }
+        for id in node.directory.borrow_mut().sweep(node.now()) {
+            info!(event = "peer_dropped", peer = %id);
+        }
+        node.hops.sweep(node.now());
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-sidecar/src/sync/register.rs
@@ -0,0 +1,80 @@
+//! The own entry in the store, bound to a lease.
+
+use super::{PEER_PREFIX, RETRY_PAUSE};
+use crate::hop::PeerRecord;
+use crate::node::Node;
+use crate::{Lease, LeaseId, MetadataStore, StoreError};
+use std::rc::Rc;
+use std::time::Duration;
+use tracing::{info, warn};
+
+/// Lease of the entry. A dead instance is found by its silence long before; the entry only
+/// keeps the list short.
+const TTL: Duration = Duration::from_secs(12);
+
+/// Renewals in the time of a lease.
+const RENEWALS: u32 = 3;
+
+/// Keeps the own entry in the store until the process stops, then ends its lease.
+pub(crate) async fn register<S: MetadataStore>(node: Rc<Node>, store: Rc<S>) {
+    let mut stopping = node.stopping.subscribe();
+    let lease = std::cell::Cell::new(None);
+    tokio::select! {
+        _ = stopping.wait_for(|stopping| *stopping) => {}
+        () = keep(&node, &*store, &lease) => {}
+    }
+    let Some(id) = lease.get() else { return };
+    if let Err(e) = store.end_lease(id).await {
+        info!(event = "lease_not_ended", lease = id, error = %e);
+    }
+}
+
+async fn keep<S: MetadataStore>(node: &Node, store: &S, held: &std::cell::Cell<Option<LeaseId>>) {
+    loop {
+        let granted = enter(node, store).await;
+        node.metrics.on_store_call("register", granted.is_ok());
+        let lease = match granted {
+            Ok(lease) => lease,
+            Err(e) => {
+                warn!(event = "registration_failed", error = %e);
+                tokio::time::sleep(RETRY_PAUSE).await;
+                continue;
+            }
+        };
+        held.set(Some(lease.id));
+        info!(event = "registered", lease = lease.id);
+        renew(node, store, lease).await;
+        held.set(None);
+    }
+}
+
+async fn enter<S: MetadataStore>(node: &Node, store: &S) -> Result<Lease, StoreError> {
+    let ttl = TTL.max(node.settings.borrow().min_lease);
+    let lease = store.grant_lease(ttl).await?;
+    let peer = node.own_peer();
+    let value = serde_json::to_vec(&PeerRecord::from(&peer))
+        .map_err(|e| StoreError::NoAnswer(e.to_string()))?;
+    store.put(&format!("{PEER_PREFIX}{}", peer.id), &value, lease.id).await?;
+    Ok(lease)
+}
+
+/// Renews a lease until it has ended.
+async fn renew<S: MetadataStore>(node: &Node, store: &S, lease: Lease) {
+    let mut pause = lease.ttl / RENEWALS;
+    loop {
+        tokio::time::sleep(pause).await;
+        let renewed = store.keep_lease(lease.id).await;
+        node.metrics.on_store_call("renew", renewed.is_ok());
+        match renewed {
+            Ok(()) => pause = lease.ttl / RENEWALS,
+            Err(StoreError::LeaseEnded) => {
+                warn!(event = "lease_ended", lease = lease.id);
+                return;
+            }
+            Err(e) => {
+                warn!(event = "renewal_failed", lease = lease.id, error = %e);
+                pause = RETRY_PAUSE;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-sidecar/src/sync/watch_peers.rs
@@ -0,0 +1,82 @@
+//! Entries of other instances in the store.
+
+use super::{PEER_PREFIX, RETRY_PAUSE, WATCH_WAIT};
+use crate::hop::PeerRecord;
+use crate::node::Node;
+use crate::{Change, Entry, MetadataStore, Revision};
+use std::rc::Rc;
+use std::time::Duration;
+use tracing::{info, warn};
+
+/// Pause between a change and the next watch. Instances start and leave in groups, and each
+/// answered watch is a call; another instance is asked within milliseconds in any case.
+const GATHER: Duration = Duration::from_millis(600);
+
+/// Pause between the own entry and the first list, in which the others enter too.
+const FIRST_LIST: Duration = Duration::from_millis(500);
+
+/// Follows the entries of other instances, until the process ends.
+pub(crate) async fn watch_peers<S: MetadataStore>(node: Rc<Node>, store: Rc<S>) {
+    tokio::time::sleep(FIRST_LIST).await;
+    loop {
+        let listed = store.list(PEER_PREFIX).await;
+        node.metrics.on_store_call("list", listed.is_ok());
+        match listed {
+            Ok(listing) => {
+                let peers: Vec<_> = listing.entries.iter().filter_map(decode).collect();
+                let ids: Vec<_> = peers.iter().map(|peer| peer.id.clone()).collect();
+                peers.into_iter().for_each(|peer| node.learn_peer(peer, "list"));
+                node.directory.borrow_mut().unlist_others(node.now(), &ids);
+                follow(&node, &*store, listing.revision).await;
+            }
+            Err(e) => warn!(event = "list_failed", error = %e),
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
+
+/// Applies changes until a watch fails.
+async fn follow<S: MetadataStore>(node: &Node, store: &S, mut after: Revision) {
+    loop {
+        let changes = store.watch(PEER_PREFIX, after, WATCH_WAIT).await;
+        node.metrics.on_store_call("watch", changes.is_ok());
+        let changes = match changes {
+            Ok(changes) => changes,
+            Err(e) => {
+                warn!(event = "watch_failed", prefix = PEER_PREFIX, error = %e);
+                return;
+            }
+        };
+        after = changes.revision;
+        let quiet = changes.changes.is_empty();
+        changes.changes.into_iter().for_each(|change| apply(node, change));
+        if !quiet {
+            tokio::time::sleep(GATHER).await;
+        }
+    }
+}
+
+fn apply(node: &Node, change: Change) {
+    match change {
+        Change::Put(entry) => {
+            if let Some(peer) = decode(&entry) {
+                node.learn_peer(peer, "watch");
+            }
+        }
+        Change::Removed(key) => {
+            let id = key.strip_prefix(PEER_PREFIX).unwrap_or_default();
+            info!(event = "peer_unlisted", peer = id);
+            node.directory.borrow_mut().unlist(node.now(), id);
+        }
+    }
+}
+
+fn decode(entry: &Entry) -> Option<fescuemux_core::placement::Peer> {
+    match serde_json::from_slice::<PeerRecord>(&entry.value) {
+        Ok(record) => Some(record.into()),
+        Err(e) => {
+            warn!(event = "entry_invalid", key = entry.key, error = %e);
+            None
+        }
+    }
+}
