Judge a server by the time for which its requests run

Cause: servers hang most of their requests for seconds, and a hard threshold on ended requests saw that only at the deadline.

Ruled out: hard suspect state with trials first for repeatable requests, which sent them to failing servers.

--- a/crates/fescuemux-core/src/placement.rs
+++ b/crates/fescuemux-core/src/placement.rs
@@ -8,6 +8,7 @@
 //! Must not know sockets, message formats or how configurations are stored.
 
 mod directory;
+mod failed_calls;
 mod gate;
 mod local_server;
 mod quote;
@@ -21,6 +22,7 @@
 mod work;
 
 pub use directory::{Directory, Peer};
+pub use failed_calls::FailedCalls;
 pub use gate::{Gate, Ticket};
 pub use local_server::{LocalServer, ServerPhase, ServerReport};
 pub use quote::{Quote, Readiness};
--- a/crates/fescuemux-core/src/placement/gate.rs
+++ b/crates/fescuemux-core/src/placement/gate.rs
@@ -17,25 +17,18 @@
 /// Most requests that wait, for each slot.
 const QUEUE_PER_SLOT: usize = 8;
 
-/// Multiple of a route's mean running time from which a request is overdue.
-const OVERDUE_FACTOR: f64 = 4.0;
+/// Least expected running time; below it, delays of the process itself decide.
+const MIN_EXPECTED: Duration = Duration::from_millis(40);
 
-/// Least running time of an overdue request.
-const OVERDUE_MIN: Duration = Duration::from_millis(600);
-
-/// Pause between trials of a suspect server that only requests which may be repeated fill.
-const TRIAL_PAUSE: Duration = Duration::from_millis(300);
-
-/// Time without a trial after which any request serves as one. Sound servers that are wrongly
-/// suspect get work within any two seconds so.
-const ANY_TRIAL_AFTER: Duration = Duration::from_millis(1200);
+/// Time without a request after which a server is offered as idle. Sound servers that are wrongly
+/// doubted get work within any two seconds so.
+const IDLE_AFTER: Duration = Duration::from_millis(1_600);
 
 #[derive(Clone, Debug)]
 struct Holder {
     work: Work,
     granted: Instant,
     started: Option<Instant>,
-    overdue: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -52,7 +45,7 @@
     queue: Vec<Waiting>,
     times: RunningTimes,
     suspicion: Suspicion,
-    last_trial: Instant,
+    last_grant: Instant,
     stopping: bool,
 }
 
@@ -65,7 +58,7 @@
             queue: Vec::new(),
             times: RunningTimes::default(),
             suspicion: Suspicion::new(now),
-            last_trial: now,
+            last_grant: now,
             stopping: false,
         }
     }
@@ -115,10 +108,13 @@
         self.queue.len()
     }
 
-    /// Returns the score of the suspicion and whether the server is suspect.
-    pub fn suspicion(&mut self, now: Instant) -> (f64, bool) {
-        let suspect = self.suspicion.is_suspect(now);
-        (self.suspicion.score(), suspect)
+    /// Returns the probability that the server fails a request.
+    pub fn doubt(&self, now: Instant) -> f64 {
+        let running = self.holders.values().filter_map(|holder| {
+            let took = now.saturating_duration_since(holder.started?);
+            Some(self.ratio(&holder.work, took))
+        });
+        self.suspicion.probability(now, running)
     }
 
     /// Decides about a request that asks for a slot.
@@ -126,9 +122,6 @@
         if let Some(reason) = self.closed() {
             return Admission::Refused(Refusal { reason, retry_in: self.times.mean() });
         }
-        if self.suspicion.is_suspect(now) && !work.last_resort {
-            return self.ask_trial(now, ticket, work);
-        }
         if self.queue.is_empty() && self.holders.len() < self.slots() {
             self.hold(now, ticket, work);
             return Admission::Granted;
@@ -165,45 +158,21 @@
         self.holders.remove(&ticket);
     }
 
-    /// Frees the slot of a request and returns whether the server became suspect or trusted.
-    pub fn finish(&mut self, now: Instant, ticket: Ticket, outcome: WorkOutcome) -> bool {
-        let Some(holder) = self.holders.remove(&ticket) else { return false };
-        let Some(started) = holder.started else { return false };
+    /// Frees the slot of a request and learns from its end.
+    pub fn finish(&mut self, now: Instant, ticket: Ticket, outcome: WorkOutcome) {
+        let Some(holder) = self.holders.remove(&ticket) else { return };
+        let Some(started) = holder.started else { return };
         let took = now.saturating_duration_since(started);
-        match outcome {
+        let evidence = match outcome {
             WorkOutcome::Answered => {
-                self.times.record(holder.work.route, took);
-                self.suspicion.add(now, Evidence::Success)
-            }
-            WorkOutcome::Failed | WorkOutcome::Unreachable => {
-                self.suspicion.add(now, Evidence::Failure)
-            }
-            WorkOutcome::Abandoned if !holder.overdue && self.is_overdue(&holder, took) => {
-                self.suspicion.add(now, Evidence::Overdue)
+                self.times.record(holder.work.route, took, holder.work.expected);
+                Evidence::Success
             }
-            WorkOutcome::Abandoned | WorkOutcome::Shed => false,
-        }
-    }
-
-    /// Notes requests that have become overdue and returns whether the server became suspect.
-    pub fn check_overdue(&mut self, now: Instant) -> bool {
-        let overdue: Vec<Ticket> = self
-            .holders
-            .iter()
-            .filter(|(_, holder)| {
-                let took = holder.started.map(|at| now.saturating_duration_since(at));
-                !holder.overdue && took.is_some_and(|took| self.is_overdue(holder, took))
-            })
-            .map(|(ticket, _)| *ticket)
-            .collect();
-        let mut changed = false;
-        for ticket in overdue {
-            if let Some(holder) = self.holders.get_mut(&ticket) {
-                holder.overdue = true;
-            }
-            changed |= self.suspicion.add(now, Evidence::Overdue);
-        }
-        changed
+            WorkOutcome::Failed | WorkOutcome::Unreachable => Evidence::Failure,
+            WorkOutcome::Abandoned => Evidence::Unanswered(self.ratio(&holder.work, took)),
+            WorkOutcome::CallFailed | WorkOutcome::Shed => return,
+        };
+        self.suspicion.add(now, evidence);
     }
 
     /// Drops grants that were not used in time and returns the waiting requests that get a slot
@@ -213,10 +182,8 @@
             holder.started.is_some() || now.saturating_duration_since(holder.granted) <= GRANT_TTL
         });
         let mut decided = self.refuse_waiting(now);
-        let suspect = self.suspicion.is_suspect(now);
         while self.holders.len() < self.slots() {
-            let usable = |waiting: &Waiting| !suspect || waiting.work.last_resort;
-            let queue = self.queue.iter().enumerate().filter(|(_, waiting)| usable(waiting));
+            let queue = self.queue.iter().enumerate();
             let next = queue.min_by_key(|(_, w)| (w.work.priority, w.work.deadline));
             let Some((at, _)) = next else { break };
             let Waiting { ticket, work } = self.queue.remove(at);
@@ -228,12 +195,11 @@
 
     /// Returns the offer to a request of the given priority and route.
     pub fn quote(&mut self, now: Instant, priority: u8, route: u64) -> Quote {
-        let suspect = self.suspicion.is_suspect(now);
-        let readiness = match (self.closed(), suspect) {
-            (Some(_), _) => Readiness::Closed,
-            (None, false) => Readiness::Sound,
-            (None, true) if self.trial_is_due(now, true) => Readiness::Trial,
-            (None, true) => Readiness::Suspect,
+        let idle = now.saturating_duration_since(self.last_grant) >= IDLE_AFTER;
+        let readiness = match self.closed() {
+            Some(_) => Readiness::Closed,
+            None if idle => Readiness::Idle,
+            None => Readiness::Open,
         };
         let cold = self.server.as_ref().is_some_and(|server| server.cold_until > now);
         let running = self.times.mean_of(route) * if cold { 2 } else { 1 };
@@ -244,6 +210,7 @@
             queued: self.queue.len() as u32,
             wait: self.wait(priority),
             running,
+            doubt: self.doubt(now),
         }
     }
 
@@ -263,23 +230,9 @@
         self.server.as_ref().map_or(0, |server| server.report.slots)
     }
 
-    fn ask_trial(&mut self, now: Instant, ticket: Ticket, work: Work) -> Admission {
-        if self.trial_is_due(now, work.idempotent) && self.holders.len() < self.slots() {
-            self.last_trial = now;
-            self.hold(now, ticket, work);
-            return Admission::Granted;
-        }
-        let retry_in = self.times.mean();
-        Admission::Refused(Refusal { reason: RefusalReason::Suspect, retry_in })
-    }
-
-    fn trial_is_due(&self, now: Instant, idempotent: bool) -> bool {
-        let pause = if idempotent { TRIAL_PAUSE } else { ANY_TRIAL_AFTER };
-        now.saturating_duration_since(self.last_trial) >= pause
-    }
-
     fn hold(&mut self, now: Instant, ticket: Ticket, work: Work) {
-        let holder = Holder { work, granted: now, started: None, overdue: false };
+        self.last_grant = now;
+        let holder = Holder { work, granted: now, started: None };
         self.holders.insert(ticket, holder);
     }
 
@@ -297,15 +250,12 @@
     /// Refuses waiting requests that cannot end in time, or all when no new work may begin.
     fn refuse_waiting(&mut self, now: Instant) -> Vec<(Ticket, Admission)> {
         let closed = self.closed();
-        let suspect = self.suspicion.is_suspect(now);
         let retry_in = self.times.mean();
         let mut refused = Vec::new();
         let times = &self.times;
         self.queue.retain(|waiting| {
             let too_late = now + times.mean_of(waiting.work.route) / 2 > waiting.work.deadline;
-            let reason = closed
-                .or(too_late.then_some(RefusalReason::TooLate))
-                .or((suspect && !waiting.work.last_resort).then_some(RefusalReason::Suspect));
+            let reason = closed.or(too_late.then_some(RefusalReason::TooLate));
             if let Some(reason) = reason {
                 let refusal = Refusal { reason, retry_in };
                 refused.push((waiting.ticket, Admission::Refused(refusal)));
@@ -315,8 +265,9 @@
         refused
     }
 
-    fn is_overdue(&self, holder: &Holder, took: Duration) -> bool {
-        let mean = self.times.mean_of(holder.work.route);
-        took > mean.mul_f64(OVERDUE_FACTOR).max(OVERDUE_MIN)
+    /// Running time as a multiple of the expected one.
+    fn ratio(&self, work: &Work, took: Duration) -> f64 {
+        let expected = self.times.known_mean(work.route).unwrap_or(work.expected);
+        took.as_secs_f64() / expected.max(MIN_EXPECTED).as_secs_f64()
     }
 }
--- a/crates/fescuemux-core/src/placement/quote.rs
+++ b/crates/fescuemux-core/src/placement/quote.rs
@@ -6,11 +6,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Readiness {
     /// Takes any request.
-    Sound,
-    /// Is suspect and has room for one trial.
-    Trial,
-    /// Is suspect and takes only what finds no other server.
-    Suspect,
+    Open,
+    /// Takes any request and has had none for so long that nothing is known of it.
+    Idle,
     /// Takes nothing: no server, a leaving one, or a stopping daemon.
     Closed,
 }
@@ -30,6 +28,8 @@
     pub wait: Duration,
     /// Mean running time of the request's route at this server.
     pub running: Duration,
+    /// Probability that the server fails the request.
+    pub doubt: f64,
 }
 
 impl Quote {
--- a/crates/fescuemux-core/src/placement/rank.rs
+++ b/crates/fescuemux-core/src/placement/rank.rs
@@ -14,6 +14,11 @@
     pub per_kb: Duration,
     /// Share of the running time that a fully used server adds; servers slow down as they fill.
     pub crowding: f64,
+    /// Cost of a failure of a request that must not run twice. It is lost, so any wait within
+    /// a usual objective is better.
+    pub loss: Duration,
+    /// Cost of a failure of a request that runs again elsewhere after some delay.
+    pub repeat: Duration,
 }
 
 impl Default for PlacementCost {
@@ -22,12 +27,16 @@
             domain: Duration::from_millis(15),
             per_kb: Duration::from_millis(5),
             crowding: 0.5,
+            loss: Duration::from_secs(4),
+            repeat: Duration::from_millis(800),
         }
     }
 }
 
-/// Sorts offers, best first, and leaves out those that take nothing. `same_domain` and `quote`
-/// read an offer; `kilobytes` are expected to travel with the request and its answer.
+/// Sorts offers, best first, and leaves out those that take nothing. `read` tells whether an
+/// offer is from the own failure domain, and its quote; `kilobytes` are expected to travel with
+/// the request and its answer. A server that has been idle goes first for a request that may be
+/// repeated: that is how a server shows that its fault is over.
 pub fn rank<T>(
     offers: &mut Vec<T>,
     cost: &PlacementCost,
@@ -38,7 +47,8 @@
     offers.retain(|offer| read(offer).1.readiness != Readiness::Closed);
     let key = |offer: &T| {
         let (same_domain, quote) = read(offer);
-        (tier(&quote, idempotent), time(cost, kilobytes, same_domain, &quote))
+        let trial = idempotent && quote.readiness == Readiness::Idle;
+        (!trial, time(cost, kilobytes, idempotent, same_domain, &quote))
     };
     offers.sort_by(|a, b| {
         let (a, b) = (key(a), key(b));
@@ -46,24 +56,21 @@
     });
 }
 
-/// A trial goes first for a request that may be repeated, as it is how a suspect server shows
-/// its recovery; other requests go to suspect servers last.
-fn tier(quote: &Quote, idempotent: bool) -> u8 {
-    match quote.readiness {
-        Readiness::Trial if idempotent => 0,
-        Readiness::Sound => 1,
-        Readiness::Trial => 2,
-        Readiness::Suspect => 3,
-        Readiness::Closed => 4,
-    }
-}
-
-fn time(cost: &PlacementCost, kilobytes: f64, same_domain: bool, quote: &Quote) -> f64 {
+/// Expected time until the answer, with the other costs as time.
+fn time(
+    cost: &PlacementCost,
+    kilobytes: f64,
+    idempotent: bool,
+    same_domain: bool,
+    quote: &Quote,
+) -> f64 {
     let running = quote.running.as_secs_f64();
     let used = f64::from(quote.busy + 1) / f64::from(quote.slots.max(1));
     let distance = match same_domain {
         true => 0.0,
         false => cost.domain.as_secs_f64() + kilobytes * cost.per_kb.as_secs_f64(),
     };
-    quote.wait.as_secs_f64() + running * (1.0 + cost.crowding * used) + distance
+    let failure = if idempotent { cost.repeat } else { cost.loss };
+    let doubt = quote.doubt * failure.as_secs_f64();
+    quote.wait.as_secs_f64() + running * (1.0 + cost.crowding * used) + distance + doubt
 }
--- a/crates/fescuemux-core/src/placement/repeat_budget.rs
+++ b/crates/fescuemux-core/src/placement/repeat_budget.rs
@@ -57,6 +57,12 @@
         true
     }
 
+    /// Returns a repeat that did not take place.
+    pub fn give_back(&mut self) {
+        let repeats = &mut self.buckets[self.current].1;
+        *repeats = repeats.saturating_sub(1);
+    }
+
     fn advance(&mut self, now: Instant) {
         let width = self.limits.window / BUCKETS as u32;
         for _ in 0..=BUCKETS {
--- a/crates/fescuemux-core/src/placement/running_times.rs
+++ b/crates/fescuemux-core/src/placement/running_times.rs
@@ -28,16 +28,17 @@
 
 impl RunningTimes {
     /// Records the running time of a request of the route with the hash `route`.
-    pub fn record(&mut self, route: u64, took: Duration) {
+    /// A route's mean begins with the time that was `expected`.
+    pub fn record(&mut self, route: u64, took: Duration, expected: Duration) {
         let s = took.as_secs_f64();
         self.all = Some(self.all.map_or(s, |mean| mean + WEIGHT * (s - mean)));
         if self.routes.len() >= MAX_ROUTES && !self.routes.contains_key(&route) {
             return;
         }
-        let times = self
-            .routes
-            .entry(route)
-            .or_insert_with(|| RouteTimes { mean_s: s, quantiles: LatencyQuantile::default() });
+        let times = self.routes.entry(route).or_insert_with(|| RouteTimes {
+            mean_s: expected.as_secs_f64(),
+            quantiles: LatencyQuantile::default(),
+        });
         times.mean_s += WEIGHT * (s - times.mean_s);
         times.quantiles.record(took);
     }
@@ -49,8 +50,12 @@
 
     /// Returns the mean of a route, or of all routes when the route has no record.
     pub fn mean_of(&self, route: u64) -> Duration {
-        let known = self.routes.get(&route).map(|times| Duration::from_secs_f64(times.mean_s));
-        known.unwrap_or_else(|| self.mean())
+        self.known_mean(route).unwrap_or_else(|| self.mean())
+    }
+
+    /// Returns the mean of a route, or `None` without a record of it.
+    pub fn known_mean(&self, route: u64) -> Option<Duration> {
+        self.routes.get(&route).map(|times| Duration::from_secs_f64(times.mean_s))
     }
 
     /// Returns the quantile of a route's times, or `None` with too few of them.
--- a/crates/fescuemux-core/src/placement/suspicion.rs
+++ b/crates/fescuemux-core/src/placement/suspicion.rs
@@ -2,90 +2,95 @@
 
 use std::time::{Duration, Instant};
 
-/// Score from which a server is suspect. Two failures among three requests reach it from the
-/// best record; one failure in about a hundred is ordinary and does not.
-const SUSPECT_AT: f64 = 3.0;
+/// Log-odds of a fault without evidence: at any time about one server in seven fails some of
+/// its requests.
+const PRIOR: f64 = -1.7;
 
-/// Score at which a suspect server is trusted again.
-const TRUSTED_AT: f64 = 0.5;
+/// Share of its requests that a failing server answers all the same.
+const SURVIVES: f64 = 0.3;
 
-/// Logarithm of the odds that a failure comes from a server that fails 60% of its requests, and
-/// not from a sound one that fails 2%.
-const FAILURE: f64 = 3.4;
+/// Log-odds of a success: a sound server answers nearly all, a failing one the share above.
+const SUCCESS: f64 = -1.2;
 
-/// The same odds for a success.
-const SUCCESS: f64 = -0.9;
+/// Log-odds of a failure, between a server that fails most requests and one that fails 2%.
+const FAILURE: f64 = 3.4;
 
-/// Odds of a request that has run far longer than its like. Weaker than a failure, because a
-/// few requests are long in the ordinary course.
-const OVERDUE: f64 = 2.2;
+/// Least probability that a sound server still works on a request. About one request in a
+/// hundred takes many times the usual time, so longer waits say no more.
+const MIN_SURVIVAL: f64 = 0.012;
 
-/// Bounds of the score, so that a long good record does not hide a fault and a long fault does
-/// not outlive its end by more than a few trials.
-const BEST: f64 = -1.8;
-const WORST: f64 = 5.0;
+/// Bounds of the log-odds, so that a long good record does not hide a fault and a long fault
+/// does not outlive its end by more than a few requests.
+const BEST: f64 = -4.0;
+const WORST: f64 = 4.0;
 
-/// Time in which a score loses half its distance from zero; faults and evidence age alike.
-const HALF_LIFE: Duration = Duration::from_secs(6);
+/// Time in which the evidence loses half its distance from the prior. Faults last some seconds.
+const HALF_LIFE: Duration = Duration::from_secs(3);
 
 /// What one request says about its server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Evidence {
     /// The server answered as asked.
     Success,
     /// The server answered with an error of its own, broke off, or answered wrongly.
     Failure,
-    /// The request runs far longer than others of its route.
-    Overdue,
+    /// The request was given up after this multiple of its expected time.
+    Unanswered(f64),
 }
 
-/// Sequential test (CUSUM) between a sound and a failing server, with hysteresis.
+/// Probability that a server fails, from the requests that ended and those that still run.
+///
+/// Requests that hang show no failure until their deadline, so the time for which a request
+/// has run counts as it passes: the probability of running for that long at a sound server is
+/// compared with that at a failing one.
 #[derive(Clone, Debug)]
 pub struct Suspicion {
-    score: f64,
+    log_odds: f64,
     at: Instant,
-    suspect: bool,
 }
 
 impl Suspicion {
     /// Returns the state of a server without a record.
     pub fn new(now: Instant) -> Suspicion {
-        Suspicion { score: 0.0, at: now, suspect: false }
+        Suspicion { log_odds: PRIOR, at: now }
     }
 
-    /// Adds what a request showed and returns whether the server became suspect or trusted.
-    pub fn add(&mut self, now: Instant, evidence: Evidence) -> bool {
-        self.fade(now);
+    /// Adds what a request showed.
+    pub fn add(&mut self, now: Instant, evidence: Evidence) {
         let odds = match evidence {
             Evidence::Success => SUCCESS,
             Evidence::Failure => FAILURE,
-            Evidence::Overdue => OVERDUE,
+            Evidence::Unanswered(ratio) => still_running(ratio),
         };
-        self.score = (self.score + odds).clamp(BEST, WORST);
-        self.settle()
-    }
-
-    /// Returns whether the server is suspect.
-    pub fn is_suspect(&mut self, now: Instant) -> bool {
-        self.fade(now);
-        self.settle();
-        self.suspect
+        self.log_odds = (self.faded(now) + odds).clamp(BEST, WORST);
+        self.at = now;
     }
 
-    /// Returns the score; logs show it beside a decision.
-    pub fn score(&self) -> f64 {
-        self.score
+    /// Returns the probability of a fault, given the requests that still run as multiples of
+    /// their expected times.
+    pub fn probability(&self, now: Instant, running: impl Iterator<Item = f64>) -> f64 {
+        let running: f64 = running.map(still_running).sum();
+        let log_odds = (self.faded(now) + running).clamp(BEST, WORST);
+        1.0 / (1.0 + (-log_odds).exp())
     }
 
-    fn fade(&mut self, now: Instant) {
+    fn faded(&self, now: Instant) -> f64 {
         let passed = now.saturating_duration_since(self.at).as_secs_f64();
-        self.score *= (-passed / HALF_LIFE.as_secs_f64()).exp2();
-        self.at = now;
+        PRIOR + (self.log_odds - PRIOR) * (-passed / HALF_LIFE.as_secs_f64()).exp2()
     }
+}
 
-    fn settle(&mut self) -> bool {
-        let was = self.suspect;
-        self.suspect = self.score >= if was { TRUSTED_AT } else { SUSPECT_AT };
-        was != self.suspect
-    }
+/// Log-odds of a request that has run for `ratio` times its expected time and has not ended.
+fn still_running(ratio: f64) -> f64 {
+    let survival = survival(ratio).max(MIN_SURVIVAL);
+    ((1.0 - SURVIVES + SURVIVES * survival) / survival).ln()
+}
+
+/// Probability that a request at a sound server runs longer than `ratio` times the mean. Log-
+/// logistic, close to a log-normal distribution with a deviation of 0.8, the widest of the
+/// users' routes.
+fn survival(ratio: f64) -> f64 {
+    const SCALE: f64 = 1.97;
+    const SHAPE: f64 = 2.13;
+    1.0 / (1.0 + SCALE * ratio.max(0.0).powf(SHAPE))
 }
--- a/crates/fescuemux-core/src/placement/work.rs
+++ b/crates/fescuemux-core/src/placement/work.rs
@@ -15,8 +15,8 @@
     pub deadline: Instant,
     /// Time at which an answer loses part of its value.
     pub objective: Instant,
-    /// Whether no server without suspicion was found.
-    pub last_resort: bool,
+    /// Running time that the ingress expects, for servers without a record.
+    pub expected: Duration,
     /// Whether the request waits when no slot is free.
     pub may_wait: bool,
 }
@@ -50,8 +50,6 @@
     Draining,
     /// The daemon stops.
     Stopping,
-    /// The server is suspect and runs a trial already.
-    Suspect,
     /// No slot is free and the request does not wait.
     Full,
     /// The wait would outlast the request's deadline.
@@ -65,7 +63,6 @@
             RefusalReason::NoServer => "no_server",
             RefusalReason::Draining => "draining",
             RefusalReason::Stopping => "stopping",
-            RefusalReason::Suspect => "suspect",
             RefusalReason::Full => "full",
             RefusalReason::TooLate => "too_late",
         }
@@ -79,6 +76,8 @@
     Answered,
     /// The server answered with an error of its own, broke off or answered wrongly.
     Failed,
+    /// The server answered with an error because a call that it made failed elsewhere.
+    CallFailed,
     /// The server refused the request without running it.
     Shed,
     /// The caller left, or its time was over.
--- a/crates/fescuemux-sidecar/src/guard.rs
+++ b/crates/fescuemux-sidecar/src/guard.rs
@@ -90,7 +90,7 @@
         route: reserve.route,
         deadline: now + Duration::from_millis(u64::from(reserve.left_ms)),
         objective: now + Duration::from_millis(u64::from(reserve.objective_ms)),
-        last_resort: reserve.last_resort,
+        expected: Duration::from_millis(u64::from(reserve.expected_ms)),
         may_wait: reserve.may_wait,
     };
     gate.ask(now, ticket, work)
@@ -143,16 +143,19 @@
         if busy == 0 {
             continue;
         }
-        let now = node.clock.now();
-        let changed = node.gate.borrow_mut().check_overdue(now);
-        if changed {
-            log_suspicion(&node, "overdue");
-        }
+        note_doubt(&node, "running");
         node.advance_gate();
     }
 }
 
-fn log_suspicion(node: &Node, cause: &str) {
-    let (score, suspect) = node.gate.borrow_mut().suspicion(node.now());
-    info!(event = "server_suspicion", suspect, score, cause);
+/// Probability of a fault from which a server counts as doubted in logs.
+const DOUBTED: f64 = 0.5;
+
+/// Logs when the own server becomes doubted or trusted.
+fn note_doubt(node: &Node, cause: &str) {
+    let doubt = node.gate.borrow().doubt(node.now());
+    let doubted = doubt >= DOUBTED;
+    if node.server_doubted.replace(doubted) != doubted {
+        info!(event = "server_doubt", doubted, doubt, cause);
+    }
 }
--- a/crates/fescuemux-sidecar/src/guard/relay.rs
+++ b/crates/fescuemux-sidecar/src/guard/relay.rs
@@ -1,6 +1,6 @@
 //! One request at the own backend server.
 
-use super::{Held, log_suspicion};
+use super::{Held, note_doubt};
 use crate::HeaderNames;
 use crate::guard::servers;
 use crate::h1::{BodyReader, Connection, Framing, H1Error, Head, Reader, RequestHead};
@@ -86,7 +86,7 @@
         }
     };
     drop((sink, stream));
-    finish(node, held, &commit, ended.outcome);
+    finish(node, held, &commit, excused(node, &commit, ended.outcome));
     if let Some(idle_timeout) = ended.reusable.filter(|_| body_whole.get()) {
         connection.idle_timeout = idle_timeout;
         servers::put(node, addr, connection);
@@ -125,11 +125,20 @@
     );
 }
 
-fn finish(node: &Node, held: &Held, commit: &Commit, outcome: WorkOutcome) {
-    let changed = node.gate.borrow_mut().finish(node.now(), held.ticket, outcome);
-    if changed {
-        log_suspicion(node, &commit.request_id);
+/// A server that fails because a call of its own failed is not at fault.
+fn excused(node: &Node, commit: &Commit, outcome: WorkOutcome) -> WorkOutcome {
+    let failed_calls = node.failed_calls.borrow();
+    match outcome {
+        WorkOutcome::Failed if failed_calls.has_call_of(node.now(), &commit.request_id) => {
+            WorkOutcome::CallFailed
+        }
+        other => other,
     }
+}
+
+fn finish(node: &Node, held: &Held, commit: &Commit, outcome: WorkOutcome) {
+    node.gate.borrow_mut().finish(node.now(), held.ticket, outcome);
+    note_doubt(node, &commit.request_id);
     node.advance_gate();
 }
 
--- a/crates/fescuemux-sidecar/src/hop/message.rs
+++ b/crates/fescuemux-sidecar/src/hop/message.rs
@@ -23,8 +23,8 @@
     pub(crate) left_ms: u32,
     /// Milliseconds until an answer loses part of its value.
     pub(crate) objective_ms: u32,
-    /// Whether no server without suspicion was found.
-    pub(crate) last_resort: bool,
+    /// Milliseconds that the ingress expects the request to run.
+    pub(crate) expected_ms: u32,
     /// Whether to wait for a slot.
     pub(crate) may_wait: bool,
 }
@@ -58,7 +58,6 @@
     NoServer,
     Draining,
     Stopping,
-    Suspect,
     Full,
     TooLate,
 }
@@ -69,7 +68,6 @@
             RefusalReason::NoServer => Reason::NoServer,
             RefusalReason::Draining => Reason::Draining,
             RefusalReason::Stopping => Reason::Stopping,
-            RefusalReason::Suspect => Reason::Suspect,
             RefusalReason::Full => Reason::Full,
             RefusalReason::TooLate => Reason::TooLate,
         };
@@ -83,7 +81,6 @@
             Reason::NoServer => RefusalReason::NoServer,
             Reason::Draining => RefusalReason::Draining,
             Reason::Stopping => RefusalReason::Stopping,
-            Reason::Suspect => RefusalReason::Suspect,
             Reason::Full => RefusalReason::Full,
             Reason::TooLate => RefusalReason::TooLate,
         };
--- a/crates/fescuemux-sidecar/src/ingress.rs
+++ b/crates/fescuemux-sidecar/src/ingress.rs
@@ -35,6 +35,7 @@
         Ok(call) => call,
         Err(answer) => return finish(&node, None, answer, &parts),
     };
+    let unanswered = Unanswered { node: &node, call: &call };
     let bounds = node.config.borrow().as_ref().map(|config| config.bounds);
     let limit = bounds.map_or(u64::MAX, |bounds| bounds.body_bytes);
     let read = tokio::time::timeout_at(call.deadline.into(), RequestBody::read(body, limit)).await;
@@ -43,6 +44,10 @@
         Ok(Err(answer)) => answer,
         Err(_) => Answer::refused(StatusCode::REQUEST_TIMEOUT, "body_timeout", None),
     };
+    std::mem::forget(unanswered);
+    if !answer.status.is_success() {
+        node.failed_calls.borrow_mut().add(node.now(), &call.request_id);
+    }
     finish(&node, Some(&call), answer, &parts)
 }
 
@@ -99,3 +104,25 @@
         self.node.metrics.in_flight.dec();
     }
 }
+
+/// Notes a request whose caller left before its answer; dropped with the request's work.
+struct Unanswered<'a> {
+    node: &'a Node,
+    call: &'a Call,
+}
+
+impl Drop for Unanswered<'_> {
+    fn drop(&mut self) {
+        let call = self.call;
+        info!(
+            event = "caller_left",
+            request = call.request_id,
+            route = %call.policy.id,
+            service = %call.service,
+            sent = call.sent.get(),
+            ms = self.node.now().saturating_duration_since(call.arrival).as_millis() as u64,
+            left_ms = call.left(self.node.now()).as_millis() as u64
+        );
+        self.node.failed_calls.borrow_mut().add(self.node.now(), &call.request_id);
+    }
+}
--- a/crates/fescuemux-sidecar/src/ingress/call.rs
+++ b/crates/fescuemux-sidecar/src/ingress/call.rs
@@ -25,6 +25,8 @@
     pub(super) deadline: Instant,
     /// Times that the request was sent to a backend server that may have seen it.
     pub(super) sent: Cell<u32>,
+    /// Attempts that were begun and may be sent.
+    pub(super) claimed: Cell<u32>,
     /// Whether some attempt may have run.
     pub(super) may_have_run: Cell<bool>,
     /// Instances to which it was sent.
@@ -76,30 +78,40 @@
             arrival,
             deadline: arrival + waits,
             sent: Cell::new(0),
+            claimed: Cell::new(1),
             may_have_run: Cell::new(false),
             tried: RefCell::default(),
             hedge_at: Cell::new(None),
         })
     }
 
+    /// Gives a claimed attempt back that was not sent.
+    pub(super) fn unclaim(&self, node: &Node) {
+        self.claimed.set(self.claimed.get() - 1);
+        if let Some(budget) = node.budgets.borrow_mut().get_mut(&self.service) {
+            budget.give_back();
+        }
+    }
+
     /// Returns the time left for an answer.
     pub(super) fn left(&self, now: Instant) -> Duration {
         self.deadline.saturating_duration_since(now)
     }
 
-    /// Returns whether another attempt is allowed by the route and by the budget, and takes it
-    /// from the budget.
+    /// Returns whether an attempt beyond those claimed is allowed by the route and by the budget,
+    /// and claims it.
     pub(super) fn may_repeat(&self, node: &Node) -> bool {
-        if self.sent.get() >= self.policy.attempts {
+        if self.claimed.get() >= self.policy.attempts {
             return false;
         }
-        if self.sent.get() == 0 {
-            return true;
-        }
         let ingresses = node.directory.borrow().len();
         let mut budgets = node.budgets.borrow_mut();
         let budget = budgets.get_mut(&self.service);
-        budget.is_some_and(|budget| budget.try_repeat(node.now(), ingresses))
+        let allowed = budget.is_some_and(|budget| budget.try_repeat(node.now(), ingresses));
+        if allowed {
+            self.claimed.set(self.claimed.get() + 1);
+        }
+        allowed
     }
 }
 
--- a/crates/fescuemux-sidecar/src/ingress/place.rs
+++ b/crates/fescuemux-sidecar/src/ingress/place.rs
@@ -6,7 +6,7 @@
 use crate::node::Node;
 use crate::quotes::{self, Offer};
 use fescuemux_core::base::InstanceId;
-use fescuemux_core::placement::{Peer, PlacementCost, Readiness, Refusal, RefusalReason, rank};
+use fescuemux_core::placement::{Peer, PlacementCost, Refusal, RefusalReason, rank};
 use std::time::Duration;
 
 /// Guards that are asked at once. With two thirds of them in the own failure domain, both the
@@ -61,8 +61,7 @@
     loop {
         let offers = ask(node, call, body_len, &passed, waiting.as_ref()).await;
         for offer in offers {
-            let free = offer.quote.has_room() && offer.quote.readiness != Readiness::Suspect;
-            if waiting.is_some() && !free {
+            if waiting.is_some() && !offer.quote.has_room() {
                 continue;
             }
             match reserve(node, call, &offer, may_wait && waiting.is_none()).await {
@@ -181,12 +180,12 @@
         route: call.route,
         left_ms: call.left(now).as_millis() as u32,
         objective_ms: objective.saturating_duration_since(now).as_millis() as u32,
-        last_resort: offer.quote.readiness == Readiness::Suspect,
+        expected_ms: expected(node, call, offer).as_millis() as u32,
         may_wait,
     });
     hop.send(message).await?;
     let answer = hop.message().await?;
-    let running = offer.quote.running;
+    let running = expected(node, call, offer);
     match answer {
         Message::Granted => Ok(Reserved::Granted(Placed { hop, peer, running })),
         Message::Queued(_) => Ok(Reserved::Queued(Placed { hop, peer, running })),
@@ -197,3 +196,8 @@
         _ => Err(HopError::Unexpected),
     }
 }
+
+/// Returns the running time of the route, from the answers seen here or as the guard knows it.
+fn expected(node: &Node, call: &Call, offer: &Offer) -> Duration {
+    node.running.borrow().known_mean(call.route).unwrap_or(offer.quote.running)
+}
--- a/crates/fescuemux-sidecar/src/ingress/run.rs
+++ b/crates/fescuemux-sidecar/src/ingress/run.rs
@@ -9,7 +9,10 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use http::StatusCode;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// Pause after which a request whose double found no slot is doubled.
+const HEDGE_AGAIN: Duration = Duration::from_millis(120);
 
 /// Times that a request is placed anew after a guard or server refused it late.
 const MAX_PLACEMENTS: u32 = 6;
@@ -58,7 +61,7 @@
             let again = match ended {
                 Some(Attempted::Answered(answer)) if !answer.is_server_error() => return answer,
                 Some(Attempted::Answered(answer)) => self.on_server_error(answer),
-                Some(Attempted::NoSlot(refusal)) => self.on_no_slot(refusal, running.is_empty()),
+                Some(Attempted::NoSlot(refusal)) => self.on_no_slot(&refusal, running.is_empty()),
                 Some(Attempted::NotRun { reason, seen }) => {
                     self.on_not_run(reason, seen, running.is_empty())
                 }
@@ -113,7 +116,12 @@
         false
     }
 
-    fn on_no_slot(&mut self, refusal: Refusal, alone: bool) -> bool {
+    fn on_no_slot(&mut self, refusal: &Refusal, alone: bool) -> bool {
+        if !alone {
+            // The running attempt goes on; its double is tried again a little later.
+            self.call.unclaim(self.node);
+            self.call.hedge_at.set(Some(self.node.now() + HEDGE_AGAIN));
+        }
         if alone && self.last.is_none() {
             let status = StatusCode::SERVICE_UNAVAILABLE;
             let reason = refusal.reason.as_str();
--- a/crates/fescuemux-sidecar/src/ingress/try_once.rs
+++ b/crates/fescuemux-sidecar/src/ingress/try_once.rs
@@ -22,7 +22,7 @@
 const PIECE_BYTES: usize = 32 * 1024;
 
 /// Multiple of the expected running time after which a request that may be repeated is doubled.
-const HEDGE_FACTOR: u32 = 3;
+const HEDGE_FACTOR: f64 = 2.5;
 
 /// Least time before a request is doubled.
 const HEDGE_MIN: Duration = Duration::from_millis(200);
@@ -57,9 +57,13 @@
     call.sent.set(call.sent.get() + 1);
     call.may_have_run.set(true);
     call.tried.borrow_mut().push(placed.peer.id.clone());
-    call.hedge_at.set(Some(now + (placed.running * HEDGE_FACTOR).max(HEDGE_MIN)));
+    call.hedge_at.set(Some(now + placed.running.mul_f64(HEDGE_FACTOR).max(HEDGE_MIN)));
     let attempted = match exchange(node, call, body, &mut placed).await {
-        Ok(Received::Head(head)) => answer(node, call, placed, head).await,
+        Ok(Received::Head(head)) => {
+            let took = node.now().saturating_duration_since(now);
+            node.running.borrow_mut().record(call.route, took, placed.running);
+            answer(node, call, placed, head).await
+        }
         Ok(Received::Failed(failure)) => failed(call, failure),
         Err(e) => {
             tracing::info!(
--- a/crates/fescuemux-sidecar/src/node.rs
+++ b/crates/fescuemux-sidecar/src/node.rs
@@ -7,7 +7,9 @@
 use crate::{Dialect, FleetConfig, NodeSettings};
 use anyhow::Result;
 use fescuemux_core::base::{Clock, Cx, Generation, HashMap, Incarnation, ServiceId};
-use fescuemux_core::placement::{Admission, Directory, Gate, Peer, RepeatBudget, Splitter, Ticket};
+use fescuemux_core::placement::{
+    Admission, Directory, FailedCalls, Gate, Peer, RepeatBudget, RunningTimes, Splitter, Ticket,
+};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -28,12 +30,18 @@
     pub(crate) waiting: RefCell<HashMap<Ticket, oneshot::Sender<Admission>>>,
     /// Idle connections to the own backend server, the most recent last.
     pub(crate) servers: RefCell<Vec<(SocketAddr, Connection)>>,
+    /// Whether the own server was doubted when that was logged last.
+    pub(crate) server_doubted: Cell<bool>,
+    /// Requests that failed here a moment ago, calls of the own server among them.
+    pub(crate) failed_calls: RefCell<FailedCalls>,
     pub(crate) directory: RefCell<Directory>,
     pub(crate) config: RefCell<Option<Rc<FleetConfig>>>,
     pub(crate) splitter: RefCell<Splitter>,
     pub(crate) budgets: RefCell<HashMap<ServiceId, RepeatBudget>>,
     /// Mean size of the answers of a route, in kilobytes.
     pub(crate) answer_kb: RefCell<HashMap<u64, f64>>,
+    /// Running times of answered attempts.
+    pub(crate) running: RefCell<RunningTimes>,
     pub(crate) hops: HopPool,
     pub(crate) quotes: Quotes,
     /// True once the process stops.
@@ -65,11 +73,14 @@
             gate: RefCell::new(Gate::new(now)),
             waiting: RefCell::default(),
             servers: RefCell::default(),
+            server_doubted: Cell::new(false),
+            failed_calls: RefCell::default(),
             directory: RefCell::default(),
             config: RefCell::default(),
             splitter: RefCell::default(),
             budgets: RefCell::default(),
             answer_kb: RefCell::default(),
+            running: RefCell::default(),
             hops: HopPool::default(),
             quotes,
             stopping: watch::Sender::new(false),
--- a/crates/fescuemux-sidecar/src/quotes.rs
+++ b/crates/fescuemux-sidecar/src/quotes.rs
@@ -40,22 +40,23 @@
     queued: u32,
     wait_ms: u32,
     running_ms: u32,
+    doubt: f32,
 }
 
 impl From<Quote> for QuoteRecord {
     fn from(quote: Quote) -> QuoteRecord {
         QuoteRecord {
             readiness: match quote.readiness {
-                Readiness::Sound => 0,
-                Readiness::Trial => 1,
-                Readiness::Suspect => 2,
-                Readiness::Closed => 3,
+                Readiness::Open => 0,
+                Readiness::Idle => 1,
+                Readiness::Closed => 2,
             },
             slots: quote.slots,
             busy: quote.busy,
             queued: quote.queued,
             wait_ms: quote.wait.as_millis() as u32,
             running_ms: quote.running.as_millis() as u32,
+            doubt: quote.doubt as f32,
         }
     }
 }
@@ -64,9 +65,8 @@
     fn from(record: QuoteRecord) -> Quote {
         Quote {
             readiness: match record.readiness {
-                0 => Readiness::Sound,
-                1 => Readiness::Trial,
-                2 => Readiness::Suspect,
+                0 => Readiness::Open,
+                1 => Readiness::Idle,
                 _ => Readiness::Closed,
             },
             slots: record.slots,
@@ -74,6 +74,7 @@
             queued: record.queued,
             wait: Duration::from_millis(u64::from(record.wait_ms)),
             running: Duration::from_millis(u64::from(record.running_ms)),
+            doubt: f64::from(record.doubt),
         }
     }
 }
