--- a/crates/fescuemux-core/src/placement.rs
+++ b/crates/fescuemux-core/src/placement.rs
@@ -22,7 +22,7 @@
 mod work;
 
 pub use directory::{Directory, Peer};
-pub use failed_calls::FailedCalls;
+pub use failed_calls::{FailedCalls, is_call_of};
 pub use gate::{Gate, Ticket};
 pub use local_server::{LocalServer, ServerPhase, ServerReport};
 pub use quote::{Quote, Readiness};
--- a/crates/fescuemux-core/src/placement/failed_calls.rs
+++ b/crates/fescuemux-core/src/placement/failed_calls.rs
@@ -25,11 +25,16 @@
         self.calls.push_back((now, request_id.to_owned()));
     }
 
-    /// Returns whether a call that the request `parent` made failed. The users' servers derive
-    /// the id of a call from the id of the request that makes it; with ids of another form no
-    /// failure is excused.
+    /// Returns whether a call that the request `parent` made failed.
     pub fn has_call_of(&self, now: Instant, parent: &str) -> bool {
         let recent = self.calls.iter().rev().take_while(|(at, _)| now <= *at + EXPLAINS_FOR);
-        recent.into_iter().any(|(_, id)| id.len() > parent.len() && id.starts_with(parent))
+        recent.into_iter().any(|(_, id)| is_call_of(id, parent))
     }
 }
+
+/// Returns whether a request with `id` is a call that the request `parent` made. The users'
+/// servers derive the id of a call from that of the request that makes it; calls with ids of
+/// another form are taken for requests of callers.
+pub fn is_call_of(id: &str, parent: &str) -> bool {
+    id.len() > parent.len() && id.starts_with(parent)
+}
--- a/crates/fescuemux-core/src/placement/gate.rs
+++ b/crates/fescuemux-core/src/placement/gate.rs
@@ -17,6 +17,19 @@
 /// Most requests that wait, for each slot.
 const QUEUE_PER_SLOT: usize = 8;
 
+/// Multiple of the expected running time from which a request is taken to hang.
+const STUCK_RATIO: f64 = 5.0;
+
+/// Slots that are assumed to become free at least, when all seem to hang.
+const MIN_MOVING: f64 = 0.25;
+
+/// Multiple of the mean running time that is set aside when a wait is allowed. Running times
+/// spread by about half their mean.
+const RUNNING_MARGIN: f64 = 1.3;
+
+/// Share of its time for which a nested request waits.
+const NESTED_WAIT: f64 = 0.6;
+
 /// Least expected running time; below it, delays of the process itself decide.
 const MIN_EXPECTED: Duration = Duration::from_millis(40);
 
@@ -126,13 +139,12 @@
             self.hold(now, ticket, work);
             return Admission::Granted;
         }
-        let wait = self.wait(work.priority);
-        let running = self.times.mean_of(work.route);
+        let wait = self.wait(now, work.nested, work.priority);
         let refuse = |reason| Admission::Refused(Refusal { reason, retry_in: wait });
         if !work.may_wait || self.queue.len() >= self.slots() * QUEUE_PER_SLOT {
             return refuse(RefusalReason::Full);
         }
-        if now + wait + running > work.deadline {
+        if wait > self.longest_wait(now, &work) {
             return refuse(RefusalReason::TooLate);
         }
         self.queue.push(Waiting { ticket, work });
@@ -184,7 +196,7 @@
         let mut decided = self.refuse_waiting(now);
         while self.holders.len() < self.slots() {
             let queue = self.queue.iter().enumerate();
-            let next = queue.min_by_key(|(_, w)| (w.work.priority, w.work.deadline));
+            let next = queue.min_by_key(|(_, w)| turn(now, &w.work));
             let Some((at, _)) = next else { break };
             let Waiting { ticket, work } = self.queue.remove(at);
             self.hold(now, ticket, work);
@@ -208,7 +220,7 @@
             slots: self.slots() as u32,
             busy: self.holders.len() as u32,
             queued: self.queue.len() as u32,
-            wait: self.wait(priority),
+            wait: self.wait(now, false, priority),
             running,
             doubt: self.doubt(now),
         }
@@ -236,15 +248,33 @@
         self.holders.insert(ticket, holder);
     }
 
-    /// Expected wait of a new request: those ahead of it leave at the rate at which the slots
-    /// become free.
-    fn wait(&self, priority: u8) -> Duration {
+    /// Expected wait of a new request: those ahead of it leave at the rate at which slots become
+    /// free. Slots of requests that seem to hang do not count.
+    fn wait(&self, now: Instant, nested: bool, priority: u8) -> Duration {
         if self.queue.is_empty() && self.holders.len() < self.slots() {
             return Duration::ZERO;
         }
-        let ahead = self.queue.iter().filter(|waiting| waiting.work.priority <= priority).count();
-        let slots = self.slots().max(1) as f64;
-        self.times.mean().mul_f64((ahead as f64 + 1.0) / slots)
+        let rank = (!nested, priority);
+        let ahead = self.queue.iter().filter(|w| (!w.work.nested, w.work.priority) <= rank).count();
+        let stuck = self.holders.values().filter(|holder| {
+            let took = holder.started.map(|at| now.saturating_duration_since(at));
+            took.is_some_and(|took| self.ratio(&holder.work, took) > STUCK_RATIO)
+        });
+        let moving = self.slots().saturating_sub(stuck.count());
+        self.times.mean().mul_f64((ahead as f64 + 1.0) / (moving as f64).max(MIN_MOVING))
+    }
+
+    /// Longest wait after which a request is still worth its slot. New work must be able to meet
+    /// its objective: a longer queue would delay all of it and serve no more. A request that
+    /// another one waits for has its slot's work to save, so it waits for most of its time.
+    fn longest_wait(&self, now: Instant, work: &Work) -> Duration {
+        let left = work.deadline.saturating_duration_since(now);
+        if work.nested {
+            return left.mul_f64(NESTED_WAIT);
+        }
+        let running = self.times.mean_of(work.route);
+        let objective = work.objective.saturating_duration_since(now).min(left);
+        objective.saturating_sub(running.mul_f64(RUNNING_MARGIN)).max(objective / 4)
     }
 
     /// Refuses waiting requests that cannot end in time, or all when no new work may begin.
@@ -271,3 +301,10 @@
         took.as_secs_f64() / expected.max(MIN_EXPECTED).as_secs_f64()
     }
 }
+
+/// Order of waiting requests: those that others wait for, then those that can still meet their
+/// objective, then by rank and time.
+fn turn(now: Instant, work: &Work) -> (bool, bool, u8, Instant) {
+    let late = now + work.expected > work.objective;
+    (!work.nested, late, work.priority, work.objective)
+}
--- a/crates/fescuemux-core/src/placement/work.rs
+++ b/crates/fescuemux-core/src/placement/work.rs
@@ -9,6 +9,8 @@
     pub priority: u8,
     /// Whether the request may run again elsewhere.
     pub idempotent: bool,
+    /// Whether a request that runs elsewhere waits for this one.
+    pub nested: bool,
     /// Hash of the route, for its running times.
     pub route: u64,
     /// Time at which the caller gets its final answer.
@@ -52,7 +54,7 @@
     Stopping,
     /// No slot is free and the request does not wait.
     Full,
-    /// The wait would outlast the request's deadline.
+    /// The wait would leave too little time for an answer that is still of use.
     TooLate,
 }
 
--- a/crates/fescuemux-sidecar/src/guard.rs
+++ b/crates/fescuemux-sidecar/src/guard.rs
@@ -87,6 +87,7 @@
     let work = Work {
         priority: reserve.priority,
         idempotent: reserve.idempotent,
+        nested: reserve.nested,
         route: reserve.route,
         deadline: now + Duration::from_millis(u64::from(reserve.left_ms)),
         objective: now + Duration::from_millis(u64::from(reserve.objective_ms)),
--- a/crates/fescuemux-sidecar/src/guard/relay.rs
+++ b/crates/fescuemux-sidecar/src/guard/relay.rs
@@ -69,6 +69,7 @@
             return refuse(node, hop, &commit, Failure::Unreachable).await;
         }
     };
+    let _running = RunningHere::new(node, &commit.request_id);
     let body_whole = Cell::new(false);
     let (mut sink, mut stream) = (&mut hop.frames).split();
     let ended = {
@@ -103,6 +104,28 @@
     if body_whole.get() { Ok(()) } else { Err(HopError::Closed) }
 }
 
+/// Keeps the id of a request known while the server runs it.
+struct RunningHere<'a> {
+    node: &'a Node,
+    request_id: &'a str,
+}
+
+impl<'a> RunningHere<'a> {
+    fn new(node: &'a Node, request_id: &'a str) -> RunningHere<'a> {
+        node.running_here.borrow_mut().push(request_id.to_owned());
+        RunningHere { node, request_id }
+    }
+}
+
+impl Drop for RunningHere<'_> {
+    fn drop(&mut self) {
+        let mut running = self.node.running_here.borrow_mut();
+        if let Some(at) = running.iter().position(|id| id == self.request_id) {
+            running.swap_remove(at);
+        }
+    }
+}
+
 /// Tells the ingress that the server saw nothing, and ends the connection if a body follows.
 async fn refuse(
     node: &Node,
--- a/crates/fescuemux-sidecar/src/hop/message.rs
+++ b/crates/fescuemux-sidecar/src/hop/message.rs
@@ -15,6 +15,8 @@
     pub(crate) service: String,
     /// Rank of the route; zero is the most urgent.
     pub(crate) priority: u8,
+    /// Whether a request that runs at the ingress's own server waits for this one.
+    pub(crate) nested: bool,
     /// Whether the request may run again.
     pub(crate) idempotent: bool,
     /// Hash of the route.
--- a/crates/fescuemux-sidecar/src/ingress.rs
+++ b/crates/fescuemux-sidecar/src/ingress.rs
@@ -70,6 +70,8 @@
         request = id,
         route = call.map_or("", |call| call.policy.id.as_str()),
         service = call.map_or("", |call| call.service.as_str()),
+        priority = call.map_or(0, |call| call.policy.priority),
+        nested = call.is_some_and(|call| call.nested),
         status,
         reason,
         verdict = %answer.verdict,
--- a/crates/fescuemux-sidecar/src/ingress/call.rs
+++ b/crates/fescuemux-sidecar/src/ingress/call.rs
@@ -4,7 +4,7 @@
 use crate::guard::is_hop_by_hop;
 use crate::node::Node;
 use fescuemux_core::base::{InstanceId, ServiceId, stable_hash};
-use fescuemux_core::placement::{RepeatBudget, RoutePolicy};
+use fescuemux_core::placement::{RepeatBudget, RoutePolicy, is_call_of};
 use http::{HeaderMap, StatusCode, header};
 use std::cell::{Cell, RefCell};
 use std::sync::Arc;
@@ -19,6 +19,8 @@
     pub(super) headers: Vec<(String, Vec<u8>)>,
     pub(super) policy: Arc<RoutePolicy>,
     pub(super) service: ServiceId,
+    /// Whether a request that runs at the own server waits for this one.
+    pub(super) nested: bool,
     /// Hash of the route, the same at every instance.
     pub(super) route: u64,
     pub(super) arrival: Instant,
@@ -68,6 +70,7 @@
         let waits = waits.map_or(policy.timeout, Duration::from_millis).min(policy.timeout);
         count_request(node, &service, arrival);
         Ok(Call {
+            nested: node.running_here.borrow().iter().any(|id| is_call_of(&request_id, id)),
             request_id,
             method: parts.method.to_string(),
             path: parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned(),
--- a/crates/fescuemux-sidecar/src/ingress/place.rs
+++ b/crates/fescuemux-sidecar/src/ingress/place.rs
@@ -59,6 +59,10 @@
     let mut refusal = Refusal { reason: RefusalReason::NoServer, retry_in: RETRY_IN };
     let mut rounds = 0;
     loop {
+        if node.ending.get() {
+            let reason = RefusalReason::Stopping;
+            return Err(Refusal { reason, retry_in: RETRY_IN });
+        }
         let offers = ask(node, call, body_len, &passed, waiting.as_ref()).await;
         for offer in offers {
             if waiting.is_some() && !offer.quote.has_room() {
@@ -177,6 +181,7 @@
         service: call.service.to_string(),
         priority: call.policy.priority,
         idempotent: call.policy.class.is_idempotent(),
+        nested: call.nested,
         route: call.route,
         left_ms: call.left(now).as_millis() as u32,
         objective_ms: objective.saturating_duration_since(now).as_millis() as u32,
--- a/crates/fescuemux-sidecar/src/node.rs
+++ b/crates/fescuemux-sidecar/src/node.rs
@@ -32,6 +32,10 @@
     pub(crate) servers: RefCell<Vec<(SocketAddr, Connection)>>,
     /// Whether the own server was doubted when that was logged last.
     pub(crate) server_doubted: Cell<bool>,
+    /// Ids of the requests that the own server runs.
+    pub(crate) running_here: RefCell<Vec<String>>,
+    /// True shortly before the process ends; nothing is placed any more.
+    pub(crate) ending: Cell<bool>,
     /// Requests that failed here a moment ago, calls of the own server among them.
     pub(crate) failed_calls: RefCell<FailedCalls>,
     pub(crate) directory: RefCell<Directory>,
@@ -74,6 +78,8 @@
             waiting: RefCell::default(),
             servers: RefCell::default(),
             server_doubted: Cell::new(false),
+            running_here: RefCell::default(),
+            ending: Cell::new(false),
             failed_calls: RefCell::default(),
             directory: RefCell::default(),
             config: RefCell::default(),
--- a/crates/fescuemux-sidecar/src/run.rs
+++ b/crates/fescuemux-sidecar/src/run.rs
@@ -20,6 +20,9 @@
 /// Time before SIGKILL at which the process ends, whatever is under way.
 const KILL_MARGIN: Duration = Duration::from_millis(300);
 
+/// Time before the end in which requests that are not placed get their refusal.
+const ANSWER_MARGIN: Duration = Duration::from_millis(700);
+
 /// Pause between looks at the number of requests under way.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
@@ -100,6 +103,7 @@
         tokio::time::sleep(DRAIN_POLL).await;
         let passed = node.now().saturating_duration_since(begun);
         let idle = node.in_flight.get() == 0 && node.gate.borrow().busy() == 0;
+        node.ending.set(passed + KILL_MARGIN + ANSWER_MARGIN >= grace);
         if (passed >= CALLERS_LEAVE && idle) || passed + KILL_MARGIN >= grace {
             return;
         }
