--- a/crates/fescuemux-sidecar/src/ingress/call.rs
+++ b/crates/fescuemux-sidecar/src/ingress/call.rs
@@ -9,6 +9,7 @@
 use std::cell::{Cell, RefCell};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use tokio::sync::Notify;
 
 /// A request of a caller with the rules that hold for it.
 #[derive(Debug)]
@@ -35,6 +36,8 @@
     pub(super) tried: RefCell<Vec<InstanceId>>,
     /// Time at which an attempt that has no answer yet is doubled.
     pub(super) hedge_at: Cell<Option<Instant>>,
+    /// Wakes the task that doubles attempts when an attempt was sent.
+    pub(super) sent_wake: Notify,
 }
 
 impl Call {
@@ -85,6 +88,7 @@
             may_have_run: Cell::new(false),
             tried: RefCell::default(),
             hedge_at: Cell::new(None),
+            sent_wake: Notify::new(),
         })
     }
 
--- a/crates/fescuemux-sidecar/src/ingress/run.rs
+++ b/crates/fescuemux-sidecar/src/ingress/run.rs
@@ -50,6 +50,7 @@
             let hedge_at = self.hedge_at(running.len());
             let ended = tokio::select! {
                 ended = running.next() => ended,
+                () = self.call.sent_wake.notified() => continue,
                 () = sleep_until(hedge_at) => {
                     self.call.hedge_at.set(None);
                     if self.call.may_repeat(self.node) {
--- a/crates/fescuemux-sidecar/src/ingress/try_once.rs
+++ b/crates/fescuemux-sidecar/src/ingress/try_once.rs
@@ -58,6 +58,7 @@
     call.may_have_run.set(true);
     call.tried.borrow_mut().push(placed.peer.id.clone());
     call.hedge_at.set(Some(now + placed.running.mul_f64(HEDGE_FACTOR).max(HEDGE_MIN)));
+    call.sent_wake.notify_one();
     let attempted = match exchange(node, call, body, &mut placed).await {
         Ok(Received::Head(head)) => {
             let took = node.now().saturating_duration_since(now);
