--- a/crates/fescuemux-core/src/placement/gate.rs
+++ b/crates/fescuemux-core/src/placement/gate.rs
@@ -284,7 +284,7 @@
         let mut refused = Vec::new();
         let times = &self.times;
         self.queue.retain(|waiting| {
-            let too_late = now + times.mean_of(waiting.work.route) / 2 > waiting.work.deadline;
+            let too_late = now + times.mean_of(waiting.work.route) / 2 > waiting.work.last_start();
             let reason = closed.or(too_late.then_some(RefusalReason::TooLate));
             if let Some(reason) = reason {
                 let refusal = Refusal { reason, retry_in };
--- a/crates/fescuemux-core/src/placement/work.rs
+++ b/crates/fescuemux-core/src/placement/work.rs
@@ -23,6 +23,14 @@
     pub may_wait: bool,
 }
 
+impl Work {
+    /// Time at which waiting ends. New work gives up at its objective: under a load that keeps
+    /// it waiting so long, its slot serves another caller in time, and its own can return.
+    pub(super) fn last_start(&self) -> Instant {
+        if self.nested { self.deadline } else { self.deadline.min(self.objective) }
+    }
+}
+
 /// Answer to a request that asks for a slot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Admission {
--- a/crates/fescuemux-sidecar/src/ingress/call.rs
+++ b/crates/fescuemux-sidecar/src/ingress/call.rs
@@ -54,6 +54,10 @@
             let status = StatusCode::SERVICE_UNAVAILABLE;
             return Err(Answer::refused(status, "no_configuration", Some(RETRY_IN)));
         };
+        if node.refuse_from.get().is_some_and(|from| arrival >= from) {
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            return Err(Answer::refused(status, "stopping", Some(RETRY_IN)));
+        }
         let names = node.dialect.headers();
         let text = |name: &str| parts.headers.get(name).and_then(|value| value.to_str().ok());
         let host = text("host").or(parts.uri.host()).unwrap_or_default();
--- a/crates/fescuemux-sidecar/src/node.rs
+++ b/crates/fescuemux-sidecar/src/node.rs
@@ -34,6 +34,8 @@
     pub(crate) server_doubted: Cell<bool>,
     /// Ids of the requests that the own server runs.
     pub(crate) running_here: RefCell<Vec<String>>,
+    /// Time from which requests that come are refused, as they could outlast the process.
+    pub(crate) refuse_from: Cell<Option<Instant>>,
     /// True shortly before the process ends; nothing is placed any more.
     pub(crate) ending: Cell<bool>,
     /// Requests that failed here a moment ago, calls of the own server among them.
@@ -79,6 +81,7 @@
             servers: RefCell::default(),
             server_doubted: Cell::new(false),
             running_here: RefCell::default(),
+            refuse_from: Cell::new(None),
             ending: Cell::new(false),
             failed_calls: RefCell::default(),
             directory: RefCell::default(),
--- a/crates/fescuemux-sidecar/src/run.rs
+++ b/crates/fescuemux-sidecar/src/run.rs
@@ -96,6 +96,7 @@
     let grace = node.settings.borrow().grace;
     let begun = node.now();
     info!(event = "stopping", in_flight = node.in_flight.get());
+    node.refuse_from.set(Some(begun + CALLERS_LEAVE));
     node.stopping.send_replace(true);
     node.gate.borrow_mut().stop();
     node.advance_gate();
