Keep the budget of repeats at the guards

Cause: the slack of the fleet divided by 24 ingresses leaves each one or two repeats in ten seconds, most of them unused, while hanging calls at others got none. A service has six to nine guards and even work.

--- a/crates/fescuemux-core/src/placement/directory.rs
+++ b/crates/fescuemux-core/src/placement/directory.rs
@@ -158,6 +158,11 @@
         self.known.get(id).map(|known| &known.peer)
     }
 
+    /// Returns the number of instances of a service.
+    pub fn count(&self, service: &str) -> usize {
+        self.by_service.get(service).map_or(0, Vec::len)
+    }
+
     /// Returns all instances.
     pub fn peers(&self) -> impl Iterator<Item = &Peer> {
         self.known.values().map(|known| &known.peer)
--- a/crates/fescuemux-core/src/placement/gate.rs
+++ b/crates/fescuemux-core/src/placement/gate.rs
@@ -2,8 +2,8 @@
 
 use crate::base::HashMap;
 use crate::placement::{
-    Admission, Evidence, LocalServer, Quote, Readiness, Refusal, RefusalReason, RunningTimes,
-    ServerReport, Suspicion, Work, WorkOutcome,
+    Admission, Evidence, LocalServer, Quote, Readiness, Refusal, RefusalReason, RepeatBudget,
+    RepeatLimits, RunningTimes, ServerReport, Suspicion, Work, WorkOutcome,
 };
 use std::time::{Duration, Instant};
 
@@ -25,7 +25,7 @@
 
 /// Multiple of the mean running time that is set aside when a wait is allowed. Running times
 /// spread by about half their mean.
-const RUNNING_MARGIN: f64 = 1.3;
+const RUNNING_MARGIN: f64 = 2.0;
 
 /// Share of its time for which a nested request waits.
 const NESTED_WAIT: f64 = 0.6;
@@ -60,11 +60,13 @@
     suspicion: Suspicion,
     last_grant: Instant,
     stopping: bool,
+    budget: RepeatBudget,
+    guards: usize,
 }
 
 impl Gate {
     /// Returns a gate without a server.
-    pub fn new(now: Instant) -> Gate {
+    pub fn new(now: Instant, repeats: RepeatLimits) -> Gate {
         Gate {
             server: None,
             holders: HashMap::default(),
@@ -73,6 +75,8 @@
             suspicion: Suspicion::new(now),
             last_grant: now,
             stopping: false,
+            budget: RepeatBudget::new(now, repeats),
+            guards: 1,
         }
     }
 
@@ -106,6 +110,11 @@
         true
     }
 
+    /// Sets the number of guards of the service, among which its repeats are divided.
+    pub fn set_guards(&mut self, guards: usize) {
+        self.guards = guards;
+    }
+
     /// Refuses new work from now on.
     pub fn stop(&mut self) {
         self.stopping = true;
@@ -135,6 +144,10 @@
         if let Some(reason) = self.closed() {
             return Admission::Refused(Refusal { reason, retry_in: self.times.mean() });
         }
+        if work.repeat && !self.budget.allows(now, self.guards, work.nested) {
+            let reason = RefusalReason::RepeatBudget;
+            return Admission::Refused(Refusal { reason, retry_in: self.times.mean() });
+        }
         if self.queue.is_empty() && self.holders.len() < self.slots() {
             self.hold(now, ticket, work);
             return Admission::Granted;
@@ -161,6 +174,10 @@
             return false;
         }
         holder.started = Some(now);
+        match holder.work.repeat {
+            true => self.budget.on_repeat(now),
+            false => self.budget.on_request(now),
+        }
         true
     }
 
--- a/crates/fescuemux-core/src/placement/repeat_budget.rs
+++ b/crates/fescuemux-core/src/placement/repeat_budget.rs
@@ -1,4 +1,7 @@
-//! Fleet-wide bound of repeats at a service, kept by each ingress for its own part.
+//! Fleet-wide bound of repeats at a service, kept by each guard for its own part.
+//!
+//! A service has fewer guards than the fleet has ingresses and its work is even among them, so
+//! a refused repeat finds room at another guard and little of the bound stays unused.
 
 use std::time::{Duration, Instant};
 
@@ -18,10 +21,13 @@
 const BUCKETS: usize = 10;
 
 /// Share of the allowance that is used. The rest covers the calls that a repeat makes at other
-/// services and ingresses that believe in a smaller fleet.
-const USED: f64 = 0.7;
+/// services and guards that know fewer servers of their service.
+const USED: f64 = 0.85;
 
-/// Repeats and requests of one service at one ingress.
+/// Share that requests without a waiting parent use; their callers can come back themselves.
+const USED_BY_OTHERS: f64 = 0.6;
+
+/// Repeats and requests at one guard.
 #[derive(Clone, Debug)]
 pub struct RepeatBudget {
     limits: RepeatLimits,
@@ -36,31 +42,29 @@
         RepeatBudget { limits, buckets: [(0, 0); BUCKETS + 1], current: 0, bucket_start: now }
     }
 
-    /// Counts a caller's request.
+    /// Counts a request that was not sent before.
     pub fn on_request(&mut self, now: Instant) {
         self.advance(now);
         self.buckets[self.current].0 += 1;
     }
 
-    /// Takes one repeat from the budget and returns whether it is allowed. `ingresses` is the
-    /// number among which the fleet's slack is divided.
-    pub fn try_repeat(&mut self, now: Instant, ingresses: usize) -> bool {
+    /// Returns whether a repeat is allowed. `guards` is the number among which the fleet's slack
+    /// is divided. A nested request may use the whole budget, as the work of its parent is lost
+    /// with it; others leave a part of it.
+    pub fn allows(&mut self, now: Instant, guards: usize, nested: bool) -> bool {
         self.advance(now);
         let requests: u32 = self.buckets.iter().map(|bucket| bucket.0).sum();
         let repeats: u32 = self.buckets.iter().map(|bucket| bucket.1).sum();
-        let share = self.limits.slack / ingresses.max(1) as f64;
-        let allowed = USED * (self.limits.ratio * f64::from(requests) + share);
-        if f64::from(repeats) + 1.0 > allowed.max(1.0) {
-            return false;
-        }
-        self.buckets[self.current].1 += 1;
-        true
+        let share = self.limits.slack / guards.max(1) as f64;
+        let used = if nested { USED } else { USED_BY_OTHERS };
+        let allowed = used * (self.limits.ratio * f64::from(requests) + share);
+        f64::from(repeats) + 1.0 <= allowed
     }
 
-    /// Returns a repeat that did not take place.
-    pub fn give_back(&mut self) {
-        let repeats = &mut self.buckets[self.current].1;
-        *repeats = repeats.saturating_sub(1);
+    /// Counts a repeat that is sent.
+    pub fn on_repeat(&mut self, now: Instant) {
+        self.advance(now);
+        self.buckets[self.current].1 += 1;
     }
 
     fn advance(&mut self, now: Instant) {
--- a/crates/fescuemux-core/src/placement/work.rs
+++ b/crates/fescuemux-core/src/placement/work.rs
@@ -11,6 +11,8 @@
     pub idempotent: bool,
     /// Whether a request that runs elsewhere waits for this one.
     pub nested: bool,
+    /// Whether a server saw the request before.
+    pub repeat: bool,
     /// Hash of the route, for its running times.
     pub route: u64,
     /// Time at which the caller gets its final answer.
@@ -27,7 +29,8 @@
     /// Time at which waiting ends. New work gives up at its objective: under a load that keeps
     /// it waiting so long, its slot serves another caller in time, and its own can return.
     pub(super) fn last_start(&self) -> Instant {
-        if self.nested { self.deadline } else { self.deadline.min(self.objective) }
+        let rest = self.deadline.saturating_duration_since(self.objective);
+        if self.nested { self.deadline } else { self.objective.min(self.deadline) + rest / 3 }
     }
 }
 
@@ -62,6 +65,8 @@
     Stopping,
     /// No slot is free and the request does not wait.
     Full,
+    /// The service has had as many repeats as it may.
+    RepeatBudget,
     /// The wait would leave too little time for an answer that is still of use.
     TooLate,
 }
@@ -74,6 +79,7 @@
             RefusalReason::Draining => "draining",
             RefusalReason::Stopping => "stopping",
             RefusalReason::Full => "full",
+            RefusalReason::RepeatBudget => "repeat_budget",
             RefusalReason::TooLate => "too_late",
         }
     }
--- a/crates/fescuemux-sidecar/src/guard.rs
+++ b/crates/fescuemux-sidecar/src/guard.rs
@@ -88,12 +88,14 @@
         priority: reserve.priority,
         idempotent: reserve.idempotent,
         nested: reserve.nested,
+        repeat: reserve.repeat,
         route: reserve.route,
         deadline: now + Duration::from_millis(u64::from(reserve.left_ms)),
         objective: now + Duration::from_millis(u64::from(reserve.objective_ms)),
         expected: Duration::from_millis(u64::from(reserve.expected_ms)),
         may_wait: reserve.may_wait,
     };
+    gate.set_guards(node.directory.borrow().count(&reserve.service));
     gate.ask(now, ticket, work)
 }
 
--- a/crates/fescuemux-sidecar/src/hop/message.rs
+++ b/crates/fescuemux-sidecar/src/hop/message.rs
@@ -17,6 +17,8 @@
     pub(crate) priority: u8,
     /// Whether a request that runs at the ingress's own server waits for this one.
     pub(crate) nested: bool,
+    /// Whether a server saw the request before.
+    pub(crate) repeat: bool,
     /// Whether the request may run again.
     pub(crate) idempotent: bool,
     /// Hash of the route.
@@ -61,6 +63,7 @@
     Draining,
     Stopping,
     Full,
+    RepeatBudget,
     TooLate,
 }
 
@@ -71,6 +74,7 @@
             RefusalReason::Draining => Reason::Draining,
             RefusalReason::Stopping => Reason::Stopping,
             RefusalReason::Full => Reason::Full,
+            RefusalReason::RepeatBudget => Reason::RepeatBudget,
             RefusalReason::TooLate => Reason::TooLate,
         };
         Refused { reason, retry_ms: refusal.retry_in.as_millis() as u32 }
@@ -84,6 +88,7 @@
             Reason::Draining => RefusalReason::Draining,
             Reason::Stopping => RefusalReason::Stopping,
             Reason::Full => RefusalReason::Full,
+            Reason::RepeatBudget => RefusalReason::RepeatBudget,
             Reason::TooLate => RefusalReason::TooLate,
         };
         Refusal { reason, retry_in: Duration::from_millis(u64::from(refused.retry_ms)) }
--- a/crates/fescuemux-sidecar/src/ingress.rs
+++ b/crates/fescuemux-sidecar/src/ingress.rs
@@ -77,6 +77,7 @@
         verdict = %answer.verdict,
         peer = answer.peer.as_deref().unwrap_or_default(),
         sent = call.map_or(0, |call| call.sent.get()),
+        doubt = call.map_or(0.0, |call| call.doubt.get()),
         ms = took.as_millis() as u64,
         left_ms = call.map_or(0, |call| call.left(node.now()).as_millis() as u64),
         retry_ms = answer.retry_in.map_or(0, |retry| retry.as_millis() as u64),
--- a/crates/fescuemux-sidecar/src/ingress/call.rs
+++ b/crates/fescuemux-sidecar/src/ingress/call.rs
@@ -4,7 +4,7 @@
 use crate::guard::is_hop_by_hop;
 use crate::node::Node;
 use fescuemux_core::base::{InstanceId, ServiceId, stable_hash};
-use fescuemux_core::placement::{RepeatBudget, RoutePolicy, is_call_of};
+use fescuemux_core::placement::{RoutePolicy, is_call_of};
 use http::{HeaderMap, StatusCode, header};
 use std::cell::{Cell, RefCell};
 use std::sync::Arc;
@@ -32,6 +32,8 @@
     pub(super) claimed: Cell<u32>,
     /// Whether some attempt may have run.
     pub(super) may_have_run: Cell<bool>,
+    /// Probability of a fault of the server to which it was sent last.
+    pub(super) doubt: Cell<f64>,
     /// Instances to which it was sent.
     pub(super) tried: RefCell<Vec<InstanceId>>,
     /// Time at which an attempt that has no answer yet is doubled.
@@ -75,7 +77,6 @@
         };
         let waits = text(names.deadline_ms).and_then(|ms| ms.parse().ok());
         let waits = waits.map_or(policy.timeout, Duration::from_millis).min(policy.timeout);
-        count_request(node, &service, arrival);
         Ok(Call {
             nested: node.running_here.borrow().iter().any(|id| is_call_of(&request_id, id)),
             request_id,
@@ -90,47 +91,31 @@
             sent: Cell::new(0),
             claimed: Cell::new(1),
             may_have_run: Cell::new(false),
+            doubt: Cell::new(0.0),
             tried: RefCell::default(),
             hedge_at: Cell::new(None),
             sent_wake: Notify::new(),
         })
     }
 
+    /// Claims another attempt and returns whether the route allows it.
+    pub(super) fn claim(&self) -> bool {
+        let allowed = self.claimed.get() < self.policy.attempts;
+        if allowed {
+            self.claimed.set(self.claimed.get() + 1);
+        }
+        allowed
+    }
+
     /// Gives a claimed attempt back that was not sent.
-    pub(super) fn unclaim(&self, node: &Node) {
+    pub(super) fn unclaim(&self) {
         self.claimed.set(self.claimed.get() - 1);
-        if let Some(budget) = node.budgets.borrow_mut().get_mut(&self.service) {
-            budget.give_back();
-        }
     }
 
     /// Returns the time left for an answer.
     pub(super) fn left(&self, now: Instant) -> Duration {
         self.deadline.saturating_duration_since(now)
     }
-
-    /// Returns whether an attempt beyond those claimed is allowed by the route and by the budget,
-    /// and claims it.
-    pub(super) fn may_repeat(&self, node: &Node) -> bool {
-        if self.claimed.get() >= self.policy.attempts {
-            return false;
-        }
-        let ingresses = node.directory.borrow().len();
-        let mut budgets = node.budgets.borrow_mut();
-        let budget = budgets.get_mut(&self.service);
-        let allowed = budget.is_some_and(|budget| budget.try_repeat(node.now(), ingresses));
-        if allowed {
-            self.claimed.set(self.claimed.get() + 1);
-        }
-        allowed
-    }
-}
-
-fn count_request(node: &Node, service: &ServiceId, now: Instant) {
-    let limits = node.settings.borrow().repeats;
-    let mut budgets = node.budgets.borrow_mut();
-    let budget = budgets.entry(service.clone()).or_insert_with(|| RepeatBudget::new(now, limits));
-    budget.on_request(now);
 }
 
 /// Returns the headers for the backend server. Those that only the fleet sets are replaced.
--- a/crates/fescuemux-sidecar/src/ingress/place.rs
+++ b/crates/fescuemux-sidecar/src/ingress/place.rs
@@ -32,6 +32,8 @@
     pub(super) peer: Peer,
     /// Expected running time at the server.
     pub(super) running: Duration,
+    /// Probability of a fault when the guard was asked.
+    pub(super) doubt: f64,
 }
 
 /// Answer to a reservation.
@@ -182,6 +184,7 @@
         priority: call.policy.priority,
         idempotent: call.policy.class.is_idempotent(),
         nested: call.nested,
+        repeat: call.sent.get() > 0,
         route: call.route,
         left_ms: call.left(now).as_millis() as u32,
         objective_ms: objective.saturating_duration_since(now).as_millis() as u32,
@@ -191,9 +194,10 @@
     hop.send(message).await?;
     let answer = hop.message().await?;
     let running = expected(node, call, offer);
+    let doubt = offer.quote.doubt;
     match answer {
-        Message::Granted => Ok(Reserved::Granted(Placed { hop, peer, running })),
-        Message::Queued(_) => Ok(Reserved::Queued(Placed { hop, peer, running })),
+        Message::Granted => Ok(Reserved::Granted(Placed { hop, peer, running, doubt })),
+        Message::Queued(_) => Ok(Reserved::Queued(Placed { hop, peer, running, doubt })),
         Message::Refused(refused) => {
             node.hops.put(peer.addr, node.now(), hop);
             Ok(Reserved::Refused(refused.into()))
--- a/crates/fescuemux-sidecar/src/ingress/run.rs
+++ b/crates/fescuemux-sidecar/src/ingress/run.rs
@@ -53,7 +53,7 @@
                 () = self.call.sent_wake.notified() => continue,
                 () = sleep_until(hedge_at) => {
                     self.call.hedge_at.set(None);
-                    if self.call.may_repeat(self.node) {
+                    if self.call.claim() {
                         running.push(try_once(self.node, self.call, self.body, false));
                     }
                     continue;
@@ -108,7 +108,7 @@
         self.call.may_have_run.set(earlier_may_have_run || !alone);
         if !earlier_may_have_run && alone {
             let again = self.body.is_whole() && self.placements < MAX_PLACEMENTS;
-            if again && (!seen || self.call.may_repeat(self.node)) {
+            if again && (!seen || self.call.claim()) {
                 return true;
             }
             let status = StatusCode::SERVICE_UNAVAILABLE;
@@ -120,7 +120,7 @@
     fn on_no_slot(&mut self, refusal: &Refusal, alone: bool) -> bool {
         if !alone {
             // The running attempt goes on; its double is tried again a little later.
-            self.call.unclaim(self.node);
+            self.call.unclaim();
             self.call.hedge_at.set(Some(self.node.now() + HEDGE_AGAIN));
         }
         if alone && self.last.is_none() {
@@ -135,7 +135,7 @@
         self.call.policy.class.is_idempotent()
             && self.body.is_whole()
             && self.placements < MAX_PLACEMENTS
-            && self.call.may_repeat(self.node)
+            && self.call.claim()
     }
 }
 
--- a/crates/fescuemux-sidecar/src/ingress/try_once.rs
+++ b/crates/fescuemux-sidecar/src/ingress/try_once.rs
@@ -56,6 +56,7 @@
     let now = node.now();
     call.sent.set(call.sent.get() + 1);
     call.may_have_run.set(true);
+    call.doubt.set(placed.doubt);
     call.tried.borrow_mut().push(placed.peer.id.clone());
     call.hedge_at.set(Some(now + placed.running.mul_f64(HEDGE_FACTOR).max(HEDGE_MIN)));
     call.sent_wake.notify_one();
--- a/crates/fescuemux-sidecar/src/node.rs
+++ b/crates/fescuemux-sidecar/src/node.rs
@@ -6,9 +6,9 @@
 use crate::quotes::Quotes;
 use crate::{Dialect, FleetConfig, NodeSettings};
 use anyhow::Result;
-use fescuemux_core::base::{Clock, Cx, Generation, HashMap, Incarnation, ServiceId};
+use fescuemux_core::base::{Clock, Cx, Generation, HashMap, Incarnation};
 use fescuemux_core::placement::{
-    Admission, Directory, FailedCalls, Gate, Peer, RepeatBudget, RunningTimes, Splitter, Ticket,
+    Admission, Directory, FailedCalls, Gate, Peer, RunningTimes, Splitter, Ticket,
 };
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -43,7 +43,6 @@
     pub(crate) directory: RefCell<Directory>,
     pub(crate) config: RefCell<Option<Rc<FleetConfig>>>,
     pub(crate) splitter: RefCell<Splitter>,
-    pub(crate) budgets: RefCell<HashMap<ServiceId, RepeatBudget>>,
     /// Mean size of the answers of a route, in kilobytes.
     pub(crate) answer_kb: RefCell<HashMap<u64, f64>>,
     /// Running times of answered attempts.
@@ -76,7 +75,7 @@
         let quotes = Quotes::bind(settings.listen.peers)?;
         Ok(Node {
             metrics: Metrics::new()?,
-            gate: RefCell::new(Gate::new(now)),
+            gate: RefCell::new(Gate::new(now, settings.repeats)),
             waiting: RefCell::default(),
             servers: RefCell::default(),
             server_doubted: Cell::new(false),
@@ -87,7 +86,6 @@
             directory: RefCell::default(),
             config: RefCell::default(),
             splitter: RefCell::default(),
-            budgets: RefCell::default(),
             answer_kb: RefCell::default(),
             running: RefCell::default(),
             hops: HopPool::default(),
