--- /dev/null
+++ b/crates/fescuemux-core/tests/placement/gate.rs
@@ -0,0 +1,211 @@
+use crate::support::{ms, open_gate, report, work};
+use fescuemux_core::placement::{
+    Admission, Gate, Readiness, RefusalReason, ServerPhase, Work, WorkOutcome,
+};
+use std::time::Instant;
+
+fn fill(gate: &mut Gate, now: Instant) {
+    for ticket in 1..=4 {
+        assert_eq!(gate.ask(now, ticket, work(now)), Admission::Granted);
+        assert!(gate.begin(now, ticket));
+    }
+}
+
+fn reason(admission: Admission) -> Option<RefusalReason> {
+    match admission {
+        Admission::Refused(refusal) => Some(refusal.reason),
+        Admission::Granted | Admission::Queued(_) => None,
+    }
+}
+
+/// A server runs no more requests at once than it has slots.
+#[test]
+fn slots_bound_the_requests_at_a_server() {
+    let now = Instant::now();
+    let mut gate = open_gate(now);
+    fill(&mut gate, now);
+    assert!(matches!(gate.ask(now, 5, work(now)), Admission::Queued(_)));
+    gate.finish(now + ms(300), 1, WorkOutcome::Answered);
+    assert_eq!(gate.advance(now + ms(300)), vec![(5, Admission::Granted)]);
+}
+
+/// A daemon that was paused between grant and request must not run a request that its ingress
+/// has long sent elsewhere.
+#[test]
+fn a_grant_runs_out() {
+    struct Case {
+        after_ms: u64,
+        begins: bool,
+    }
+    let cases = [
+        Case { after_ms: 0, begins: true },
+        Case { after_ms: 240, begins: true },
+        Case { after_ms: 260, begins: false },
+        Case { after_ms: 4_000, begins: false },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let mut gate = open_gate(now);
+        assert_eq!(gate.ask(now, 1, work(now)), Admission::Granted);
+        let begins = gate.begin(now + ms(case.after_ms), 1);
+        assert_eq!(begins, case.begins, "after {} ms", case.after_ms);
+        assert!(!gate.begin(now + ms(case.after_ms), 2), "a ticket without a grant");
+    }
+}
+
+/// A grant that is never used must not take its slot away for good.
+#[test]
+fn an_unused_grant_frees_its_slot() {
+    let now = Instant::now();
+    let mut gate = open_gate(now);
+    for ticket in 1..=4 {
+        assert_eq!(gate.ask(now, ticket, work(now)), Admission::Granted);
+    }
+    assert!(matches!(gate.ask(now, 5, work(now)), Admission::Queued(_)));
+    assert_eq!(gate.advance(now + ms(300)), vec![(5, Admission::Granted)]);
+    assert_eq!(gate.busy(), 1);
+}
+
+/// After the acknowledgement that a server leaves, neither waiting nor granted requests reach it.
+#[test]
+fn a_leaving_server_gets_nothing_more() {
+    let now = Instant::now();
+    let mut gate = open_gate(now);
+    fill(&mut gate, now);
+    assert!(matches!(gate.ask(now, 5, work(now)), Admission::Queued(_)));
+    gate.finish(now, 1, WorkOutcome::Answered);
+    assert_eq!(gate.advance(now), vec![(5, Admission::Granted)]);
+    let mut draining = report("server-1", 1, 2);
+    draining.phase = ServerPhase::Draining;
+    assert!(gate.on_report(now, draining));
+    assert!(!gate.begin(now, 5), "a grant from before the acknowledgement");
+    assert_eq!(reason(gate.ask(now, 6, work(now))), Some(RefusalReason::Draining));
+    assert_eq!(gate.quote(now, 1, 7).readiness, Readiness::Closed);
+    gate.on_leave("server-1");
+    assert_eq!(reason(gate.ask(now, 7, work(now))), Some(RefusalReason::NoServer));
+}
+
+/// A daemon that stops refuses new work at once and keeps what runs.
+#[test]
+fn a_stopping_daemon_refuses_new_work() {
+    let now = Instant::now();
+    let mut gate = open_gate(now);
+    fill(&mut gate, now);
+    assert!(matches!(gate.ask(now, 5, work(now)), Admission::Queued(_)));
+    gate.stop();
+    let decided = gate.advance(now);
+    assert_eq!(decided.len(), 1);
+    assert_eq!(reason(decided[0].1), Some(RefusalReason::Stopping));
+    assert_eq!(gate.busy(), 4);
+}
+
+/// Calls of running work go first, or a service whose slots all wait for each other stands still.
+#[test]
+fn waiting_requests_have_an_order() {
+    struct Case {
+        name: &'static str,
+        first: fn(Work) -> Work,
+        second: fn(Work) -> Work,
+        goes: u64,
+    }
+    let cases = [
+        Case { name: "equal: the older", first: |w| w, second: later, goes: 5 },
+        Case {
+            name: "rank",
+            first: |w| Work { priority: 2, ..w },
+            second: |w| Work { priority: 1, ..later(w) },
+            goes: 6,
+        },
+        Case {
+            name: "nested before rank",
+            first: |w| Work { priority: 0, ..w },
+            second: |w| Work { nested: true, priority: 2, ..later(w) },
+            goes: 6,
+        },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let mut gate = open_gate(now);
+        fill(&mut gate, now);
+        assert!(matches!(gate.ask(now, 5, (case.first)(work(now))), Admission::Queued(_)));
+        assert!(matches!(gate.ask(now, 6, (case.second)(work(now))), Admission::Queued(_)));
+        gate.finish(now, 1, WorkOutcome::Answered);
+        assert_eq!(gate.advance(now), vec![(case.goes, Admission::Granted)], "{}", case.name);
+    }
+}
+
+fn later(work: Work) -> Work {
+    Work { objective: work.objective + ms(100), deadline: work.deadline + ms(100), ..work }
+}
+
+/// Without a bound, every request of an overloaded service is answered too late.
+#[test]
+fn the_queue_is_bounded_by_the_objective() {
+    let now = Instant::now();
+    let mut gate = open_gate(now);
+    fill(&mut gate, now);
+    let mut queued = 0;
+    for ticket in 5..100 {
+        match gate.ask(now, ticket, work(now)) {
+            Admission::Queued(wait) => {
+                assert!(wait <= ms(1_500), "a wait of {wait:?} leaves no time to run");
+                queued += 1;
+            }
+            Admission::Refused(refusal) => {
+                assert_eq!(refusal.reason, RefusalReason::TooLate);
+                assert!(refusal.retry_in > ms(0));
+            }
+            Admission::Granted => panic!("no slot is free"),
+        }
+    }
+    assert!(queued >= 4, "a short queue keeps the slots busy, {queued} waited");
+}
+
+/// New work that has waited until its objective gives its place up; a call of running work
+/// waits on.
+#[test]
+fn waiting_ends() {
+    struct Case {
+        nested: bool,
+        after_ms: u64,
+        refused: bool,
+    }
+    let cases = [
+        Case { nested: false, after_ms: 500, refused: false },
+        Case { nested: false, after_ms: 2_000, refused: true },
+        Case { nested: true, after_ms: 2_000, refused: false },
+        Case { nested: true, after_ms: 2_990, refused: true },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let mut gate = open_gate(now);
+        fill(&mut gate, now);
+        let waits = Work { nested: case.nested, ..work(now) };
+        assert!(matches!(gate.ask(now, 5, waits), Admission::Queued(_)));
+        let decided = gate.advance(now + ms(case.after_ms));
+        let refused = decided.iter().any(|(_, admission)| reason(*admission).is_some());
+        assert_eq!(refused, case.refused, "nested {}, {} ms", case.nested, case.after_ms);
+    }
+}
+
+/// A server without any recent request is offered as idle, so that it shows whether it works.
+#[test]
+fn an_unused_server_is_idle() {
+    let now = Instant::now();
+    let mut gate = open_gate(now);
+    assert_eq!(gate.quote(now, 1, 7).readiness, Readiness::Open);
+    assert_eq!(gate.quote(now + ms(1_700), 1, 7).readiness, Readiness::Idle);
+    assert_eq!(gate.ask(now + ms(1_700), 1, work(now + ms(1_700))), Admission::Granted);
+    assert_eq!(gate.quote(now + ms(1_800), 1, 7).readiness, Readiness::Open);
+}
+
+/// Slots of hanging requests do not become free soon, so they must not shorten the wait.
+#[test]
+fn hanging_requests_lengthen_the_wait() {
+    let now = Instant::now();
+    let mut gate = open_gate(now);
+    fill(&mut gate, now);
+    let early = gate.quote(now + ms(100), 1, 7).wait;
+    let late = gate.quote(now + ms(2_500), 1, 7).wait;
+    assert!(late > early * 4, "{early:?} to {late:?}");
+}
--- /dev/null
+++ b/crates/fescuemux-core/tests/placement/main.rs
@@ -0,0 +1,11 @@
+//! Placement by reservation: the decisions of ingress and guard, without input and output.
+
+mod budget;
+mod directory;
+mod gate;
+mod overload;
+mod ranking;
+mod routes;
+mod servers;
+mod support;
+mod suspicion;
--- /dev/null
+++ b/crates/fescuemux-core/tests/placement/routes.rs
@@ -0,0 +1,92 @@
+use fescuemux_core::base::{Cx, HashMap};
+use fescuemux_core::placement::{RequestClass, RouteMap, RoutePolicy, ServicePart, Splitter};
+use std::time::{Duration, Instant};
+
+fn policy(id: &str, parts: &[(&str, u32)]) -> RoutePolicy {
+    let part = |(service, weight): &(&str, u32)| ServicePart {
+        service: (*service).into(),
+        weight: *weight,
+    };
+    RoutePolicy {
+        id: id.into(),
+        class: RequestClass::Idempotent,
+        objective: Duration::from_secs(1),
+        priority: 1,
+        timeout: Duration::from_secs(3),
+        attempts: 2,
+        parts: parts.iter().map(part).collect(),
+    }
+}
+
+/// The route with the longest prefix of the path serves a request, of the same host only.
+#[test]
+fn the_longest_prefix_wins() {
+    struct Case {
+        host: &'static str,
+        path: &'static str,
+        route: Option<&'static str>,
+    }
+    let mut routes = RouteMap::default();
+    routes.insert("a.example", "/x/", policy("short", &[("s", 1)]));
+    routes.insert("a.example", "/x/y/", policy("long", &[("s", 1)]));
+    routes.insert("b.example", "/", policy("all", &[("s", 1)]));
+    let cases = [
+        Case { host: "a.example", path: "/x/1", route: Some("short") },
+        Case { host: "a.example", path: "/x/y/1", route: Some("long") },
+        Case { host: "a.example", path: "/x/y", route: Some("short") },
+        Case { host: "a.example", path: "/x/yy/1", route: Some("short") },
+        Case { host: "a.example", path: "/xy/1", route: None },
+        Case { host: "a.example", path: "/", route: None },
+        Case { host: "A.Example", path: "/x/", route: Some("short") },
+        Case { host: "b.example", path: "/any", route: Some("all") },
+        Case { host: "c.example", path: "/x/1", route: None },
+        Case { host: "a.example", path: "", route: None },
+    ];
+    for case in cases {
+        let found = routes.lookup(case.host, case.path).map(|policy| policy.id.as_str());
+        assert_eq!(found, case.route, "{}{}", case.host, case.path);
+    }
+}
+
+/// Many ingresses with few requests each must meet the weights together.
+#[test]
+fn parts_get_their_weights() {
+    struct Case {
+        parts: &'static [(&'static str, u32)],
+        ingresses: u64,
+        requests: usize,
+    }
+    let cases = [
+        Case { parts: &[("a", 90), ("b", 10)], ingresses: 24, requests: 10 },
+        Case { parts: &[("a", 50), ("b", 50)], ingresses: 24, requests: 9 },
+        Case { parts: &[("a", 1), ("b", 1), ("c", 2)], ingresses: 1, requests: 400 },
+        Case { parts: &[("a", 0), ("b", 5)], ingresses: 3, requests: 50 },
+    ];
+    for case in cases {
+        let policy = policy("split", case.parts);
+        let mut counts: HashMap<String, usize> = HashMap::default();
+        for seed in 0..case.ingresses {
+            let mut cx = Cx::new(Instant::now(), seed);
+            let mut splitter = Splitter::default();
+            for _ in 0..case.requests {
+                let service = splitter.next(&mut cx, &policy).expect("a part has a weight");
+                *counts.entry(service.to_string()).or_default() += 1;
+            }
+        }
+        let total: u32 = case.parts.iter().map(|(_, weight)| weight).sum();
+        let sent = case.ingresses as f64 * case.requests as f64;
+        for (service, weight) in case.parts {
+            let share = *counts.get(*service).unwrap_or(&0) as f64 / sent;
+            let wanted = f64::from(*weight) / f64::from(total);
+            assert!((share - wanted).abs() < 0.1, "{:?}: {service} got {share}", case.parts);
+        }
+    }
+}
+
+/// A route whose parts all have weight zero takes no request.
+#[test]
+fn no_weight_is_no_service() {
+    let mut cx = Cx::new(Instant::now(), 1);
+    let policy = policy("off", &[("a", 0), ("b", 0)]);
+    assert_eq!(Splitter::default().next(&mut cx, &policy), None);
+}
--- /dev/null
+++ b/crates/fescuemux-core/tests/placement/servers.rs
@@ -0,0 +1,113 @@
+use crate::support::{LIMITS, ms, report};
+use fescuemux_core::placement::{FailedCalls, Gate, ServerPhase, ServerReport, is_call_of};
+use std::time::Instant;
+
+/// Reports arrive late, of dead servers, and under reused ids; only news of the newest start
+/// counts, and a server that leaves does not come back under the same start.
+#[test]
+fn only_newer_reports_count() {
+    struct Case {
+        name: &'static str,
+        reports: &'static [(&'static str, u64, u64, ServerPhase)],
+        leave: Option<&'static str>,
+        then: Option<(&'static str, u64, u64, ServerPhase)>,
+        takes_work: bool,
+        id: &'static str,
+    }
+    use ServerPhase::{Draining, Ready};
+    let cases = [
+        Case {
+            name: "a late report of an earlier start",
+            reports: &[("b", 20, 1, Ready), ("a", 10, 9, Draining)],
+            leave: None,
+            then: None,
+            takes_work: true,
+            id: "b",
+        },
+        Case {
+            name: "a late ready after draining",
+            reports: &[("a", 10, 1, Ready), ("a", 10, 3, Draining), ("a", 10, 2, Ready)],
+            leave: None,
+            then: None,
+            takes_work: false,
+            id: "a",
+        },
+        Case {
+            name: "ready with a higher number after draining",
+            reports: &[("a", 10, 3, Draining), ("a", 10, 4, Ready)],
+            leave: None,
+            then: None,
+            takes_work: false,
+            id: "a",
+        },
+        Case {
+            name: "a report after the leave",
+            reports: &[("a", 10, 3, Ready)],
+            leave: Some("a"),
+            then: Some(("a", 10, 4, Ready)),
+            takes_work: false,
+            id: "a",
+        },
+        Case {
+            name: "the same id starts again",
+            reports: &[("a", 10, 3, Ready)],
+            leave: Some("a"),
+            then: Some(("a", 30, 1, Ready)),
+            takes_work: true,
+            id: "a",
+        },
+        Case {
+            name: "the leave of an earlier server",
+            reports: &[("a", 10, 3, Ready), ("b", 20, 1, Ready)],
+            leave: Some("a"),
+            then: None,
+            takes_work: true,
+            id: "b",
+        },
+    ];
+    let made = |(id, born, seq, phase): (&str, u64, u64, ServerPhase)| ServerReport {
+        phase,
+        ..report(id, born, seq)
+    };
+    for case in cases {
+        let now = Instant::now();
+        let mut gate = Gate::new(now, LIMITS);
+        for r in case.reports {
+            gate.on_report(now, made(*r));
+        }
+        if let Some(id) = case.leave {
+            gate.on_leave(id);
+        }
+        if let Some(r) = case.then {
+            gate.on_report(now, made(r));
+        }
+        let server = gate.server().expect("a server reported itself");
+        assert_eq!(server.takes_work(), case.takes_work, "{}", case.name);
+        assert_eq!(server.report.id, case.id, "{}", case.name);
+    }
+}
+
+/// Only a call of the failed request itself, moments ago, excuses its server.
+#[test]
+fn failed_calls_are_matched_by_id_and_time() {
+    struct Case {
+        failed: &'static str,
+        parent: &'static str,
+        after_ms: u64,
+        excused: bool,
+    }
+    let cases = [
+        Case { failed: "aa.1", parent: "aa", after_ms: 10, excused: true },
+        Case { failed: "aa.1", parent: "bb", after_ms: 10, excused: false },
+        Case { failed: "aa", parent: "aa", after_ms: 10, excused: false },
+        Case { failed: "aa.1", parent: "aa", after_ms: 900, excused: false },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let mut calls = FailedCalls::default();
+        calls.add(now, case.failed);
+        let excused = calls.has_call_of(now + ms(case.after_ms), case.parent);
+        assert_eq!(excused, case.excused, "{} of {}", case.failed, case.parent);
+    }
+    assert!(is_call_of("aa.1", "aa"));
+}
--- /dev/null
+++ b/crates/fescuemux-core/tests/placement/support.rs
@@ -0,0 +1,64 @@
+//! Values that several tests share.
+
+use fescuemux_core::placement::{
+    Gate, Quote, Readiness, RepeatLimits, ServerPhase, ServerReport, Work,
+};
+use std::time::{Duration, Instant};
+
+/// Bound of repeats of the users' small sites.
+pub(crate) const LIMITS: RepeatLimits =
+    RepeatLimits { ratio: 0.2, slack: 58.0, window: Duration::from_secs(10) };
+
+/// Returns a duration in milliseconds.
+pub(crate) fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Returns a report of a ready server with four slots.
+pub(crate) fn report(id: &str, born: u64, seq: u64) -> ServerReport {
+    ServerReport {
+        id: id.into(),
+        born,
+        service: "orders".into(),
+        addr: ([127, 0, 0, 1], 9000).into(),
+        slots: 4,
+        phase: ServerPhase::Ready,
+        cold_left: Duration::ZERO,
+        seq,
+    }
+}
+
+/// Returns a gate with a ready server.
+pub(crate) fn open_gate(now: Instant) -> Gate {
+    let mut gate = Gate::new(now, LIMITS);
+    gate.on_report(now, report("server-1", 1, 1));
+    gate
+}
+
+/// Returns work of a caller with an objective of 1.5 s and a deadline of 3 s.
+pub(crate) fn work(now: Instant) -> Work {
+    Work {
+        priority: 1,
+        idempotent: false,
+        nested: false,
+        repeat: false,
+        route: 7,
+        deadline: now + ms(3_000),
+        objective: now + ms(1_500),
+        expected: ms(400),
+        may_wait: true,
+    }
+}
+
+/// Returns the offer of an unused server.
+pub(crate) fn quote() -> Quote {
+    Quote {
+        readiness: Readiness::Open,
+        slots: 4,
+        busy: 0,
+        queued: 0,
+        wait: Duration::ZERO,
+        running: ms(400),
+        doubt: 0.02,
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-core/tests/placement/suspicion.rs
@@ -0,0 +1,98 @@
+use crate::support::{ms, open_gate, work};
+use fescuemux_core::placement::{Admission, Evidence, Gate, Suspicion, WorkOutcome};
+use std::time::Instant;
+
+/// Some failures are a server's own in the ordinary course; two in a row are not.
+#[test]
+fn evidence_adds_up() {
+    use Evidence::{Failure, Success, Unanswered};
+    struct Case {
+        name: &'static str,
+        evidence: &'static [Evidence],
+        above: f64,
+        below: f64,
+    }
+    let cases = [
+        Case { name: "none", evidence: &[], above: 0.1, below: 0.2 },
+        Case { name: "good record", evidence: &[Success; 5], above: 0.0, below: 0.05 },
+        Case {
+            name: "one failure after a good record",
+            evidence: &[Success, Success, Success, Success, Failure],
+            above: 0.2,
+            below: 0.6,
+        },
+        Case {
+            name: "two failures after a good record",
+            evidence: &[Success, Success, Success, Success, Failure, Failure],
+            above: 0.85,
+            below: 1.0,
+        },
+        Case { name: "a hang", evidence: &[Unanswered(5.0)], above: 0.7, below: 1.0 },
+        Case { name: "left early", evidence: &[Unanswered(0.3)], above: 0.1, below: 0.25 },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let mut suspicion = Suspicion::new(now);
+        case.evidence.iter().for_each(|evidence| suspicion.add(now, *evidence));
+        let doubt = suspicion.probability(now, std::iter::empty());
+        assert!(doubt >= case.above && doubt <= case.below, "{}: {doubt}", case.name);
+    }
+}
+
+/// Old evidence fades, so a fault that is over does not keep work away.
+#[test]
+fn evidence_fades() {
+    let now = Instant::now();
+    let mut suspicion = Suspicion::new(now);
+    suspicion.add(now, Evidence::Failure);
+    suspicion.add(now, Evidence::Failure);
+    let doubts: Vec<f64> = [0, 3, 6, 12, 60]
+        .map(|s| suspicion.probability(now + ms(s * 1_000), std::iter::empty()))
+        .into();
+    assert!(doubts.is_sorted_by(|a, b| a > b), "{doubts:?}");
+    assert!(doubts[4] < 0.2, "{doubts:?}");
+}
+
+/// Requests that hang show no failure before their deadline; their time must count as it passes.
+#[test]
+fn hanging_requests_are_doubted_before_their_deadline() {
+    let now = Instant::now();
+    let mut gate = open_gate(now);
+    for ticket in 1..=4 {
+        assert_eq!(gate.ask(now, ticket, work(now)), Admission::Granted);
+        assert!(gate.begin(now, ticket));
+    }
+    assert!(gate.doubt(now + ms(100)) < 0.3);
+    assert!(gate.doubt(now + ms(1_000)) > 0.8, "{}", gate.doubt(now + ms(1_000)));
+}
+
+fn run(gate: &mut Gate, now: Instant, ticket: u64, took_ms: u64, outcome: WorkOutcome) {
+    assert_eq!(gate.ask(now, ticket, work(now)), Admission::Granted);
+    assert!(gate.begin(now, ticket));
+    gate.finish(now + ms(took_ms), ticket, outcome);
+}
+
+/// A server whose calls fail elsewhere is not at fault.
+#[test]
+fn a_failed_call_is_no_evidence() {
+    struct Case {
+        outcome: WorkOutcome,
+        doubted: bool,
+    }
+    let cases = [
+        Case { outcome: WorkOutcome::CallFailed, doubted: false },
+        Case { outcome: WorkOutcome::Shed, doubted: false },
+        Case { outcome: WorkOutcome::Answered, doubted: false },
+        Case { outcome: WorkOutcome::Failed, doubted: true },
+        Case { outcome: WorkOutcome::Unreachable, doubted: true },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let mut gate = open_gate(now);
+        for ticket in 1..=3 {
+            run(&mut gate, now, ticket, 300, case.outcome);
+        }
+        let doubted = gate.doubt(now + ms(300)) > 0.5;
+        assert_eq!(doubted, case.doubted, "{:?}", case.outcome);
+    }
+}
