Stand-ins of the platform and tests of the real processes; count calls of repeats

Cause of connections closed without an answer during a stop (found by a_planned_stop_cuts_nothing): a connection without a request was closed at once.

--- a/crates/fescuemux-core/src/placement.rs
+++ b/crates/fescuemux-core/src/placement.rs
@@ -33,4 +33,4 @@
 pub use running_times::RunningTimes;
 pub use split::Splitter;
 pub use suspicion::{Evidence, Suspicion};
-pub use work::{Admission, Refusal, RefusalReason, Work, WorkOutcome};
+pub use work::{Admission, Refusal, RefusalReason, Repeat, Work, WorkOutcome};
--- a/crates/fescuemux-core/src/placement/gate.rs
+++ b/crates/fescuemux-core/src/placement/gate.rs
@@ -2,8 +2,8 @@
 
 use crate::base::HashMap;
 use crate::placement::{
-    Admission, Evidence, LocalServer, Quote, Readiness, Refusal, RefusalReason, RepeatBudget,
-    RepeatLimits, RunningTimes, ServerReport, Suspicion, Work, WorkOutcome,
+    Admission, Evidence, LocalServer, Quote, Readiness, Refusal, RefusalReason, Repeat,
+    RepeatBudget, RepeatLimits, RunningTimes, ServerReport, Suspicion, Work, WorkOutcome,
 };
 use std::time::{Duration, Instant};
 
@@ -144,7 +144,8 @@
         if let Some(reason) = self.closed() {
             return Admission::Refused(Refusal { reason, retry_in: self.times.mean() });
         }
-        if work.repeat && !self.budget.allows(now, self.guards, work.nested) {
+        let again = work.repeat == Repeat::Again;
+        if again && !self.budget.allows(now, self.guards, work.nested) {
             let reason = RefusalReason::RepeatBudget;
             return Admission::Refused(Refusal { reason, retry_in: self.times.mean() });
         }
@@ -175,8 +176,8 @@
         }
         holder.started = Some(now);
         match holder.work.repeat {
-            true => self.budget.on_repeat(now),
-            false => self.budget.on_request(now),
+            Repeat::First => self.budget.on_request(now),
+            Repeat::OfParent | Repeat::Again => self.budget.on_repeat(now),
         }
         true
     }
--- a/crates/fescuemux-core/src/placement/repeat_budget.rs
+++ b/crates/fescuemux-core/src/placement/repeat_budget.rs
@@ -20,9 +20,9 @@
 /// window that ends now.
 const BUCKETS: usize = 10;
 
-/// Share of the allowance that is used. The rest covers the calls that a repeat makes at other
-/// services and guards that know fewer servers of their service.
-const USED: f64 = 0.85;
+/// Share of the allowance that is used. The rest covers guards that know fewer servers of
+/// their service, and repeats that are counted a moment apart here and by the users.
+const USED: f64 = 0.8;
 
 /// Share that requests without a waiting parent use; their callers can come back themselves.
 const USED_BY_OTHERS: f64 = 0.6;
--- a/crates/fescuemux-core/src/placement/work.rs
+++ b/crates/fescuemux-core/src/placement/work.rs
@@ -2,6 +2,19 @@
 
 use std::time::{Duration, Instant};
 
+/// Whether a request is a repeat.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Repeat {
+    /// No server saw it before.
+    #[default]
+    First,
+    /// It is a call of a request that is a repeat itself. It counts, and is never refused for
+    /// that: its parent's work would be lost.
+    OfParent,
+    /// A server saw it before.
+    Again,
+}
+
 /// A request that asks a guard for a slot.
 #[derive(Clone, Debug)]
 pub struct Work {
@@ -11,8 +24,8 @@
     pub idempotent: bool,
     /// Whether a request that runs elsewhere waits for this one.
     pub nested: bool,
-    /// Whether a server saw the request before.
-    pub repeat: bool,
+    /// Whether it counts against the budget of repeats.
+    pub repeat: Repeat,
     /// Hash of the route, for its running times.
     pub route: u64,
     /// Time at which the caller gets its final answer.
--- a/crates/fescuemux-core/tests/placement/support.rs
+++ b/crates/fescuemux-core/tests/placement/support.rs
@@ -1,7 +1,7 @@
 //! Values that several tests share.
 
 use fescuemux_core::placement::{
-    Gate, Quote, Readiness, RepeatLimits, ServerPhase, ServerReport, Work,
+    Gate, Quote, Readiness, Repeat, RepeatLimits, ServerPhase, ServerReport, Work,
 };
 use std::time::{Duration, Instant};
 
@@ -41,7 +41,7 @@
         priority: 1,
         idempotent: false,
         nested: false,
-        repeat: false,
+        repeat: Repeat::First,
         route: 7,
         deadline: now + ms(3_000),
         objective: now + ms(1_500),
--- a/crates/fescuemux-sidecar/src/guard.rs
+++ b/crates/fescuemux-sidecar/src/guard.rs
@@ -5,7 +5,7 @@
 
 use crate::hop::{Frame, HopConnection, HopError, Message, PeerRecord, Reserve, State};
 use crate::node::Node;
-use fescuemux_core::placement::{Admission, Refusal, RefusalReason, Ticket, Work};
+use fescuemux_core::placement::{Admission, Refusal, RefusalReason, Repeat, Ticket, Work};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -70,7 +70,7 @@
     hop.send(Message::Granted).await?;
     let commit = tokio::time::timeout(COMMIT_WAIT, hop.message());
     match commit.await.map_err(|_| HopError::TimedOut)?? {
-        Message::Commit(commit) => relay::run(node, hop, &held, commit, reserve.idempotent).await,
+        Message::Commit(commit) => relay::run(node, hop, &held, commit, &reserve).await,
         _ => Err(HopError::Unexpected),
     }
 }
@@ -88,7 +88,11 @@
         priority: reserve.priority,
         idempotent: reserve.idempotent,
         nested: reserve.nested,
-        repeat: reserve.repeat,
+        repeat: match (reserve.again, reserve.of_repeat) {
+            (true, _) => Repeat::Again,
+            (false, true) => Repeat::OfParent,
+            (false, false) => Repeat::First,
+        },
         route: reserve.route,
         deadline: now + Duration::from_millis(u64::from(reserve.left_ms)),
         objective: now + Duration::from_millis(u64::from(reserve.objective_ms)),
--- a/crates/fescuemux-sidecar/src/guard/relay.rs
+++ b/crates/fescuemux-sidecar/src/guard/relay.rs
@@ -4,7 +4,9 @@
 use crate::HeaderNames;
 use crate::guard::servers;
 use crate::h1::{BodyReader, Connection, Framing, H1Error, Head, Reader, RequestHead};
-use crate::hop::{AnswerHead, Commit, Failure, Frame, HopCodec, HopConnection, HopError, Message};
+use crate::hop::{
+    AnswerHead, Commit, Failure, Frame, HopCodec, HopConnection, HopError, Message, Reserve,
+};
 use crate::node::Node;
 use fescuemux_core::placement::WorkOutcome;
 use futures::stream::{SplitSink, SplitStream};
@@ -49,7 +51,7 @@
     hop: &mut HopConnection,
     held: &Held,
     commit: Commit,
-    idempotent: bool,
+    reserve: &Reserve,
 ) -> Result<(), HopError> {
     let now = node.now();
     let deadline = now + Duration::from_millis(u64::from(commit.left_ms));
@@ -60,7 +62,7 @@
     };
     let names = node.dialect.headers();
     let head = request_head(&names, &commit, &server, deadline, node.now());
-    let opened = servers::take(node, addr, idempotent).await;
+    let opened = servers::take(node, addr, reserve.idempotent).await;
     let mut connection = match opened {
         Ok(connection) => connection,
         Err(e) => {
@@ -69,7 +71,7 @@
             return refuse(node, hop, &commit, Failure::Unreachable).await;
         }
     };
-    let _running = RunningHere::new(node, &commit.request_id);
+    let _running = RunningHere::new(node, &commit.request_id, reserve.again || reserve.of_repeat);
     let body_whole = Cell::new(false);
     let (mut sink, mut stream) = (&mut hop.frames).split();
     let ended = {
@@ -111,8 +113,8 @@
 }
 
 impl<'a> RunningHere<'a> {
-    fn new(node: &'a Node, request_id: &'a str) -> RunningHere<'a> {
-        node.running_here.borrow_mut().push(request_id.to_owned());
+    fn new(node: &'a Node, request_id: &'a str, repeat: bool) -> RunningHere<'a> {
+        node.running_here.borrow_mut().push((request_id.to_owned(), repeat));
         RunningHere { node, request_id }
     }
 }
@@ -120,7 +122,7 @@
 impl Drop for RunningHere<'_> {
     fn drop(&mut self) {
         let mut running = self.node.running_here.borrow_mut();
-        if let Some(at) = running.iter().position(|id| id == self.request_id) {
+        if let Some(at) = running.iter().position(|(id, _)| id == self.request_id) {
             running.swap_remove(at);
         }
     }
--- a/crates/fescuemux-sidecar/src/hop/message.rs
+++ b/crates/fescuemux-sidecar/src/hop/message.rs
@@ -18,7 +18,9 @@
     /// Whether a request that runs at the ingress's own server waits for this one.
     pub(crate) nested: bool,
     /// Whether a server saw the request before.
-    pub(crate) repeat: bool,
+    pub(crate) again: bool,
+    /// Whether it is a call of a request that a server saw before.
+    pub(crate) of_repeat: bool,
     /// Whether the request may run again.
     pub(crate) idempotent: bool,
     /// Hash of the route.
--- a/crates/fescuemux-sidecar/src/ingress/call.rs
+++ b/crates/fescuemux-sidecar/src/ingress/call.rs
@@ -22,6 +22,8 @@
     pub(super) service: ServiceId,
     /// Whether a request that runs at the own server waits for this one.
     pub(super) nested: bool,
+    /// Whether that request is a repeat.
+    pub(super) of_repeat: bool,
     /// Hash of the route, the same at every instance.
     pub(super) route: u64,
     pub(super) arrival: Instant,
@@ -75,10 +77,16 @@
             let status = StatusCode::SERVICE_UNAVAILABLE;
             return Err(Answer::refused(status, "no_service", Some(RETRY_IN)));
         };
+        let parent = {
+            let running = node.running_here.borrow();
+            let parent = running.iter().find(|(id, _)| is_call_of(&request_id, id));
+            parent.map(|(_, repeat)| *repeat)
+        };
         let waits = text(names.deadline_ms).and_then(|ms| ms.parse().ok());
         let waits = waits.map_or(policy.timeout, Duration::from_millis).min(policy.timeout);
         Ok(Call {
-            nested: node.running_here.borrow().iter().any(|id| is_call_of(&request_id, id)),
+            nested: parent.is_some(),
+            of_repeat: parent == Some(true),
             request_id,
             method: parts.method.to_string(),
             path: parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned(),
--- a/crates/fescuemux-sidecar/src/ingress/caller_connection.rs
+++ b/crates/fescuemux-sidecar/src/ingress/caller_connection.rs
@@ -13,6 +13,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
 
 /// Idle timeout before a configuration states one.
 const DEFAULT_IDLE: Duration = Duration::from_secs(15);
@@ -26,11 +27,16 @@
 }
 
 async fn serve_connection(node: Rc<Node>, stream: TcpStream) {
-    let active = Rc::new(Activity { busy: Cell::new(0), since: Cell::new(node.now()) });
+    let active = Rc::new(Activity {
+        busy: Cell::new(0),
+        since: Cell::new(node.now()),
+        begun: Notify::new(),
+    });
     let service = service_fn(|req: Request<Incoming>| {
         let (node, active) = (node.clone(), active.clone());
         async move {
             active.busy.set(active.busy.get() + 1);
+            active.begun.notify_one();
             let response = handle(node.clone(), req).await;
             active.busy.set(active.busy.get() - 1);
             active.since.set(node.now());
@@ -40,26 +46,30 @@
     let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let mut stopping = node.stopping.subscribe();
+    let mut stops = false;
     let mut ending = false;
     loop {
-        let idle = idle_timeout(&node);
-        let until = active.since.get() + idle;
+        // A connection without a request is not closed by a stop: its next request may be on
+        // its way, and is answered before the connection ends.
+        if !ending && stops && active.busy.get() > 0 {
+            connection.as_mut().graceful_shutdown();
+            ending = true;
+        }
+        let idle_at = active.since.get() + idle_timeout(&node);
         tokio::select! {
             // An error here is a caller that left or broke the protocol; hyper has answered it.
             _ = connection.as_mut() => return,
-            _ = stopping.wait_for(|stopping| *stopping), if !ending => ending = true,
-            () = tokio::time::sleep_until(until.max(node.now()).into()), if !ending => {
-                let over = node.now() >= active.since.get() + idle;
-                ending = active.busy.get() == 0 && over;
-                if !ending {
+            _ = stopping.wait_for(|stopping| *stopping), if !stops => stops = true,
+            () = active.begun.notified() => {}
+            () = tokio::time::sleep_until(idle_at.max(node.now()).into()), if !ending => {
+                if active.busy.get() > 0 {
                     active.since.set(node.now());
-                    continue;
+                } else {
+                    connection.as_mut().graceful_shutdown();
+                    ending = true;
                 }
             }
         }
-        if ending {
-            connection.as_mut().graceful_shutdown();
-        }
     }
 }
 
@@ -67,6 +77,8 @@
 struct Activity {
     busy: Cell<usize>,
     since: Cell<Instant>,
+    /// Wakes the connection's task when a request begins.
+    begun: Notify,
 }
 
 fn idle_timeout(node: &Node) -> Duration {
--- a/crates/fescuemux-sidecar/src/node.rs
+++ b/crates/fescuemux-sidecar/src/node.rs
@@ -32,8 +32,8 @@
     pub(crate) servers: RefCell<Vec<(SocketAddr, Connection)>>,
     /// Whether the own server was doubted when that was logged last.
     pub(crate) server_doubted: Cell<bool>,
-    /// Ids of the requests that the own server runs.
-    pub(crate) running_here: RefCell<Vec<String>>,
+    /// Ids of the requests that the own server runs, and whether they are repeats.
+    pub(crate) running_here: RefCell<Vec<(String, bool)>>,
     /// Time from which requests that come are refused, as they could outlast the process.
     pub(crate) refuse_from: Cell<Option<Instant>>,
     /// True shortly before the process ends; nothing is placed any more.
--- a/crates/fescuemux-standins/src/lib.rs
+++ b/crates/fescuemux-standins/src/lib.rs
@@ -3,5 +3,6 @@
 //!
 //! Must not know core decisions or the daemon.
 
+pub mod platform;
 pub mod server;
 pub mod store;
--- /dev/null
+++ b/crates/fescuemux-standins/src/platform.rs
@@ -0,0 +1,17 @@
+//! Stand-ins that speak the protocol of the users' platform: its store and its application
+//! servers.
+//!
+//! Must not know how the fleet uses them.
+
+mod app_fault;
+mod app_server;
+mod http;
+mod kv_http;
+mod kv_state;
+mod kv_store;
+mod run_log;
+
+pub use app_fault::AppFault;
+pub use app_server::{AppOptions, AppServer};
+pub use kv_store::{KvFault, KvStore};
+pub use run_log::{Run, RunLog};
--- /dev/null
+++ b/crates/fescuemux-standins/src/platform/kv_state.rs
@@ -0,0 +1,165 @@
+//! Items, leases and history of the store.
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+#[derive(Clone, Debug)]
+struct Item {
+    value: String,
+    rev: u64,
+    created: u64,
+    lease: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Lease {
+    ttl: Duration,
+    ends: Instant,
+}
+
+/// State of the store.
+#[derive(Debug, Default)]
+pub(super) struct KvState {
+    items: BTreeMap<String, Item>,
+    leases: BTreeMap<u64, Lease>,
+    history: Vec<Value>,
+    /// Changes up to this revision are forgotten.
+    forgotten: u64,
+    rev: u64,
+    next_lease: u64,
+}
+
+impl KvState {
+    /// Removes the items of leases that have ended.
+    pub(super) fn expire(&mut self, now: Instant) {
+        let ended: Vec<u64> =
+            self.leases.iter().filter(|(_, l)| l.ends <= now).map(|(id, _)| *id).collect();
+        for id in ended {
+            self.end_lease(id);
+        }
+    }
+
+    /// Makes all leases start anew, as after an outage in which they pause.
+    pub(super) fn refresh_leases(&mut self, now: Instant) {
+        self.leases.values_mut().for_each(|lease| lease.ends = now + lease.ttl);
+    }
+
+    /// Forgets the history.
+    pub(super) fn compact(&mut self) {
+        self.forgotten = self.rev;
+        self.history.clear();
+    }
+
+    /// Writes an item and returns its revision.
+    pub(super) fn put(&mut self, key: &str, value: &[u8], lease: u64) -> u64 {
+        self.put_text(key, STANDARD.encode(value), lease)
+    }
+
+    fn put_text(&mut self, key: &str, value: String, lease: u64) -> u64 {
+        self.rev += 1;
+        let created = self.items.get(key).map_or(self.rev, |item| item.created);
+        self.items.insert(key.to_owned(), Item { value, rev: self.rev, created, lease });
+        let event = self.item(key);
+        self.history.extend(event);
+        self.rev
+    }
+
+    /// Returns an item with its key.
+    pub(super) fn item(&self, key: &str) -> Option<Value> {
+        let item = self.items.get(key)?;
+        Some(json!({"key": key, "value": item.value, "rev": item.rev, "created": item.created,
+                    "lease": item.lease}))
+    }
+
+    /// Returns all items under a prefix.
+    pub(super) fn range(&self, prefix: &str, after: &str) -> Value {
+        let keys = self.items.keys().filter(|key| key.starts_with(prefix));
+        let keys = keys.filter(|key| key.as_str() > after);
+        let items: Vec<_> = keys.filter_map(|key| self.item(key)).collect();
+        json!({"items": items, "truncated": false, "as_of": self.rev})
+    }
+
+    /// Returns changes after a revision, or `None` when they are forgotten.
+    pub(super) fn changes(&self, prefix: &str, after: u64) -> Option<Vec<Value>> {
+        if after < self.forgotten {
+            return None;
+        }
+        let newer = self.history.iter().filter(|event| event["rev"].as_u64() > Some(after));
+        let key = |event: &Value| event["key"].as_str().unwrap_or_default().to_owned();
+        Some(newer.filter(|event| key(event).starts_with(prefix)).cloned().collect())
+    }
+
+    /// Returns the newest revision.
+    pub(super) fn rev(&self) -> u64 {
+        self.rev
+    }
+
+    /// Applies a transaction and returns status and body.
+    pub(super) fn transact(&mut self, body: &Value) -> (u16, Value) {
+        let rows = |name: &str| body[name].as_array().cloned().unwrap_or_default();
+        for row in rows("expected") {
+            let key = row["key"].as_str().unwrap_or_default();
+            let rev = self.items.get(key).map_or(0, |item| item.rev);
+            if row["rev"].as_u64() != Some(rev) {
+                let items: Vec<_> = self.item(key).into_iter().collect();
+                return (412, json!({ "items": items }));
+            }
+        }
+        for write in rows("writes") {
+            let lease = write["lease"].as_u64().unwrap_or_default();
+            if lease != 0 && !self.leases.contains_key(&lease) {
+                return (404, json!({}));
+            }
+        }
+        for write in rows("writes") {
+            let key = write["key"].as_str().unwrap_or_default().to_owned();
+            let value = write["value"].as_str().unwrap_or_default().to_owned();
+            self.put_text(&key, value, write["lease"].as_u64().unwrap_or_default());
+        }
+        for key in rows("delete") {
+            self.remove(key.as_str().unwrap_or_default());
+        }
+        (200, json!({ "rev": self.rev }))
+    }
+
+    /// Creates a lease.
+    pub(super) fn grant(&mut self, ttl: Duration, now: Instant) -> u64 {
+        self.next_lease += 1;
+        self.leases.insert(self.next_lease, Lease { ttl, ends: now + ttl });
+        self.next_lease
+    }
+
+    /// Renews a lease and returns its time, or `None` when it has ended.
+    pub(super) fn keep(&mut self, id: u64, now: Instant) -> Option<Duration> {
+        let lease = self.leases.get_mut(&id)?;
+        lease.ends = now + lease.ttl;
+        Some(lease.ttl)
+    }
+
+    /// Ends a lease with its items and returns whether it existed.
+    pub(super) fn end_lease(&mut self, id: u64) -> bool {
+        let existed = self.leases.remove(&id).is_some();
+        let bound = self.items.iter().filter(|(_, item)| item.lease == id);
+        let keys: Vec<_> = bound.map(|(key, _)| key.clone()).collect();
+        keys.iter().for_each(|key| self.remove(key));
+        existed
+    }
+
+    /// Ends all leases.
+    pub(super) fn end_all_leases(&mut self) {
+        let ids: Vec<u64> = self.leases.keys().copied().collect();
+        for id in ids {
+            self.end_lease(id);
+        }
+    }
+
+    fn remove(&mut self, key: &str) {
+        if self.items.remove(key).is_some() {
+            self.rev += 1;
+            self.history.push(json!({"key": key, "rev": self.rev, "tombstone": true}));
+        }
+    }
+}
--- /dev/null
+++ b/crates/fescuemux-standins/src/platform/kv_store.rs
@@ -0,0 +1,114 @@
+//! The platform's store.
+
+use super::kv_http;
+use super::kv_state::KvState;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::time::Instant;
+
+/// Fault of the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum KvFault {
+    /// Answers at once.
+    #[default]
+    None,
+    /// Answers late.
+    Slow,
+    /// Answers 503 and does nothing.
+    Busy,
+    /// Does not answer and does nothing.
+    Silent,
+    /// Does what is asked and does not answer.
+    LoseAnswers,
+}
+
+/// State that connections share.
+#[derive(Debug, Default)]
+pub(super) struct Shared {
+    pub(super) state: Mutex<KvState>,
+    pub(super) changed: Condvar,
+    fault: Mutex<KvFault>,
+    calls: AtomicU64,
+}
+
+impl Shared {
+    /// Returns the fault in force.
+    pub(super) fn fault(&self) -> KvFault {
+        *self.fault.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Counts a call.
+    pub(super) fn count_call(&self) {
+        self.calls.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+/// A running store. Its thread ends with the process.
+#[derive(Clone, Debug)]
+pub struct KvStore {
+    addr: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+impl KvStore {
+    /// Starts a store on a free port of the loopback address.
+    ///
+    /// # Errors
+    /// Fails when no port can be bound.
+    pub fn start() -> io::Result<KvStore> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let store = KvStore { addr: listener.local_addr()?, shared: Arc::default() };
+        let shared = store.shared.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let shared = shared.clone();
+                // A connection that breaks is a client that went away.
+                std::thread::spawn(move || drop(kv_http::serve(&shared, stream)));
+            }
+        });
+        Ok(store)
+    }
+
+    /// Returns the address of the store.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Writes an item as an operator does.
+    pub fn put(&self, key: &str, value: &[u8]) {
+        self.shared.state.lock().unwrap_or_else(PoisonError::into_inner).put(key, value, 0);
+        self.shared.changed.notify_all();
+    }
+
+    /// Returns the number of items under a prefix.
+    pub fn count(&self, prefix: &str) -> usize {
+        let mut state = self.shared.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.expire(Instant::now());
+        state.range(prefix, "")["items"].as_array().map_or(0, Vec::len)
+    }
+
+    /// Puts a fault in force. Leases pause while the store does not answer.
+    pub fn set_fault(&self, fault: KvFault) {
+        let mut state = self.shared.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.refresh_leases(Instant::now());
+        *self.shared.fault.lock().unwrap_or_else(PoisonError::into_inner) = fault;
+    }
+
+    /// Ends all leases, as after an outage in which they run on.
+    pub fn lapse_leases(&self) {
+        self.shared.state.lock().unwrap_or_else(PoisonError::into_inner).end_all_leases();
+        self.shared.changed.notify_all();
+    }
+
+    /// Forgets the history of changes.
+    pub fn compact(&self) {
+        self.shared.state.lock().unwrap_or_else(PoisonError::into_inner).compact();
+    }
+
+    /// Returns the number of calls so far.
+    pub fn calls(&self) -> u64 {
+        self.shared.calls.load(Ordering::Relaxed)
+    }
+}
