--- a/crates/fescuemux-core/src/placement.rs
+++ b/crates/fescuemux-core/src/placement.rs
@@ -32,5 +32,5 @@
 pub use route_policy::{RequestClass, RoutePolicy, ServicePart};
 pub use running_times::RunningTimes;
 pub use split::Splitter;
-pub use suspicion::{Evidence, Suspicion};
+pub use suspicion::{Evidence, StillRunning, Suspicion};
 pub use work::{Admission, Refusal, RefusalReason, Repeat, Work, WorkOutcome};
--- a/crates/fescuemux-core/src/placement/gate.rs
+++ b/crates/fescuemux-core/src/placement/gate.rs
@@ -3,7 +3,8 @@
 use crate::base::HashMap;
 use crate::placement::{
     Admission, Evidence, LocalServer, Quote, Readiness, Refusal, RefusalReason, Repeat,
-    RepeatBudget, RepeatLimits, RunningTimes, ServerReport, Suspicion, Work, WorkOutcome,
+    RepeatBudget, RepeatLimits, RunningTimes, ServerReport, StillRunning, Suspicion, Work,
+    WorkOutcome,
 };
 use std::time::{Duration, Instant};
 
@@ -20,6 +21,17 @@
 /// Multiple of the expected running time from which a request is taken to hang.
 const STUCK_RATIO: f64 = 5.0;
 
+/// Multiple of the expected running time from which a request loses its slot to one that waits.
+/// The longest work of the users' routes takes about six times its mean.
+const EVICT_RATIO: f64 = 6.0;
+
+/// The same multiple for a request that runs again elsewhere.
+const EVICT_REPEATABLE: f64 = 3.5;
+
+/// Probability of a fault above which nobody waits at a server: its slots are not to be had
+/// before its fault ends, and others of its service serve the request sooner.
+const NO_QUEUE_ABOVE: f64 = 0.75;
+
 /// Slots that are assumed to become free at least, when all seem to hang.
 const MIN_MOVING: f64 = 0.25;
 
@@ -134,7 +146,7 @@
     pub fn doubt(&self, now: Instant) -> f64 {
         let running = self.holders.values().filter_map(|holder| {
             let took = now.saturating_duration_since(holder.started?);
-            Some(self.ratio(&holder.work, took))
+            Some(StillRunning { took, expected: self.expected(&holder.work) })
         });
         self.suspicion.probability(now, running)
     }
@@ -158,6 +170,9 @@
         if !work.may_wait || self.queue.len() >= self.slots() * QUEUE_PER_SLOT {
             return refuse(RefusalReason::Full);
         }
+        if self.doubt(now) > NO_QUEUE_ABOVE {
+            return refuse(RefusalReason::Doubted);
+        }
         if wait > self.longest_wait(now, &work) {
             return refuse(RefusalReason::TooLate);
         }
@@ -223,6 +238,22 @@
         decided
     }
 
+    /// Returns requests that hang and whose slots others wait for, one for each that waits. A
+    /// hanging request that may not be repeated is lost whatever happens; with deadlines of many
+    /// times the running time, a few of them would hold all slots of a service.
+    pub fn stuck(&self, now: Instant) -> Vec<Ticket> {
+        if self.stopping || self.holders.len() < self.slots() {
+            return Vec::new();
+        }
+        let stuck = self.holders.iter().filter(|(_, holder)| {
+            let took = holder.started.map(|at| now.saturating_duration_since(at));
+            let ratio = took.map_or(0.0, |took| self.ratio(&holder.work, took));
+            let bound = if holder.work.idempotent { EVICT_REPEATABLE } else { EVICT_RATIO };
+            ratio > bound && (holder.work.idempotent || now > holder.work.objective)
+        });
+        stuck.map(|(ticket, _)| *ticket).take(self.queue.len()).collect()
+    }
+
     /// Returns the offer to a request of the given priority and route.
     pub fn quote(&mut self, now: Instant, priority: u8, route: u64) -> Quote {
         let idle = now.saturating_duration_since(self.last_grant) >= IDLE_AFTER;
@@ -298,12 +329,15 @@
     /// Refuses waiting requests that cannot end in time, or all when no new work may begin.
     fn refuse_waiting(&mut self, now: Instant) -> Vec<(Ticket, Admission)> {
         let closed = self.closed();
+        let doubted = self.doubt(now) > NO_QUEUE_ABOVE;
         let retry_in = self.times.mean();
         let mut refused = Vec::new();
         let times = &self.times;
         self.queue.retain(|waiting| {
             let too_late = now + times.mean_of(waiting.work.route) / 2 > waiting.work.last_start();
-            let reason = closed.or(too_late.then_some(RefusalReason::TooLate));
+            let reason = closed
+                .or(too_late.then_some(RefusalReason::TooLate))
+                .or(doubted.then_some(RefusalReason::Doubted));
             if let Some(reason) = reason {
                 let refusal = Refusal { reason, retry_in };
                 refused.push((waiting.ticket, Admission::Refused(refusal)));
@@ -315,8 +349,11 @@
 
     /// Running time as a multiple of the expected one.
     fn ratio(&self, work: &Work, took: Duration) -> f64 {
-        let expected = self.times.known_mean(work.route).unwrap_or(work.expected);
-        took.as_secs_f64() / expected.max(MIN_EXPECTED).as_secs_f64()
+        took.as_secs_f64() / self.expected(work).as_secs_f64()
+    }
+
+    fn expected(&self, work: &Work) -> Duration {
+        self.times.known_mean(work.route).unwrap_or(work.expected).max(MIN_EXPECTED)
     }
 }
 
--- a/crates/fescuemux-core/src/placement/quote.rs
+++ b/crates/fescuemux-core/src/placement/quote.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+/// Probability of a fault from which free slots do not attract waiting requests.
+const DOUBTED: f64 = 0.35;
+
 /// Whether a guard's server takes work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Readiness {
@@ -33,6 +36,12 @@
 }
 
 impl Quote {
+    /// Returns whether a request that waits elsewhere does better here. The free slots of a
+    /// server that fails are no reason to leave the queue of a sound one.
+    pub fn is_better_than_waiting(&self) -> bool {
+        self.has_room() && self.doubt < DOUBTED
+    }
+
     /// Returns whether a slot is free at once.
     pub fn has_room(&self) -> bool {
         self.busy < self.slots && self.queued == 0
--- a/crates/fescuemux-core/src/placement/rank.rs
+++ b/crates/fescuemux-core/src/placement/rank.rs
@@ -17,7 +17,8 @@
     /// Cost of a failure of a request that must not run twice. It is lost, so any wait within
     /// a usual objective is better.
     pub loss: Duration,
-    /// Cost of a failure of a request that runs again elsewhere after some delay.
+    /// Cost of a failure of a request that runs again elsewhere: the time until it is doubled,
+    /// another wait, and at times the work of the request that waits for it.
     pub repeat: Duration,
 }
 
@@ -28,7 +29,7 @@
             per_kb: Duration::from_millis(5),
             crowding: 0.5,
             loss: Duration::from_secs(4),
-            repeat: Duration::from_millis(800),
+            repeat: Duration::from_secs(2),
         }
     }
 }
--- a/crates/fescuemux-core/src/placement/suspicion.rs
+++ b/crates/fescuemux-core/src/placement/suspicion.rs
@@ -27,6 +27,9 @@
 /// Time in which the evidence loses half its distance from the prior. Faults last some seconds.
 const HALF_LIFE: Duration = Duration::from_secs(3);
 
+/// Multiple of the expected time after which most requests of a sound server have ended.
+const MOST_ENDED: u32 = 2;
+
 /// What one request says about its server.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Evidence {
@@ -38,6 +41,15 @@
     Unanswered(f64),
 }
 
+/// A request that runs, with its expected time, which is not zero.
+#[derive(Clone, Copy, Debug)]
+pub struct StillRunning {
+    /// Time for which it has run.
+    pub took: Duration,
+    /// Expected running time.
+    pub expected: Duration,
+}
+
 /// Probability that a server fails, from the requests that ended and those that still run.
 ///
 /// Requests that hang show no failure until their deadline, so the time for which a request
@@ -66,20 +78,31 @@
         self.at = now;
     }
 
-    /// Returns the probability of a fault, given the requests that still run as multiples of
-    /// their expected times.
-    pub fn probability(&self, now: Instant, running: impl Iterator<Item = f64>) -> f64 {
-        let running: f64 = running.map(still_running).sum();
+    /// Returns the probability of a fault, given the requests that still run. What hung long ago
+    /// says little of the server now, so the evidence of a request fades from the time at which
+    /// most others of its route would have ended.
+    pub fn probability(&self, now: Instant, running: impl Iterator<Item = StillRunning>) -> f64 {
+        let running: f64 = running
+            .map(|request| {
+                let ratio = request.took.as_secs_f64() / request.expected.as_secs_f64();
+                let overdue = request.took.saturating_sub(request.expected * MOST_ENDED);
+                still_running(ratio) * fading(overdue)
+            })
+            .sum();
         let log_odds = (self.faded(now) + running).clamp(BEST, WORST);
         1.0 / (1.0 + (-log_odds).exp())
     }
 
     fn faded(&self, now: Instant) -> f64 {
-        let passed = now.saturating_duration_since(self.at).as_secs_f64();
-        PRIOR + (self.log_odds - PRIOR) * (-passed / HALF_LIFE.as_secs_f64()).exp2()
+        PRIOR + (self.log_odds - PRIOR) * fading(now.saturating_duration_since(self.at))
     }
 }
 
+/// Share of evidence that is left after `age`.
+fn fading(age: Duration) -> f64 {
+    (-age.as_secs_f64() / HALF_LIFE.as_secs_f64()).exp2()
+}
+
 /// Log-odds of a request that has run for `ratio` times its expected time and has not ended.
 fn still_running(ratio: f64) -> f64 {
     let survival = survival(ratio).max(MIN_SURVIVAL);
--- a/crates/fescuemux-core/src/placement/work.rs
+++ b/crates/fescuemux-core/src/placement/work.rs
@@ -78,6 +78,8 @@
     Stopping,
     /// No slot is free and the request does not wait.
     Full,
+    /// No slot is free and the server probably fails.
+    Doubted,
     /// The service has had as many repeats as it may.
     RepeatBudget,
     /// The wait would leave too little time for an answer that is still of use.
@@ -92,6 +94,7 @@
             RefusalReason::Draining => "draining",
             RefusalReason::Stopping => "stopping",
             RefusalReason::Full => "full",
+            RefusalReason::Doubted => "doubted",
             RefusalReason::RepeatBudget => "repeat_budget",
             RefusalReason::TooLate => "too_late",
         }
--- a/crates/fescuemux-sidecar/src/guard.rs
+++ b/crates/fescuemux-sidecar/src/guard.rs
@@ -131,6 +131,7 @@
 impl Drop for Held {
     fn drop(&mut self) {
         self.node.waiting.borrow_mut().remove(&self.ticket);
+        self.node.evictions.borrow_mut().remove(&self.ticket);
         self.node.gate.borrow_mut().withdraw(self.ticket);
         self.node.advance_gate();
     }
--- a/crates/fescuemux-sidecar/src/guard/relay.rs
+++ b/crates/fescuemux-sidecar/src/guard/relay.rs
@@ -17,6 +17,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::oneshot;
 use tokio_util::codec::Framed;
 use tracing::{info, warn};
 
@@ -74,6 +75,8 @@
     let _running = RunningHere::new(node, &commit.request_id, reserve.again || reserve.of_repeat);
     let body_whole = Cell::new(false);
     let (mut sink, mut stream) = (&mut hop.frames).split();
+    let (evict, evicted) = oneshot::channel();
+    node.evictions.borrow_mut().insert(held.ticket, evict);
     let ended = {
         let Connection { reader, writer, .. } = &mut connection;
         let chunked = commit.body_len.is_none();
@@ -83,12 +86,14 @@
         tokio::select! {
             () = upload => Ended { outcome: WorkOutcome::Abandoned, failure: None, reusable: None },
             ended = download => ended,
+            Ok(()) = evicted => Ended::failed(WorkOutcome::Abandoned, Failure::Stuck),
             () = tokio::time::sleep(left) => {
                 Ended::failed(WorkOutcome::Abandoned, Failure::Deadline)
             }
         }
     };
     drop((sink, stream));
+    log_work(node, reserve, &commit, now, &ended);
     finish(node, held, &commit, excused(node, &commit, ended.outcome));
     if let Some(idle_timeout) = ended.reusable.filter(|_| body_whole.get()) {
         connection.idle_timeout = idle_timeout;
@@ -141,6 +146,24 @@
     Err(HopError::Closed)
 }
 
+fn log_work(node: &Node, reserve: &Reserve, commit: &Commit, begun: Instant, ended: &Ended) {
+    let (busy, queued) = {
+        let gate = node.gate.borrow();
+        (gate.busy(), gate.queued())
+    };
+    info!(
+        event = "work",
+        request = commit.request_id,
+        outcome = ?ended.outcome,
+        nested = reserve.nested,
+        again = reserve.again,
+        ms = node.now().saturating_duration_since(begun).as_millis() as u64,
+        busy,
+        queued,
+        doubt = node.gate.borrow().doubt(node.now())
+    );
+}
+
 fn log_failure(commit: &Commit, failure: Failure) {
     info!(
         event = "work_failed",
--- a/crates/fescuemux-sidecar/src/hop/message.rs
+++ b/crates/fescuemux-sidecar/src/hop/message.rs
@@ -65,6 +65,7 @@
     Draining,
     Stopping,
     Full,
+    Doubted,
     RepeatBudget,
     TooLate,
 }
@@ -76,6 +77,7 @@
             RefusalReason::Draining => Reason::Draining,
             RefusalReason::Stopping => Reason::Stopping,
             RefusalReason::Full => Reason::Full,
+            RefusalReason::Doubted => Reason::Doubted,
             RefusalReason::RepeatBudget => Reason::RepeatBudget,
             RefusalReason::TooLate => Reason::TooLate,
         };
@@ -90,6 +92,7 @@
             Reason::Draining => RefusalReason::Draining,
             Reason::Stopping => RefusalReason::Stopping,
             Reason::Full => RefusalReason::Full,
+            Reason::Doubted => RefusalReason::Doubted,
             Reason::RepeatBudget => RefusalReason::RepeatBudget,
             Reason::TooLate => RefusalReason::TooLate,
         };
@@ -121,6 +124,8 @@
     Broken,
     /// The time ran out while the server worked.
     Deadline,
+    /// The request seemed to hang while others waited for its slot.
+    Stuck,
 }
 
 impl Failure {
@@ -128,7 +133,7 @@
     pub(crate) fn verdict(self) -> Verdict {
         match self {
             Failure::Expired | Failure::Unreachable | Failure::Shed => Verdict::NotRun,
-            Failure::Broken | Failure::Deadline => Verdict::MayHaveRun,
+            Failure::Broken | Failure::Deadline | Failure::Stuck => Verdict::MayHaveRun,
         }
     }
 
@@ -140,6 +145,7 @@
             Failure::Shed => "server_shed",
             Failure::Broken => "answer_broken",
             Failure::Deadline => "deadline",
+            Failure::Stuck => "stuck",
         }
     }
 }
--- a/crates/fescuemux-sidecar/src/ingress/place.rs
+++ b/crates/fescuemux-sidecar/src/ingress/place.rs
@@ -17,7 +17,7 @@
 const MAX_ROUNDS: usize = 4;
 
 /// Pause between rounds that found nobody.
-const ROUND_PAUSE: Duration = Duration::from_millis(25);
+const ROUND_PAUSE: Duration = Duration::from_millis(30);
 
 /// Time after which a request that waits at one guard looks for a free slot at others.
 const LOOK_AGAIN: Duration = Duration::from_millis(120);
@@ -67,7 +67,7 @@
         }
         let offers = ask(node, call, body_len, &passed, waiting.as_ref()).await;
         for offer in offers {
-            if waiting.is_some() && !offer.quote.has_room() {
+            if waiting.is_some() && !offer.quote.is_better_than_waiting() {
                 continue;
             }
             match reserve(node, call, &offer, may_wait && waiting.is_none()).await {
@@ -85,9 +85,10 @@
         }
         let Some(placed) = &mut waiting else {
             rounds += 1;
-            if rounds >= MAX_ROUNDS {
+            if rounds >= MAX_ROUNDS && !keeps_looking(node, call) {
                 return Err(refusal);
             }
+            passed.clear();
             tokio::time::sleep(ROUND_PAUSE).await;
             continue;
         };
@@ -109,6 +110,13 @@
     }
 }
 
+/// Returns whether a request looks for a slot beyond the first rounds. The work of a parent is
+/// lost with its call, so a call looks on while it can still end in time.
+fn keeps_looking(node: &Node, call: &Call) -> bool {
+    let expected = node.running.borrow().mean_of(call.route);
+    call.nested && call.left(node.now()) > expected * 2
+}
+
 /// Keeps the refusal that says most: one with a wait for a slot before one without a server.
 fn soonest(held: Refusal, other: Refusal) -> Refusal {
     let says_wait =
--- a/crates/fescuemux-sidecar/src/ingress/run.rs
+++ b/crates/fescuemux-sidecar/src/ingress/run.rs
@@ -19,7 +19,8 @@
 
 /// Returns the final answer, at the deadline at the latest.
 pub(super) async fn run(node: &Node, call: &Call, body: RequestBody) -> Answer {
-    let attempts = Attempts { node, call, body: &body, last: None, placements: 0 };
+    let attempts =
+        Attempts { node, call, body: &body, last: None, placements: 0, waited_again: false };
     match tokio::time::timeout_at(call.deadline.into(), attempts.run()).await {
         Ok(answer) => answer,
         Err(_) if call.may_have_run.get() => {
@@ -39,6 +40,8 @@
     /// Best answer so far: a server's own error, or a doubt.
     last: Option<Answer>,
     placements: u32,
+    /// Whether an attempt after a failed one was placed with a wait.
+    waited_again: bool,
 }
 
 impl Attempts<'_> {
@@ -94,7 +97,7 @@
 
     fn on_unknown(&mut self, reason: &'static str) -> bool {
         let status = match reason {
-            "deadline" => StatusCode::GATEWAY_TIMEOUT,
+            "deadline" | "stuck" => StatusCode::GATEWAY_TIMEOUT,
             _ => StatusCode::BAD_GATEWAY,
         };
         self.last.get_or_insert_with(|| Answer::unknown(status, reason));
@@ -123,6 +126,11 @@
             self.call.unclaim();
             self.call.hedge_at.set(Some(self.node.now() + HEDGE_AGAIN));
         }
+        // A double that found no slot at once waits for one when nothing else runs any more.
+        if alone && self.last.is_some() && self.is_repeatable() && !self.waited_again {
+            self.waited_again = true;
+            return true;
+        }
         if alone && self.last.is_none() {
             let status = StatusCode::SERVICE_UNAVAILABLE;
             let reason = refusal.reason.as_str();
@@ -132,10 +140,13 @@
     }
 
     fn may_repeat_after_run(&self) -> bool {
+        self.is_repeatable() && self.call.claim()
+    }
+
+    fn is_repeatable(&self) -> bool {
         self.call.policy.class.is_idempotent()
             && self.body.is_whole()
             && self.placements < MAX_PLACEMENTS
-            && self.call.claim()
     }
 }
 
--- a/crates/fescuemux-sidecar/src/node.rs
+++ b/crates/fescuemux-sidecar/src/node.rs
@@ -28,6 +28,8 @@
     pub(crate) gate: RefCell<Gate>,
     /// Where requests that wait at the gate learn of the decision.
     pub(crate) waiting: RefCell<HashMap<Ticket, oneshot::Sender<Admission>>>,
+    /// Where requests that run learn that they lost their slot.
+    pub(crate) evictions: RefCell<HashMap<Ticket, oneshot::Sender<()>>>,
     /// Idle connections to the own backend server, the most recent last.
     pub(crate) servers: RefCell<Vec<(SocketAddr, Connection)>>,
     /// Whether the own server was doubted when that was logged last.
@@ -77,6 +79,7 @@
             metrics: Metrics::new()?,
             gate: RefCell::new(Gate::new(now, settings.repeats)),
             waiting: RefCell::default(),
+            evictions: RefCell::default(),
             servers: RefCell::default(),
             server_doubted: Cell::new(false),
             running_here: RefCell::default(),
@@ -175,6 +178,12 @@
 
     /// Tells waiting requests what the gate decides as time passes or slots become free.
     pub(crate) fn advance_gate(&self) {
+        for ticket in self.gate.borrow().stuck(self.now()) {
+            if let Some(tx) = self.evictions.borrow_mut().remove(&ticket) {
+                // A request that has just ended needs no eviction.
+                let _ = tx.send(());
+            }
+        }
         let decided = self.gate.borrow_mut().advance(self.now());
         for (ticket, admission) in decided {
             let waiting = self.waiting.borrow_mut().remove(&ticket);
