--- a/crates/fescuemux-sidecar/src/guard/relay.rs
+++ b/crates/fescuemux-sidecar/src/guard/relay.rs
@@ -17,7 +17,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedWriteHalf;
-use tokio::sync::oneshot;
+use tokio::sync::{Mutex, oneshot};
 use tokio_util::codec::Framed;
 use tracing::{info, warn};
 
@@ -74,19 +74,22 @@
     };
     let _running = RunningHere::new(node, &commit.request_id, reserve.again || reserve.of_repeat);
     let body_whole = Cell::new(false);
-    let (mut sink, mut stream) = (&mut hop.frames).split();
+    let (sink, mut stream) = (&mut hop.frames).split();
+    let sink = Mutex::new(sink);
     let (evict, evicted) = oneshot::channel();
     node.evictions.borrow_mut().insert(held.ticket, evict);
     let ended = {
         let Connection { reader, writer, .. } = &mut connection;
         let chunked = commit.body_len.is_none();
         let upload = upload(&mut stream, writer, &head, chunked, &body_whole);
-        let download = download(&mut sink, reader, &names, &commit);
+        let download = download(&sink, reader, &names, &commit);
         let left = deadline.saturating_duration_since(node.now());
         tokio::select! {
             () = upload => Ended { outcome: WorkOutcome::Abandoned, failure: None, reusable: None },
             ended = download => ended,
-            Ok(()) = evicted => Ended::failed(WorkOutcome::Abandoned, Failure::Stuck),
+            () = announce_stuck(evicted, &sink) => {
+                Ended { outcome: WorkOutcome::Abandoned, failure: None, reusable: None }
+            }
             () = tokio::time::sleep(left) => {
                 Ended::failed(WorkOutcome::Abandoned, Failure::Deadline)
             }
@@ -247,9 +250,21 @@
     writer.write_all(b"\r\n").await
 }
 
+/// Tells the ingress that the request lost its claim to the slot. Returns only when the ingress
+/// cannot be told.
+async fn announce_stuck(evicted: oneshot::Receiver<()>, sink: &Mutex<HopSink<'_>>) {
+    if evicted.await.is_ok() {
+        let message = Frame::Message(Message::Stuck);
+        if sink.lock().await.send(message).await.is_err() {
+            return;
+        }
+    }
+    futures::future::pending().await
+}
+
 /// Passes the answer on.
 async fn download(
-    sink: &mut HopSink<'_>,
+    sink: &Mutex<HopSink<'_>>,
     reader: &mut Reader,
     names: &HeaderNames,
     commit: &Commit,
@@ -322,7 +337,7 @@
 }
 
 async fn relay_answer(
-    sink: &mut HopSink<'_>,
+    sink: &Mutex<HopSink<'_>>,
     reader: &mut Reader,
     head: &Head,
     framing: Framing,
@@ -335,6 +350,7 @@
     let headers = headers.map(|(name, value)| (name.clone(), value.to_vec())).collect();
     let head = AnswerHead { status: head.status, headers, body_len };
     let ingress = |_: io::Error| RelayError::Ingress;
+    let mut sink = sink.lock().await;
     sink.feed(Frame::Message(Message::Head(head))).await.map_err(ingress)?;
     let mut body = BodyReader::new(framing);
     while let Some(piece) = body.next(reader).await.map_err(RelayError::Server)? {
--- a/crates/fescuemux-sidecar/src/hop/message.rs
+++ b/crates/fescuemux-sidecar/src/hop/message.rs
@@ -210,6 +210,9 @@
     BodyEnd,
     /// Guard to ingress: head of the answer.
     Head(AnswerHead),
+    /// Guard to ingress: the request seems to hang and others wait for its slot. The ingress may
+    /// withdraw it; a stopping one does not, as its callers were promised their answers.
+    Stuck,
     /// Guard to ingress: the answer is whole.
     End,
     /// Guard to ingress: there is no answer, or it broke off.
--- a/crates/fescuemux-sidecar/src/ingress.rs
+++ b/crates/fescuemux-sidecar/src/ingress.rs
@@ -33,7 +33,7 @@
     let (parts, body) = req.into_parts();
     let call = match Call::new(&node, &parts, arrival) {
         Ok(call) => call,
-        Err(answer) => return finish(&node, None, answer, &parts),
+        Err(answer) => return finish(&node, None, *answer, &parts),
     };
     let unanswered = Unanswered { node: &node, call: &call };
     let bounds = node.config.borrow().as_ref().map(|config| config.bounds);
--- a/crates/fescuemux-sidecar/src/ingress/answer_body.rs
+++ b/crates/fescuemux-sidecar/src/ingress/answer_body.rs
@@ -44,6 +44,7 @@
         }
         let Some(hop) = &mut self.rest else { return Poll::Ready(None) };
         match futures::ready!(hop.frames.poll_next_unpin(cx)) {
+            Some(Ok(Frame::Message(Message::Stuck))) => self.poll_frame(cx),
             Some(Ok(Frame::Body(piece))) => Poll::Ready(Some(Ok(HttpFrame::data(piece)))),
             Some(Ok(Frame::Message(Message::End))) => {
                 self.rest = None;
--- a/crates/fescuemux-sidecar/src/ingress/call.rs
+++ b/crates/fescuemux-sidecar/src/ingress/call.rs
@@ -53,29 +53,29 @@
         node: &Node,
         parts: &http::request::Parts,
         arrival: Instant,
-    ) -> Result<Call, Answer> {
+    ) -> Result<Call, Box<Answer>> {
         let Some(config) = node.config.borrow().clone() else {
             let status = StatusCode::SERVICE_UNAVAILABLE;
-            return Err(Answer::refused(status, "no_configuration", Some(RETRY_IN)));
+            return Err(Box::new(Answer::refused(status, "no_configuration", Some(RETRY_IN))));
         };
         if node.refuse_from.get().is_some_and(|from| arrival >= from) {
             let status = StatusCode::SERVICE_UNAVAILABLE;
-            return Err(Answer::refused(status, "stopping", Some(RETRY_IN)));
+            return Err(Box::new(Answer::refused(status, "stopping", Some(RETRY_IN))));
         }
         let names = node.dialect.headers();
         let text = |name: &str| parts.headers.get(name).and_then(|value| value.to_str().ok());
         let host = text("host").or(parts.uri.host()).unwrap_or_default();
         let host = host.rsplit_once(':').map_or(host, |(host, _)| host);
         let Some(policy) = config.routes.lookup(host, parts.uri.path()).cloned() else {
-            return Err(Answer::refused(StatusCode::NOT_FOUND, "no_route", None));
+            return Err(Box::new(Answer::refused(StatusCode::NOT_FOUND, "no_route", None)));
         };
         let Some(request_id) = text(names.request_id).map(str::to_owned) else {
-            return Err(Answer::refused(StatusCode::BAD_REQUEST, "no_request_id", None));
+            return Err(Box::new(Answer::refused(StatusCode::BAD_REQUEST, "no_request_id", None)));
         };
         let drawn = node.decide(|cx| node.splitter.borrow_mut().next(cx, &policy).cloned());
         let Some(service) = drawn else {
             let status = StatusCode::SERVICE_UNAVAILABLE;
-            return Err(Answer::refused(status, "no_service", Some(RETRY_IN)));
+            return Err(Box::new(Answer::refused(status, "no_service", Some(RETRY_IN))));
         };
         let parent = {
             let running = node.running_here.borrow();
--- a/crates/fescuemux-sidecar/src/ingress/try_once.rs
+++ b/crates/fescuemux-sidecar/src/ingress/try_once.rs
@@ -139,12 +139,20 @@
         Ok::<_, HopError>(())
     };
     let receive = async {
-        match stream.next().await {
-            Some(Ok(Frame::Message(Message::Head(head)))) => Ok(Received::Head(head)),
-            Some(Ok(Frame::Message(Message::Failed(failure)))) => Ok(Received::Failed(failure)),
-            Some(Ok(_)) => Err(HopError::Unexpected),
-            Some(Err(e)) => Err(e.into()),
-            None => Err(HopError::Closed),
+        loop {
+            match stream.next().await {
+                Some(Ok(Frame::Message(Message::Head(head)))) => return Ok(Received::Head(head)),
+                Some(Ok(Frame::Message(Message::Failed(failure)))) => {
+                    return Ok(Received::Failed(failure));
+                }
+                Some(Ok(Frame::Message(Message::Stuck))) if *node.stopping.borrow() => {}
+                Some(Ok(Frame::Message(Message::Stuck))) => {
+                    return Ok(Received::Failed(Failure::Stuck));
+                }
+                Some(Ok(_)) => return Err(HopError::Unexpected),
+                Some(Err(e)) => return Err(e.into()),
+                None => return Err(HopError::Closed),
+            }
         }
     };
     tokio::pin!(upload, receive);
@@ -170,6 +178,7 @@
                 whole = true;
                 break;
             }
+            Ok(Frame::Message(Message::Stuck)) => {}
             Ok(Frame::Message(_)) => return Attempted::Unknown { reason: "answer_broken" },
             Err(_) => return Attempted::Unknown { reason: "peer_lost" },
         }
--- a/crates/fescuemux-sidecar/src/sync.rs
+++ b/crates/fescuemux-sidecar/src/sync.rs
@@ -20,4 +20,4 @@
 pub(crate) const WATCH_WAIT: Duration = Duration::from_secs(20);
 
 /// Pause after a failed call to the store. An entry is back within two seconds of its return.
-pub(crate) const RETRY_PAUSE: Duration = Duration::from_millis(700);
+pub(crate) const RETRY_PAUSE: Duration = Duration::from_millis(1_200);
