--- a/crates/fescuemux-core/src/placement/gate.rs
+++ b/crates/fescuemux-core/src/placement/gate.rs
@@ -2,8 +2,8 @@
 
 use crate::base::HashMap;
 use crate::placement::{
-    Admission, Evidence, LocalServer, Quote, Readiness, Refusal, RefusalReason, Repeat,
-    RepeatBudget, RepeatLimits, RunningTimes, ServerReport, StillRunning, Suspicion, Work,
+    Admission, CallPressure, Evidence, LocalServer, Quote, Readiness, Refusal, RefusalReason,
+    Repeat, RepeatBudget, RepeatLimits, RunningTimes, ServerReport, StillRunning, Suspicion, Work,
     WorkOutcome,
 };
 use std::time::{Duration, Instant};
@@ -74,6 +74,7 @@
     stopping: bool,
     budget: RepeatBudget,
     guards: usize,
+    calls: CallPressure,
 }
 
 impl Gate {
@@ -89,6 +90,7 @@
             stopping: false,
             budget: RepeatBudget::new(now, repeats),
             guards: 1,
+            calls: CallPressure::default(),
         }
     }
 
@@ -127,6 +129,11 @@
         self.guards = guards;
     }
 
+    /// Notes a call that the server made for a request of `route`.
+    pub fn on_call(&mut self, now: Instant, route: u64, refused: bool) {
+        self.calls.add(now, route, refused);
+    }
+
     /// Refuses new work from now on.
     pub fn stop(&mut self) {
         self.stopping = true;
@@ -272,6 +279,7 @@
             wait: self.wait(now, false, priority),
             running,
             doubt: self.doubt(now),
+            shed: self.calls.shed(now, route),
         }
     }
 
--- a/crates/fescuemux-core/tests/placement/support.rs
+++ b/crates/fescuemux-core/tests/placement/support.rs
@@ -60,5 +60,6 @@
         wait: Duration::ZERO,
         running: ms(400),
         doubt: 0.02,
+        shed: 0.0,
     }
 }
--- a/crates/fescuemux-sidecar/src/guard/relay.rs
+++ b/crates/fescuemux-sidecar/src/guard/relay.rs
@@ -7,7 +7,7 @@
 use crate::hop::{
     AnswerHead, Commit, Failure, Frame, HopCodec, HopConnection, HopError, Message, Reserve,
 };
-use crate::node::Node;
+use crate::node::{Node, RunningRequest};
 use fescuemux_core::placement::WorkOutcome;
 use futures::stream::{SplitSink, SplitStream};
 use futures::{SinkExt, StreamExt};
@@ -72,7 +72,7 @@
             return refuse(node, hop, &commit, Failure::Unreachable).await;
         }
     };
-    let _running = RunningHere::new(node, &commit.request_id, reserve.again || reserve.of_repeat);
+    let _running = RunningHere::new(node, &commit.request_id, reserve);
     let body_whole = Cell::new(false);
     let (sink, mut stream) = (&mut hop.frames).split();
     let sink = Mutex::new(sink);
@@ -121,8 +121,10 @@
 }
 
 impl<'a> RunningHere<'a> {
-    fn new(node: &'a Node, request_id: &'a str, repeat: bool) -> RunningHere<'a> {
-        node.running_here.borrow_mut().push((request_id.to_owned(), repeat));
+    fn new(node: &'a Node, request_id: &'a str, reserve: &Reserve) -> RunningHere<'a> {
+        let repeat = reserve.again || reserve.of_repeat;
+        let id = request_id.to_owned();
+        node.running_here.borrow_mut().push(RunningRequest { id, route: reserve.route, repeat });
         RunningHere { node, request_id }
     }
 }
@@ -130,7 +132,7 @@
 impl Drop for RunningHere<'_> {
     fn drop(&mut self) {
         let mut running = self.node.running_here.borrow_mut();
-        if let Some(at) = running.iter().position(|(id, _)| id == self.request_id) {
+        if let Some(at) = running.iter().position(|running| running.id == self.request_id) {
             running.swap_remove(at);
         }
     }
--- a/crates/fescuemux-sidecar/src/ingress.rs
+++ b/crates/fescuemux-sidecar/src/ingress.rs
@@ -45,6 +45,7 @@
         Err(_) => Answer::refused(StatusCode::REQUEST_TIMEOUT, "body_timeout", None),
     };
     std::mem::forget(unanswered);
+    call.report_to_parent(&node);
     if !answer.status.is_success() {
         node.failed_calls.borrow_mut().add(node.now(), &call.request_id);
     }
@@ -65,6 +66,7 @@
     let reason = answer.reason.unwrap_or("answered");
     let arrival = call.map(|call| call.arrival);
     let took = arrival.map_or(Duration::ZERO, |at| node.now().saturating_duration_since(at));
+    let tried = call.and_then(|call| call.tried.borrow().last().cloned());
     info!(
         event = "request",
         request = id,
@@ -75,7 +77,7 @@
         status,
         reason,
         verdict = %answer.verdict,
-        peer = answer.peer.as_deref().unwrap_or_default(),
+        peer = answer.peer.as_deref().or(tried.as_deref()).unwrap_or_default(),
         sent = call.map_or(0, |call| call.sent.get()),
         doubt = call.map_or(0.0, |call| call.doubt.get()),
         ms = took.as_millis() as u64,
@@ -127,5 +129,6 @@
             left_ms = call.left(self.node.now()).as_millis() as u64
         );
         self.node.failed_calls.borrow_mut().add(self.node.now(), &call.request_id);
+        call.report_to_parent(self.node);
     }
 }
--- a/crates/fescuemux-sidecar/src/ingress/call.rs
+++ b/crates/fescuemux-sidecar/src/ingress/call.rs
@@ -24,6 +24,8 @@
     pub(super) nested: bool,
     /// Whether that request is a repeat.
     pub(super) of_repeat: bool,
+    /// Hash of the route of that request.
+    pub(super) parent_route: Option<u64>,
     /// Hash of the route, the same at every instance.
     pub(super) route: u64,
     pub(super) arrival: Instant,
@@ -79,14 +81,14 @@
         };
         let parent = {
             let running = node.running_here.borrow();
-            let parent = running.iter().find(|(id, _)| is_call_of(&request_id, id));
-            parent.map(|(_, repeat)| *repeat)
+            running.iter().find(|parent| is_call_of(&request_id, &parent.id)).cloned()
         };
         let waits = text(names.deadline_ms).and_then(|ms| ms.parse().ok());
         let waits = waits.map_or(policy.timeout, Duration::from_millis).min(policy.timeout);
         Ok(Call {
             nested: parent.is_some(),
-            of_repeat: parent == Some(true),
+            of_repeat: parent.as_ref().is_some_and(|parent| parent.repeat),
+            parent_route: parent.map(|parent| parent.route),
             request_id,
             method: parts.method.to_string(),
             path: parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned(),
@@ -120,6 +122,13 @@
         self.claimed.set(self.claimed.get() - 1);
     }
 
+    /// Tells the own guard whether a call of its server found a slot.
+    pub(super) fn report_to_parent(&self, node: &Node) {
+        if let Some(route) = self.parent_route {
+            node.gate.borrow_mut().on_call(node.now(), route, self.sent.get() == 0);
+        }
+    }
+
     /// Returns the time left for an answer.
     pub(super) fn left(&self, now: Instant) -> Duration {
         self.deadline.saturating_duration_since(now)
--- a/crates/fescuemux-sidecar/src/node.rs
+++ b/crates/fescuemux-sidecar/src/node.rs
@@ -18,6 +18,16 @@
 use tokio::sync::{Notify, oneshot, watch};
 use tracing::info;
 
+/// A request that the own server runs.
+#[derive(Clone, Debug)]
+pub(crate) struct RunningRequest {
+    pub(crate) id: String,
+    /// Hash of its route.
+    pub(crate) route: u64,
+    /// Whether it counts as a repeat.
+    pub(crate) repeat: bool,
+}
+
 /// Shared state of one process, used by tasks of one thread.
 pub(crate) struct Node {
     pub(crate) settings: RefCell<NodeSettings>,
@@ -34,8 +44,8 @@
     pub(crate) servers: RefCell<Vec<(SocketAddr, Connection)>>,
     /// Whether the own server was doubted when that was logged last.
     pub(crate) server_doubted: Cell<bool>,
-    /// Ids of the requests that the own server runs, and whether they are repeats.
-    pub(crate) running_here: RefCell<Vec<(String, bool)>>,
+    /// Requests that the own server runs.
+    pub(crate) running_here: RefCell<Vec<RunningRequest>>,
     /// Time from which requests that come are refused, as they could outlast the process.
     pub(crate) refuse_from: Cell<Option<Instant>>,
     /// True shortly before the process ends; nothing is placed any more.
