--- a/crates/fescuemux-core/src/placement.rs
+++ b/crates/fescuemux-core/src/placement.rs
@@ -7,7 +7,6 @@
 //!
 //! Must not know sockets, message formats or how configurations are stored.
 
-mod call_pressure;
 mod directory;
 mod failed_calls;
 mod gate;
@@ -22,7 +21,6 @@
 mod suspicion;
 mod work;
 
-pub use call_pressure::CallPressure;
 pub use directory::{Directory, Peer};
 pub use failed_calls::{FailedCalls, is_call_of};
 pub use gate::{Gate, Ticket};
--- a/crates/fescuemux-core/src/placement/gate.rs
+++ b/crates/fescuemux-core/src/placement/gate.rs
@@ -2,8 +2,8 @@
 
 use crate::base::HashMap;
 use crate::placement::{
-    Admission, CallPressure, Evidence, LocalServer, Quote, Readiness, Refusal, RefusalReason,
-    Repeat, RepeatBudget, RepeatLimits, RunningTimes, ServerReport, StillRunning, Suspicion, Work,
+    Admission, Evidence, LocalServer, Quote, Readiness, Refusal, RefusalReason, Repeat,
+    RepeatBudget, RepeatLimits, RunningTimes, ServerReport, StillRunning, Suspicion, Work,
     WorkOutcome,
 };
 use std::time::{Duration, Instant};
@@ -74,7 +74,6 @@
     stopping: bool,
     budget: RepeatBudget,
     guards: usize,
-    calls: CallPressure,
 }
 
 impl Gate {
@@ -90,7 +89,6 @@
             stopping: false,
             budget: RepeatBudget::new(now, repeats),
             guards: 1,
-            calls: CallPressure::default(),
         }
     }
 
@@ -129,11 +127,6 @@
         self.guards = guards;
     }
 
-    /// Notes a call that the server made for a request of `route`.
-    pub fn on_call(&mut self, now: Instant, route: u64, refused: bool) {
-        self.calls.add(now, route, refused);
-    }
-
     /// Refuses new work from now on.
     pub fn stop(&mut self) {
         self.stopping = true;
@@ -279,7 +272,6 @@
             wait: self.wait(now, false, priority),
             running,
             doubt: self.doubt(now),
-            shed: self.calls.shed(now, route),
         }
     }
 
--- a/crates/fescuemux-core/src/placement/quote.rs
+++ b/crates/fescuemux-core/src/placement/quote.rs
@@ -33,8 +33,6 @@
     pub running: Duration,
     /// Probability that the server fails the request.
     pub doubt: f64,
-    /// Share of the route's requests to refuse, as their calls find no slots.
-    pub shed: f64,
 }
 
 impl Quote {
--- a/crates/fescuemux-core/src/placement/rank.rs
+++ b/crates/fescuemux-core/src/placement/rank.rs
@@ -26,7 +26,7 @@
     fn default() -> PlacementCost {
         PlacementCost {
             domain: Duration::from_millis(15),
-            per_kb: Duration::from_millis(5),
+            per_kb: Duration::from_millis(12),
             crowding: 0.5,
             loss: Duration::from_secs(4),
             repeat: Duration::from_secs(2),
--- a/crates/fescuemux-core/src/placement/work.rs
+++ b/crates/fescuemux-core/src/placement/work.rs
@@ -80,8 +80,6 @@
     Full,
     /// No slot is free and the server probably fails.
     Doubted,
-    /// Calls of such requests find no slots.
-    CallsRefused,
     /// The service has had as many repeats as it may.
     RepeatBudget,
     /// The wait would leave too little time for an answer that is still of use.
@@ -96,7 +94,6 @@
             RefusalReason::Draining => "draining",
             RefusalReason::Stopping => "stopping",
             RefusalReason::Full => "full",
-            RefusalReason::CallsRefused => "calls_refused",
             RefusalReason::Doubted => "doubted",
             RefusalReason::RepeatBudget => "repeat_budget",
             RefusalReason::TooLate => "too_late",
--- a/crates/fescuemux-core/tests/placement/support.rs
+++ b/crates/fescuemux-core/tests/placement/support.rs
@@ -60,6 +60,5 @@
         wait: Duration::ZERO,
         running: ms(400),
         doubt: 0.02,
-        shed: 0.0,
     }
 }
--- a/crates/fescuemux-sidecar/src/guard/relay.rs
+++ b/crates/fescuemux-sidecar/src/guard/relay.rs
@@ -124,7 +124,7 @@
     fn new(node: &'a Node, request_id: &'a str, reserve: &Reserve) -> RunningHere<'a> {
         let repeat = reserve.again || reserve.of_repeat;
         let id = request_id.to_owned();
-        node.running_here.borrow_mut().push(RunningRequest { id, route: reserve.route, repeat });
+        node.running_here.borrow_mut().push(RunningRequest { id, repeat });
         RunningHere { node, request_id }
     }
 }
--- a/crates/fescuemux-sidecar/src/hop/message.rs
+++ b/crates/fescuemux-sidecar/src/hop/message.rs
@@ -66,7 +66,6 @@
     Stopping,
     Full,
     Doubted,
-    CallsRefused,
     RepeatBudget,
     TooLate,
 }
@@ -78,7 +77,6 @@
             RefusalReason::Draining => Reason::Draining,
             RefusalReason::Stopping => Reason::Stopping,
             RefusalReason::Full => Reason::Full,
-            RefusalReason::CallsRefused => Reason::CallsRefused,
             RefusalReason::Doubted => Reason::Doubted,
             RefusalReason::RepeatBudget => Reason::RepeatBudget,
             RefusalReason::TooLate => Reason::TooLate,
@@ -94,7 +92,6 @@
             Reason::Draining => RefusalReason::Draining,
             Reason::Stopping => RefusalReason::Stopping,
             Reason::Full => RefusalReason::Full,
-            Reason::CallsRefused => RefusalReason::CallsRefused,
             Reason::Doubted => RefusalReason::Doubted,
             Reason::RepeatBudget => RefusalReason::RepeatBudget,
             Reason::TooLate => RefusalReason::TooLate,
--- a/crates/fescuemux-sidecar/src/ingress.rs
+++ b/crates/fescuemux-sidecar/src/ingress.rs
@@ -45,7 +45,6 @@
         Err(_) => Answer::refused(StatusCode::REQUEST_TIMEOUT, "body_timeout", None),
     };
     std::mem::forget(unanswered);
-    call.report_to_parent(&node);
     if !answer.status.is_success() {
         node.failed_calls.borrow_mut().add(node.now(), &call.request_id);
     }
@@ -129,6 +128,5 @@
             left_ms = call.left(self.node.now()).as_millis() as u64
         );
         self.node.failed_calls.borrow_mut().add(self.node.now(), &call.request_id);
-        call.report_to_parent(self.node);
     }
 }
--- a/crates/fescuemux-sidecar/src/ingress/call.rs
+++ b/crates/fescuemux-sidecar/src/ingress/call.rs
@@ -24,8 +24,6 @@
     pub(super) nested: bool,
     /// Whether that request is a repeat.
     pub(super) of_repeat: bool,
-    /// Hash of the route of that request.
-    pub(super) parent_route: Option<u64>,
     /// Hash of the route, the same at every instance.
     pub(super) route: u64,
     pub(super) arrival: Instant,
@@ -88,7 +86,6 @@
         Ok(Call {
             nested: parent.is_some(),
             of_repeat: parent.as_ref().is_some_and(|parent| parent.repeat),
-            parent_route: parent.map(|parent| parent.route),
             request_id,
             method: parts.method.to_string(),
             path: parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned(),
@@ -122,13 +119,6 @@
         self.claimed.set(self.claimed.get() - 1);
     }
 
-    /// Tells the own guard whether a call of its server found a slot.
-    pub(super) fn report_to_parent(&self, node: &Node) {
-        if let Some(route) = self.parent_route {
-            node.gate.borrow_mut().on_call(node.now(), route, self.sent.get() == 0);
-        }
-    }
-
     /// Returns the time left for an answer.
     pub(super) fn left(&self, now: Instant) -> Duration {
         self.deadline.saturating_duration_since(now)
--- a/crates/fescuemux-sidecar/src/ingress/place.rs
+++ b/crates/fescuemux-sidecar/src/ingress/place.rs
@@ -7,7 +7,6 @@
 use crate::quotes::{self, Offer};
 use fescuemux_core::base::InstanceId;
 use fescuemux_core::placement::{Peer, PlacementCost, Refusal, RefusalReason, rank};
-use rand::Rng;
 use std::time::Duration;
 
 /// Guards that are asked at once. With two thirds of them in the own failure domain, both the
@@ -67,10 +66,6 @@
             return Err(Refusal { reason, retry_in: RETRY_IN });
         }
         let offers = ask(node, call, body_len, &passed, waiting.as_ref()).await;
-        if rounds == 0 && waiting.is_none() && is_shed(node, call, &offers) {
-            let reason = RefusalReason::CallsRefused;
-            return Err(Refusal { reason, retry_in: RETRY_IN });
-        }
         for offer in offers {
             if waiting.is_some() && !offer.quote.is_better_than_waiting() {
                 continue;
@@ -115,17 +110,6 @@
     }
 }
 
-/// Decides once for a request whether it is refused because calls of such requests find no
-/// slots.
-fn is_shed(node: &Node, call: &Call, offers: &[Offer]) -> bool {
-    if call.nested || call.sent.get() > 0 || offers.is_empty() {
-        return false;
-    }
-    let sum: f64 = offers.iter().map(|offer| offer.quote.shed).sum();
-    let share = sum / offers.len() as f64;
-    share > 0.0 && node.decide(|cx| cx.rng.random_bool(share.clamp(0.0, 1.0)))
-}
-
 /// Returns whether a request looks for a slot beyond the first rounds. The work of a parent is
 /// lost with its call, so a call looks on while it can still end in time.
 fn keeps_looking(node: &Node, call: &Call) -> bool {
--- a/crates/fescuemux-sidecar/src/node.rs
+++ b/crates/fescuemux-sidecar/src/node.rs
@@ -22,8 +22,6 @@
 #[derive(Clone, Debug)]
 pub(crate) struct RunningRequest {
     pub(crate) id: String,
-    /// Hash of its route.
-    pub(crate) route: u64,
     /// Whether it counts as a repeat.
     pub(crate) repeat: bool,
 }
--- a/crates/fescuemux-sidecar/src/quotes.rs
+++ b/crates/fescuemux-sidecar/src/quotes.rs
@@ -41,7 +41,6 @@
     wait_ms: u32,
     running_ms: u32,
     doubt: f32,
-    shed: f32,
 }
 
 impl From<Quote> for QuoteRecord {
@@ -58,7 +57,6 @@
             wait_ms: quote.wait.as_millis() as u32,
             running_ms: quote.running.as_millis() as u32,
             doubt: quote.doubt as f32,
-            shed: quote.shed as f32,
         }
     }
 }
@@ -77,7 +75,6 @@
             wait: Duration::from_millis(u64::from(record.wait_ms)),
             running: Duration::from_millis(u64::from(record.running_ms)),
             doubt: f64::from(record.doubt),
-            shed: f64::from(record.shed),
         }
     }
 }
