--- a/crates/fescuemux-standins/src/platform/app_server.rs
+++ b/crates/fescuemux-standins/src/platform/app_server.rs
@@ -41,6 +41,7 @@
     stopped: AtomicBool,
     seq: AtomicU64,
     born: u128,
+    hanging: AtomicU64,
     log: RunLog,
 }
 
@@ -66,6 +67,7 @@
             stopped: AtomicBool::new(false),
             seq: AtomicU64::new(0),
             born: since.as_millis(),
+            hanging: AtomicU64::new(0),
             log,
         });
         let accepting = shared.clone();
@@ -80,6 +82,11 @@
         *self.shared.fault.lock().unwrap_or_else(PoisonError::into_inner) = fault;
     }
 
+    /// Returns the number of hanging requests whose connections are open.
+    pub fn hanging(&self) -> u64 {
+        self.shared.hanging.load(Ordering::SeqCst)
+    }
+
     /// Reports the server as leaving from the next heartbeat on, and returns once that is
     /// acknowledged or `timeout` has passed.
     pub fn drain(&self, timeout: Duration) -> bool {
@@ -175,7 +182,10 @@
             AppFault::Hang => {
                 stream.set_read_timeout(Some(HANG))?;
                 let mut end = [0; 1];
+                shared.hanging.fetch_add(1, Ordering::SeqCst);
+                // Ends when the daemon closes the connection, as a server stops its work then.
                 let _ = stream.read(&mut end);
+                shared.hanging.fetch_sub(1, Ordering::SeqCst);
                 return Ok(());
             }
             AppFault::Reset => return stream.shutdown(Shutdown::Both),
@@ -207,6 +217,7 @@
         server: shared.options.id.clone(),
         target: format!("{} {}", request.method, request.target),
         caller: request.header("caller").unwrap_or_default().to_owned(),
+        deadline_ms: request.header("deadline-ms").and_then(|ms| ms.parse().ok()),
         body: request.body.clone(),
         after_leaving: shared.acknowledged.load(Ordering::SeqCst),
     });
--- a/crates/fescuemux-standins/src/platform/run_log.rs
+++ b/crates/fescuemux-standins/src/platform/run_log.rs
@@ -13,6 +13,8 @@
     pub target: String,
     /// Service beside which the request began, as the fleet says.
     pub caller: String,
+    /// Milliseconds that the request says it has left.
+    pub deadline_ms: Option<u64>,
     /// Bytes of the body.
     pub body: Vec<u8>,
     /// Whether the server had reported itself as leaving before.
