--- a/crates/fescuemux-sidecar/src/ingress/run.rs
+++ b/crates/fescuemux-sidecar/src/ingress/run.rs
@@ -9,8 +9,13 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use http::StatusCode;
+use rand::Rng;
 use std::time::{Duration, Instant};
 
+/// Largest multiple of the expected wait that a refused caller is told, so that callers who are
+/// refused together do not come back together.
+const RETRY_SPREAD: f64 = 1.5;
+
 /// Pause after which a request whose double found no slot is doubled.
 const HEDGE_AGAIN: Duration = Duration::from_millis(120);
 
@@ -134,7 +139,9 @@
         if alone && self.last.is_none() {
             let status = StatusCode::SERVICE_UNAVAILABLE;
             let reason = refusal.reason.as_str();
-            self.last = Some(Answer::refused(status, reason, Some(refusal.retry_in)));
+            let spread = self.node.decide(|cx| cx.rng.random_range(1.0..RETRY_SPREAD));
+            let retry_in = refusal.retry_in.mul_f64(spread);
+            self.last = Some(Answer::refused(status, reason, Some(retry_in)));
         }
         false
     }
--- a/crates/fescuemux-sidecar/src/settings.rs
+++ b/crates/fescuemux-sidecar/src/settings.rs
@@ -1,11 +1,14 @@
 //! Settings of one process.
 
-use anyhow::Result;
+use anyhow::{Result, ensure};
 use fescuemux_core::base::{DomainId, InstanceId, ServiceId};
 use fescuemux_core::placement::RepeatLimits;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// Shortest time between SIGTERM and SIGKILL in which callers can be answered.
+const MIN_GRACE: Duration = Duration::from_secs(1);
+
 /// Addresses on which the process listens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Listen {
@@ -42,11 +45,33 @@
     pub min_lease: Duration,
 }
 
+impl NodeSettings {
+    /// Checks the settings against each other.
+    ///
+    /// # Errors
+    /// Names the first setting that cannot work.
+    pub fn check(&self) -> Result<()> {
+        let listen = &self.listen;
+        let tcp = [listen.callers, listen.control, listen.ready, listen.peers, listen.metrics];
+        for (at, addr) in tcp.iter().enumerate() {
+            ensure!(!tcp[..at].contains(addr), "two listeners share the address {addr}");
+        }
+        ensure!(!self.instance.is_empty(), "the instance has no name");
+        ensure!(!self.service.is_empty(), "the service has no name");
+        ensure!(self.grace >= MIN_GRACE, "a grace time of {:?} is too short", self.grace);
+        ensure!(self.repeats.ratio >= 0.0, "the ratio of repeats is negative");
+        ensure!(self.repeats.slack >= 0.0, "the slack of repeats is negative");
+        ensure!(!self.repeats.window.is_zero(), "the window of repeats is empty");
+        Ok(())
+    }
+}
+
 /// Where settings come from. They may change while the process runs.
 pub trait SettingsSource {
     /// Reads the settings as they are now.
     ///
     /// # Errors
-    /// Fails when they cannot be read or lack a field that is needed.
+    /// Fails when they cannot be read, lack a field that is needed, or do not pass
+    /// [`NodeSettings::check`].
     fn read(&self) -> Result<NodeSettings>;
 }
