Refuse reports with unknown services, bound heads as configured, wait longer on the list

A report of another writer with a later start could have replaced a server. Heads beyond header_bytes are answered with 431. Watches gather changes of the list for 5 s, as new instances make themselves known by their questions.

--- a/crates/fescuemux-core/src/placement/running_times.rs
+++ b/crates/fescuemux-core/src/placement/running_times.rs
@@ -1,7 +1,6 @@
 //! Running times of requests by route.
 
 use crate::base::HashMap;
-use crate::retry::LatencyQuantile;
 use std::time::Duration;
 
 /// Weight of a new time in the mean; about the last ten requests count.
@@ -13,34 +12,24 @@
 /// Running time that is assumed before the first request ended.
 const UNKNOWN: Duration = Duration::from_millis(300);
 
-#[derive(Clone, Debug, Default)]
-struct RouteTimes {
-    mean_s: f64,
-    quantiles: LatencyQuantile,
-}
-
-/// Recent running times at one backend server, or of one service as an ingress sees it.
+/// Mean running times at one backend server, or of all answers that an ingress saw.
 #[derive(Clone, Debug, Default)]
 pub struct RunningTimes {
     all: Option<f64>,
-    routes: HashMap<u64, RouteTimes>,
+    routes: HashMap<u64, f64>,
 }
 
 impl RunningTimes {
-    /// Records the running time of a request of the route with the hash `route`.
-    /// A route's mean begins with the time that was `expected`.
+    /// Records the running time of a request of the route with the hash `route`. The mean of a
+    /// route begins with the time that was `expected`.
     pub fn record(&mut self, route: u64, took: Duration, expected: Duration) {
         let s = took.as_secs_f64();
         self.all = Some(self.all.map_or(s, |mean| mean + WEIGHT * (s - mean)));
         if self.routes.len() >= MAX_ROUTES && !self.routes.contains_key(&route) {
             return;
         }
-        let times = self.routes.entry(route).or_insert_with(|| RouteTimes {
-            mean_s: expected.as_secs_f64(),
-            quantiles: LatencyQuantile::default(),
-        });
-        times.mean_s += WEIGHT * (s - times.mean_s);
-        times.quantiles.record(took);
+        let mean = self.routes.entry(route).or_insert(expected.as_secs_f64());
+        *mean += WEIGHT * (s - *mean);
     }
 
     /// Returns the mean over all routes.
@@ -55,11 +44,6 @@
 
     /// Returns the mean of a route, or `None` without a record of it.
     pub fn known_mean(&self, route: u64) -> Option<Duration> {
-        self.routes.get(&route).map(|times| Duration::from_secs_f64(times.mean_s))
-    }
-
-    /// Returns the quantile of a route's times, or `None` with too few of them.
-    pub fn quantile(&self, route: u64, quantile: f64) -> Option<Duration> {
-        self.routes.get(&route)?.quantiles.get(quantile)
+        self.routes.get(&route).copied().map(Duration::from_secs_f64)
     }
 }
--- a/crates/fescuemux-sidecar/src/control.rs
+++ b/crates/fescuemux-sidecar/src/control.rs
@@ -12,6 +12,10 @@
 pub(crate) fn on_control(node: &Node, req: &Request<()>, body: &[u8]) -> SmallResponse {
     let path = req.uri().path_and_query().map_or("/", |path| path.as_str());
     match node.dialect.decode_control(path, body) {
+        Ok(ControlCall::Report(report)) if !is_configured(node, &report.service) => {
+            warn!(event = "report_refused", server = %report.id, service = %report.service);
+            text(StatusCode::BAD_REQUEST, "unknown service")
+        }
         Ok(ControlCall::Report(report)) => {
             let (id, phase, born) = (report.id.clone(), report.phase, report.born);
             let changed = node.gate.borrow_mut().on_report(node.now(), report);
@@ -34,6 +38,13 @@
     }
 }
 
+/// Returns whether the configuration names a service. A report with another one is no report of
+/// a server of the fleet, and must not replace one.
+fn is_configured(node: &Node, service: &str) -> bool {
+    let config = node.config.borrow();
+    config.as_ref().is_none_or(|config| config.services.contains(service))
+}
+
 fn acknowledged(node: &Node) -> SmallResponse {
     let mut response = text(StatusCode::OK, node.dialect.control_ack());
     let json = HeaderValue::from_static("application/json");
--- a/crates/fescuemux-sidecar/src/ingress/caller_connection.rs
+++ b/crates/fescuemux-sidecar/src/ingress/caller_connection.rs
@@ -18,6 +18,9 @@
 /// Idle timeout before a configuration states one.
 const DEFAULT_IDLE: Duration = Duration::from_secs(15);
 
+/// Smallest buffer of a connection, in bytes; the HTTP library takes no smaller one.
+const MIN_BUFFER: usize = 8 * 1024;
+
 /// Serves callers until the process ends.
 pub(crate) async fn serve(node: Rc<Node>, listener: TcpListener) {
     accept(listener, move |stream| {
@@ -43,7 +46,12 @@
             Ok::<_, Infallible>(response)
         }
     });
-    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    let mut http = http1::Builder::new();
+    if let Some(config) = node.config.borrow().as_ref() {
+        // A longer head is answered with 431.
+        http.max_buf_size(config.bounds.head_bytes.max(MIN_BUFFER));
+    }
+    let connection = http.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let mut stopping = node.stopping.subscribe();
     let mut stops = false;
--- a/crates/fescuemux-sidecar/src/settings.rs
+++ b/crates/fescuemux-sidecar/src/settings.rs
@@ -33,8 +33,6 @@
     pub domain: DomainId,
     /// Service of the backend server beside the process, told to servers as the caller.
     pub service: ServiceId,
-    /// Address of the backend server.
-    pub server: SocketAddr,
     /// Addresses to listen on.
     pub listen: Listen,
     /// Time between SIGTERM and SIGKILL.
--- a/crates/fescuemux-sidecar/src/sync.rs
+++ b/crates/fescuemux-sidecar/src/sync.rs
@@ -16,8 +16,9 @@
 /// Prefix of the entries of instances.
 pub(crate) const PEER_PREFIX: &str = "fescuemux/instances/";
 
-/// Longest wait of a watch. The store allows 30 s; a silent one is found sooner.
-pub(crate) const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// Longest wait of a watch; the store allows 30 s. While a watch is silent without an end, other
+/// instances hand on what it misses.
+pub(crate) const WATCH_WAIT: Duration = Duration::from_secs(28);
 
 /// Pause after a failed call to the store. An entry is back within two seconds of its return.
 pub(crate) const RETRY_PAUSE: Duration = Duration::from_millis(1_200);
--- a/crates/fescuemux-sidecar/src/sync/watch_peers.rs
+++ b/crates/fescuemux-sidecar/src/sync/watch_peers.rs
@@ -11,7 +11,7 @@
 /// Pause between a change and the next watch. Instances start and leave in groups, and each
 /// answered watch is a call of every instance; a new instance makes itself known to those that
 /// it asks in the meantime.
-const GATHER: Duration = Duration::from_millis(2_500);
+const GATHER: Duration = Duration::from_secs(5);
 
 /// Pause between the own entry and the first list, in which the others enter too.
 const FIRST_LIST: Duration = Duration::from_millis(500);
