--- a/crates/fescuemux-sidecar/src/guard.rs
+++ b/crates/fescuemux-sidecar/src/guard.rs
@@ -137,7 +137,7 @@
     }
 }
 
-/// Pause between checks for overdue requests and grants that were not used.
+/// Pause between checks for requests that hang and grants that were not used.
 const TICK: Duration = Duration::from_millis(100);
 
 /// Moves the gate along as time passes, until the process ends.
