Let a resend wait for the outcome of its key

Cause: the ingress settles a claim at its remote home in the background while it answers. On a busy machine the caller's resend reaches the home first, finds the claim open, and the verdict is less exact than what the caller already saw. The request ran once, so no promise was broken.

Ruled out: a change of homes (the reason was 'used before', which only the home that granted the claim gives) and a lost settlement (it is retried and logged). Settling before the answer would hold the answer back.

--- a/crates/fescuemux-daemon/src/homes.rs
+++ b/crates/fescuemux-daemon/src/homes.rs
@@ -29,6 +29,12 @@
 const SETTLE_ATTEMPTS: u32 = 5;
 /// Pause before the second attempt to settle; it doubles.
 const SETTLE_PAUSE: Duration = Duration::from_millis(100);
+/// Longest time for which a resend waits for the outcome of a request that holds its key. The
+/// outcome travels beside the answer, so a resend right after the answer may be there first. An
+/// attempt to settle arrives or fails within [`CLAIM_TIMEOUT`].
+const OUTCOME_WAIT: Duration = CLAIM_TIMEOUT;
+/// Pause between two looks for that outcome, a few round trips within a region.
+const OUTCOME_PAUSE: Duration = Duration::from_millis(20);
 
 /// Claims of idempotency keys.
 #[derive(Debug)]
@@ -62,13 +68,32 @@
         })
     }
 
-    /// Claims a key at its home for the request `holder`.
+    /// Claims a key at its home for the request `holder`. Waits up to [`OUTCOME_WAIT`] while
+    /// another request holds the key without an outcome.
     pub(crate) async fn claim(
         &self,
         service: &ServiceId,
         key: &str,
         holder: RequestId,
         deadline: Instant,
+    ) -> ClaimWire {
+        let give_up = deadline.min(self.clock.now() + OUTCOME_WAIT);
+        loop {
+            let claim = self.claim_once(service, key, holder, deadline).await;
+            let open = matches!(claim, ClaimWire::Duplicate(OutcomeWire::InProgress));
+            if !open || self.clock.now() + OUTCOME_PAUSE >= give_up {
+                return claim;
+            }
+            tokio::time::sleep(OUTCOME_PAUSE).await;
+        }
+    }
+
+    async fn claim_once(
+        &self,
+        service: &ServiceId,
+        key: &str,
+        holder: RequestId,
+        deadline: Instant,
     ) -> ClaimWire {
         let (epoch, home) = self.fence.with(|_, fence| {
             (fence.epoch(), fence.roster().and_then(|roster| roster.home(service, key)).cloned())
--- a/crates/fescuemux-daemon/tests/requests.rs
+++ b/crates/fescuemux-daemon/tests/requests.rs
@@ -45,6 +45,20 @@
     assert_eq!(fleet.runs(&key), 1);
 }
 
+/// Guards against a resend that overtakes the outcome on its way to the home of the key, and is
+/// then told "may have run" although the first answer was seen.
+#[test]
+fn a_resend_right_after_the_answer_is_told_that_it_ran() {
+    let fleet = Fleet::start(3);
+    for number in 0..300 {
+        let (key, first) = first_order(fleet.callers(0));
+        assert_eq!(first.status, Some(200), "{number}: {first:?}");
+        let again = post_order(fleet.callers(1 + number % 2), &key, &key);
+        assert_eq!(again.verdict.as_deref(), Some("ran"), "{number}: {again:?}");
+        assert_eq!(fleet.runs(&key), 1);
+    }
+}
+
 #[test]
 fn a_key_whose_answer_was_lost_is_not_run_again() {
     let fleet = Fleet::start(2);
