Drop split points of removed routes; test the budget of calls of repeats

RouteMap::serves had no caller and Splitter::retain was never called, so the points of removed routes piled up. The new budget test guards the rule that had none: with the count of calls of repeats taken out of Gate::begin it is the only one that would fail.

--- a/crates/fescuemux-core/src/placement/route_map.rs
+++ b/crates/fescuemux-core/src/placement/route_map.rs
@@ -1,6 +1,6 @@
 //! Routes by host and longest path prefix.
 
-use crate::base::{HashMap, HashSet, ServiceId};
+use crate::base::{HashMap, HashSet, RouteId};
 use crate::placement::RoutePolicy;
 use smol_str::SmolStr;
 use std::sync::Arc;
@@ -10,13 +10,13 @@
 #[derive(Clone, Debug, Default)]
 pub struct RouteMap {
     hosts: HashMap<SmolStr, HashMap<SmolStr, Arc<RoutePolicy>>>,
-    services: HashSet<ServiceId>,
+    ids: HashSet<RouteId>,
 }
 
 impl RouteMap {
     /// Adds a route. Hosts are compared without regard to case.
     pub fn insert(&mut self, host: &str, prefix: &str, policy: RoutePolicy) {
-        self.services.extend(policy.parts.iter().map(|part| part.service.clone()));
+        self.ids.insert(policy.id.clone());
         let routes = self.hosts.entry(host.to_ascii_lowercase().into()).or_default();
         routes.insert(prefix.into(), Arc::new(policy));
     }
@@ -29,9 +29,9 @@
         slashes.map(|(at, _)| &path[..=at]).find_map(|prefix| routes.get(prefix))
     }
 
-    /// Returns whether some route sends requests to `service`.
-    pub fn serves(&self, service: &str) -> bool {
-        self.services.contains(service)
+    /// Returns whether there is a route with this id.
+    pub fn contains(&self, id: &RouteId) -> bool {
+        self.ids.contains(id)
     }
 
     /// Returns the number of routes.
--- a/crates/fescuemux-core/src/placement/split.rs
+++ b/crates/fescuemux-core/src/placement/split.rs
@@ -23,6 +23,16 @@
         Some(&only.service)
     }
 
+    /// Returns the number of routes that are remembered.
+    pub fn len(&self) -> usize {
+        self.points.len()
+    }
+
+    /// Returns whether no route is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.points.is_empty()
+    }
+
     /// Forgets routes for which `keep` returns false.
     pub fn retain(&mut self, keep: impl Fn(&RouteId) -> bool) {
         self.points.retain(|route, _| keep(route));
--- a/crates/fescuemux-core/tests/placement/budget.rs
+++ b/crates/fescuemux-core/tests/placement/budget.rs
@@ -1,5 +1,7 @@
-use crate::support::{LIMITS, ms};
-use fescuemux_core::placement::{RepeatBudget, RepeatLimits};
+use crate::support::{LIMITS, ms, open_gate, work};
+use fescuemux_core::placement::{
+    Admission, RefusalReason, Repeat, RepeatBudget, RepeatLimits, Work, WorkOutcome,
+};
 use proptest::prelude::*;
 use std::time::{Duration, Instant};
 
@@ -85,3 +87,34 @@
         }
     }
 }
+
+/// A request that is repeated makes its calls again. Each is a first attempt of its own, but an
+/// arrival too many at the service that it calls, so it must count there.
+#[test]
+fn calls_of_repeats_use_the_budget() {
+    struct Case {
+        name: &'static str,
+        calls: Repeat,
+        refused: bool,
+    }
+    let cases = [
+        Case { name: "calls of first attempts", calls: Repeat::First, refused: false },
+        Case { name: "calls of repeats", calls: Repeat::OfParent, refused: true },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let mut gate = open_gate(now);
+        for ticket in 0..100 {
+            let call = Work { nested: true, repeat: case.calls, ..work(now) };
+            assert_eq!(gate.ask(now, ticket, call), Admission::Granted, "{}", case.name);
+            assert!(gate.begin(now, ticket), "{}", case.name);
+            gate.finish(now, ticket, WorkOutcome::Answered);
+        }
+        let again = Work { nested: true, repeat: Repeat::Again, ..work(now) };
+        let refused = matches!(
+            gate.ask(now, 200, again),
+            Admission::Refused(refusal) if refusal.reason == RefusalReason::RepeatBudget
+        );
+        assert_eq!(refused, case.refused, "{}", case.name);
+    }
+}
--- a/crates/fescuemux-core/tests/placement/routes.rs
+++ b/crates/fescuemux-core/tests/placement/routes.rs
@@ -90,3 +90,21 @@
     let policy = policy("off", &[("a", 0), ("b", 0)]);
     assert_eq!(Splitter::default().next(&mut cx, &policy), None);
 }
+
+/// Routes come and go by the hundred in a day; the points of removed ones must not pile up.
+#[test]
+fn points_of_removed_routes_are_dropped() {
+    let mut cx = Cx::new(Instant::now(), 1);
+    let mut splitter = Splitter::default();
+    let mut routes = RouteMap::default();
+    for id in ["stays", "goes"] {
+        let policy = policy(id, &[("a", 1), ("b", 1)]);
+        assert!(splitter.next(&mut cx, &policy).is_some());
+        if id == "stays" {
+            routes.insert("a.example", "/", policy);
+        }
+    }
+    assert_eq!(splitter.len(), 2);
+    splitter.retain(|id| routes.contains(id));
+    assert_eq!(splitter.len(), 1);
+}
--- a/crates/fescuemux-sidecar/src/node.rs
+++ b/crates/fescuemux-sidecar/src/node.rs
@@ -165,6 +165,8 @@
             routes = config.routes.len()
         );
         self.metrics.config_version.set(config.version as i64);
+        // Hundreds of routes may come and go in a day.
+        self.splitter.borrow_mut().retain(|id| config.routes.contains(id));
         *self.config.borrow_mut() = Some(Rc::new(config));
     }
 
