Install signal handlers before anything else

Cause: the handlers came after the listeners were bound, so for some milliseconds a SIGTERM cut what had been taken, and a SIGHUP would have ended the process. They are now installed first.

--- a/crates/fescuemux-sidecar/src/run.rs
+++ b/crates/fescuemux-sidecar/src/run.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::spawn_local;
 use tracing::{info, warn};
 
@@ -53,6 +53,9 @@
     dialect: Rc<dyn Dialect>,
     store: Rc<S>,
 ) -> Result<()> {
+    // Until a signal has a handler it ends the process, whatever is under way.
+    let mut terminate = signal(SignalKind::terminate())?;
+    let hangup = signal(SignalKind::hangup())?;
     let settings = source.read()?;
     let addresses = settings.listen;
     let node = Rc::new(Node::new(settings, dialect, Arc::new(SystemClock))?);
@@ -71,10 +74,9 @@
     spawn_local(sync::gossip(node.clone()));
     spawn_local(sync::watch_config(node.clone(), store.clone()));
     spawn_local(sync::watch_peers(node.clone(), store.clone()));
-    spawn_local(reload(node.clone(), source));
+    spawn_local(reload(node.clone(), source, hangup));
     let registration = spawn_local(sync::register(node.clone(), store));
 
-    let mut terminate = signal(SignalKind::terminate())?;
     terminate.recv().await;
     drain(&node).await;
     registration.abort();
@@ -112,14 +114,7 @@
 }
 
 /// Takes changed settings, after SIGHUP or found by looking.
-async fn reload(node: Rc<Node>, source: impl SettingsSource) {
-    let mut hangup = match signal(SignalKind::hangup()) {
-        Ok(hangup) => hangup,
-        Err(e) => {
-            warn!(event = "signal_unavailable", error = %e);
-            return;
-        }
-    };
+async fn reload(node: Rc<Node>, source: impl SettingsSource, mut hangup: Signal) {
     loop {
         tokio::select! {
             _ = hangup.recv() => info!(event = "reload_requested"),
