Let calls without room fail soon

Calls now wait for a third of their time instead of six tenths, and look no further when guards say that there is no room. They still look on when servers are only doubted or unknown.

--- a/crates/fescuemux-core/src/placement/gate.rs
+++ b/crates/fescuemux-core/src/placement/gate.rs
@@ -44,8 +44,9 @@
 /// a share, an overload by calls would leave them nothing.
 const CALLERS_SHARE: f64 = 0.1;
 
-/// Share of its time for which a nested request waits.
-const NESTED_WAIT: f64 = 0.6;
+/// Share of its time for which a call waits for a slot. The request that makes it holds a slot
+/// of its own meanwhile; on the users' sheets the objective of calls is the same share.
+const CALL_WAIT: f64 = 0.3;
 
 /// Least expected running time; below it, delays of the process itself decide.
 const MIN_EXPECTED: Duration = Duration::from_millis(40);
@@ -65,6 +66,8 @@
 struct Waiting {
     ticket: Ticket,
     work: Work,
+    /// Time at which it is refused if it has no slot.
+    until: Instant,
 }
 
 /// Admission state of one guard.
@@ -184,7 +187,9 @@
         if wait > self.longest_wait(now, &work) {
             return refuse(RefusalReason::TooLate);
         }
-        self.queue.push(Waiting { ticket, work });
+        let until =
+            if work.nested { now + self.longest_wait(now, &work) } else { work.last_start() };
+        self.queue.push(Waiting { ticket, work, until });
         Admission::Queued(wait)
     }
 
@@ -237,7 +242,7 @@
         let mut decided = self.refuse_waiting(now);
         while self.holders.len() < self.slots() {
             let Some(at) = self.next(now) else { break };
-            let Waiting { ticket, work } = self.queue.remove(at);
+            let Waiting { ticket, work, .. } = self.queue.remove(at);
             self.hold(now, ticket, work);
             decided.push((ticket, Admission::Granted));
         }
@@ -365,12 +370,12 @@
     }
 
     /// Longest wait after which a request is still worth its slot. New work must be able to meet
-    /// its objective: a longer queue would delay all of it and serve no more. A request that
-    /// another one waits for has its slot's work to save, so it waits for most of its time.
+    /// its objective: a longer queue would delay all of it and serve no more. A call that waits
+    /// keeps the slot of its parent busy, so under overload it has to fail soon.
     fn longest_wait(&self, now: Instant, work: &Work) -> Duration {
         let left = work.deadline.saturating_duration_since(now);
         if work.nested {
-            return left.mul_f64(NESTED_WAIT);
+            return left.mul_f64(CALL_WAIT);
         }
         let running = self.times.mean_of(work.route);
         let objective = work.objective.saturating_duration_since(now).min(left);
@@ -386,7 +391,7 @@
         let mut refused = Vec::new();
         let times = &self.times;
         self.queue.retain(|waiting| {
-            let too_late = now + times.mean_of(waiting.work.route) / 2 > waiting.work.last_start();
+            let too_late = now + times.mean_of(waiting.work.route) / 2 > waiting.until;
             let reason = closed
                 .or(too_late.then_some(RefusalReason::TooLate))
                 .or(doubted.then_some(RefusalReason::Doubted));
--- a/crates/fescuemux-core/src/placement/work.rs
+++ b/crates/fescuemux-core/src/placement/work.rs
@@ -50,11 +50,12 @@
         }
     }
 
-    /// Time at which waiting ends. New work gives up at its objective: under a load that keeps
-    /// it waiting so long, its slot serves another caller in time, and its own can return.
+    /// Time at which a caller's request stops waiting. It gives up at its objective: under a load
+    /// that keeps it waiting so long, its slot serves another caller in time, and its own can
+    /// return.
     pub(super) fn last_start(&self) -> Instant {
         let rest = self.deadline.saturating_duration_since(self.objective);
-        if self.nested { self.deadline } else { self.objective.min(self.deadline) + rest / 3 }
+        self.objective.min(self.deadline) + rest / 3
     }
 }
 
--- a/crates/fescuemux-sidecar/src/ingress/place.rs
+++ b/crates/fescuemux-sidecar/src/ingress/place.rs
@@ -85,7 +85,7 @@
         }
         let Some(placed) = &mut waiting else {
             rounds += 1;
-            if rounds >= MAX_ROUNDS && !keeps_looking(node, call) {
+            if rounds >= MAX_ROUNDS && !keeps_looking(node, call, &refusal) {
                 return Err(refusal);
             }
             passed.clear();
@@ -111,16 +111,15 @@
 }
 
 /// Returns whether a request looks for a slot beyond the first rounds. The work of a parent is
-/// lost with its call, so a call looks on while it can still end in time.
-fn keeps_looking(node: &Node, call: &Call) -> bool {
+/// lost with its call, so a call looks on while it can still end in time, unless there is no
+/// room: its parent would hold a slot for nothing.
+fn keeps_looking(node: &Node, call: &Call, refusal: &Refusal) -> bool {
     let expected = node.running.borrow().mean_of(call.route);
-    call.nested && call.left(node.now()) > expected * 2
+    call.nested && !says_wait(refusal) && call.left(node.now()) > expected * 2
 }
 
 /// Keeps the refusal that says most: one with a wait for a slot before one without a server.
 fn soonest(held: Refusal, other: Refusal) -> Refusal {
-    let says_wait =
-        |refusal: &Refusal| matches!(refusal.reason, RefusalReason::Full | RefusalReason::TooLate);
     match (says_wait(&held), says_wait(&other)) {
         (true, false) => held,
         (true, true) if held.retry_in <= other.retry_in => held,
@@ -128,6 +127,10 @@
     }
 }
 
+fn says_wait(refusal: &Refusal) -> bool {
+    matches!(refusal.reason, RefusalReason::Full | RefusalReason::TooLate)
+}
+
 /// Asks some guards and returns their offers, best first.
 async fn ask(
     node: &Node,
