--- a/crates/fescuemux-sidecar/src/ingress.rs
+++ b/crates/fescuemux-sidecar/src/ingress.rs
@@ -73,6 +73,7 @@
         service = call.map_or("", |call| call.service.as_str()),
         priority = call.map_or(0, |call| call.policy.priority),
         nested = call.is_some_and(|call| call.nested),
+        lot = call.map_or(0, |call| call.lot),
         status,
         reason,
         verdict = %answer.verdict,
