Move the requests that wait out of the gate

The queue with its order, bounds and the callers' share is a type of its own; nothing else changes. Placement tests pass, the orders of steps at a gate among them.

--- a/crates/fescuemux-core/src/placement.rs
+++ b/crates/fescuemux-core/src/placement.rs
@@ -20,6 +20,7 @@
 mod running_times;
 mod split;
 mod suspicion;
+mod waiting;
 mod work;
 
 pub use directory::{Directory, Peer};
--- a/crates/fescuemux-core/src/placement/gate.rs
+++ b/crates/fescuemux-core/src/placement/gate.rs
@@ -1,6 +1,7 @@
 //! Admission at a guard: slots of the one backend server, and the requests that wait for them.
 
 use crate::base::HashMap;
+use crate::placement::waiting::{CALLERS_SHARE, Waiting, WaitingRequests};
 use crate::placement::{
     Admission, Evidence, LocalServer, Precedence, Quote, Readiness, Refusal, RefusalReason, Repeat,
     RepeatBudget, RepeatLimits, RunningTimes, ServerReport, StillRunning, Suspicion, Work,
@@ -39,11 +40,6 @@
 /// spread by about half their mean, so most requests end within twice the mean.
 const RUNNING_MARGIN: f64 = 2.0;
 
-/// Share of the slots' time that requests of callers get while calls of running requests wait
-/// too. Where both compete on the users' sheets, a third of the demanded time is theirs; without
-/// a share, an overload by calls would leave them nothing.
-const CALLERS_SHARE: f64 = 0.1;
-
 /// Share of its time for which a call waits for a slot. The request that makes it holds a slot
 /// of its own meanwhile; on the users' sheets the objective of calls is the same share.
 const CALL_WAIT: f64 = 0.3;
@@ -62,28 +58,18 @@
     started: Option<Instant>,
 }
 
-#[derive(Clone, Debug)]
-struct Waiting {
-    ticket: Ticket,
-    work: Work,
-    /// Time at which it is refused if it has no slot.
-    until: Instant,
-}
-
 /// Admission state of one guard.
 #[derive(Clone, Debug)]
 pub struct Gate {
     server: Option<LocalServer>,
     holders: HashMap<Ticket, Holder>,
-    queue: Vec<Waiting>,
+    queue: WaitingRequests,
     times: RunningTimes,
     suspicion: Suspicion,
     last_grant: Instant,
     stopping: bool,
     budget: RepeatBudget,
     guards: usize,
-    /// Slot time that waiting requests of callers have earned by letting calls go first, seconds.
-    owed: f64,
 }
 
 impl Gate {
@@ -92,14 +78,13 @@
         Gate {
             server: None,
             holders: HashMap::default(),
-            queue: Vec::new(),
+            queue: WaitingRequests::default(),
             times: RunningTimes::default(),
             suspicion: Suspicion::new(now),
             last_grant: now,
             stopping: false,
             budget: RepeatBudget::new(now, repeats),
             guards: 1,
-            owed: 0.0,
         }
     }
 
@@ -178,7 +163,7 @@
         }
         let wait = self.wait(now, work.precedence(), work.route);
         let refuse = |reason| Admission::Refused(Refusal { reason, retry_in: wait });
-        if !work.may_wait || !self.has_room(now, &work) {
+        if !work.may_wait || !self.queue.has_room(now, &work, self.most_waiting()) {
             return refuse(RefusalReason::Full);
         }
         if self.doubt(now) > NO_QUEUE_ABOVE {
@@ -212,7 +197,7 @@
 
     /// Gives up a request that waits or holds a grant.
     pub fn withdraw(&mut self, ticket: Ticket) {
-        self.queue.retain(|waiting| waiting.ticket != ticket);
+        self.queue.withdraw(ticket);
         self.holders.remove(&ticket);
     }
 
@@ -241,8 +226,9 @@
         });
         let mut decided = self.refuse_waiting(now);
         while self.holders.len() < self.slots() {
-            let Some(at) = self.next(now) else { break };
-            let Waiting { ticket, work, .. } = self.queue.remove(at);
+            let times = &self.times;
+            let next = self.queue.pop_next(now, |work| expected(times, work));
+            let Some(Waiting { ticket, work, .. }) = next else { break };
             self.hold(now, ticket, work);
             decided.push((ticket, Admission::Granted));
         }
@@ -286,45 +272,6 @@
         }
     }
 
-    /// Returns whether the queue takes a request: it has room, or the last in it gives way.
-    fn has_room(&self, now: Instant, work: &Work) -> bool {
-        let full = self.queued_of(work.nested) >= self.slots() * QUEUE_PER_SLOT;
-        let last = self.last(now, work.nested);
-        !full || last.is_some_and(|at| turn(now, &self.queue[at].work) > turn(now, work))
-    }
-
-    /// Returns the number of calls, or of requests of callers, that wait.
-    fn queued_of(&self, nested: bool) -> usize {
-        self.queue.iter().filter(|w| w.work.nested == nested).count()
-    }
-
-    /// Returns the place of the call, or of the caller's request, that would go last.
-    fn last(&self, now: Instant, nested: bool) -> Option<usize> {
-        let queue = self.queue.iter().enumerate().filter(|(_, w)| w.work.nested == nested);
-        queue.max_by_key(|(_, w)| turn(now, &w.work)).map(|(at, _)| at)
-    }
-
-    /// Returns the place of the waiting request that gets the next slot. Calls go first until
-    /// the callers' requests that wait have earned the time of one.
-    fn next(&mut self, now: Instant) -> Option<usize> {
-        let first = |callers: bool| {
-            let queue = self.queue.iter().enumerate().filter(|(_, w)| w.work.nested != callers);
-            queue.min_by_key(|(_, w)| turn(now, &w.work)).map(|(at, _)| at)
-        };
-        let (Some(call), Some(own)) = (first(false), first(true)) else {
-            self.owed = 0.0;
-            return first(false).or(first(true));
-        };
-        let time = |at: usize| self.expected(&self.queue[at].work).as_secs_f64();
-        let (call_time, own_time) = (time(call), time(own));
-        if self.owed >= own_time {
-            self.owed -= own_time;
-            return Some(own);
-        }
-        self.owed += call_time * CALLERS_SHARE / (1.0 - CALLERS_SHARE);
-        Some(call)
-    }
-
     fn closed(&self) -> Option<RefusalReason> {
         if self.stopping {
             return Some(RefusalReason::Stopping);
@@ -341,6 +288,11 @@
         self.server.as_ref().map_or(0, |server| server.report.slots)
     }
 
+    /// Most calls, and most requests of callers, that wait.
+    fn most_waiting(&self) -> usize {
+        self.slots() * QUEUE_PER_SLOT
+    }
+
     fn hold(&mut self, now: Instant, ticket: Ticket, work: Work) {
         self.last_grant = now;
         let holder = Holder { work, granted: now, started: None };
@@ -353,7 +305,7 @@
         if self.queue.is_empty() && self.holders.len() < self.slots() {
             return Duration::ZERO;
         }
-        let ahead = self.queue.iter().filter(|w| w.work.precedence() <= precedence).count();
+        let ahead = self.queue.ahead_of(precedence);
         let stuck = self.holders.values().filter(|holder| {
             let took = holder.started.map(|at| now.saturating_duration_since(at));
             took.is_some_and(|took| self.ratio(&holder.work, took) > STUCK_RATIO)
@@ -363,8 +315,7 @@
         if !precedence.of_caller {
             return wait;
         }
-        let callers = self.queue.iter().filter(|w| !w.work.nested);
-        let ahead = callers.filter(|w| w.work.precedence() <= precedence).count();
+        let ahead = self.queue.callers_ahead_of(precedence);
         let share = (ahead as f64 + 1.0) / (moving * CALLERS_SHARE);
         wait.min(self.times.mean_of(route).mul_f64(share))
     }
@@ -401,12 +352,10 @@
             }
             reason.is_none()
         });
-        for nested in [true, false] {
-            while self.queued_of(nested) > self.slots() * QUEUE_PER_SLOT {
-                let Some(last) = self.last(now, nested) else { break };
-                let refusal = Refusal { reason: RefusalReason::Full, retry_in };
-                refused.push((self.queue.remove(last).ticket, Admission::Refused(refusal)));
-            }
+        let bound = self.most_waiting();
+        while let Some(surplus) = self.queue.pop_surplus(now, bound) {
+            let refusal = Refusal { reason: RefusalReason::Full, retry_in };
+            refused.push((surplus.ticket, Admission::Refused(refusal)));
         }
         refused
     }
@@ -417,13 +366,10 @@
     }
 
     fn expected(&self, work: &Work) -> Duration {
-        self.times.known_mean(work.route).unwrap_or(work.expected).max(MIN_EXPECTED)
+        expected(&self.times, work)
     }
 }
 
-/// Order of waiting requests: calls, then requests that can still meet their objective, then by
-/// precedence and time. A late call is worth as much as its caller's work.
-fn turn(now: Instant, work: &Work) -> (bool, bool, Precedence, Instant) {
-    let late = !work.nested && now + work.expected > work.objective;
-    (!work.nested, late, work.precedence(), work.objective)
+fn expected(times: &RunningTimes, work: &Work) -> Duration {
+    times.known_mean(work.route).unwrap_or(work.expected).max(MIN_EXPECTED)
 }
--- /dev/null
+++ b/crates/fescuemux-core/src/placement/waiting.rs
@@ -0,0 +1,124 @@
+//! Requests that wait for the slots of one backend server.
+
+use crate::placement::{Precedence, Ticket, Work};
+use std::time::{Duration, Instant};
+
+/// Share of the slots' time that requests of callers get while calls of running requests wait
+/// too. Without one, an overload by calls leaves uploads that compete with them less than the
+/// users' least share of a kind; with three tenths, fewer requests are served in all.
+pub(super) const CALLERS_SHARE: f64 = 0.1;
+
+/// A request that waits.
+#[derive(Clone, Debug)]
+pub(super) struct Waiting {
+    pub(super) ticket: Ticket,
+    pub(super) work: Work,
+    /// Time at which it is refused if it has no slot.
+    pub(super) until: Instant,
+}
+
+/// Requests that wait. Calls of running requests and requests of callers are bounded apart, so
+/// that neither fills the queue for the other.
+#[derive(Clone, Debug, Default)]
+pub(super) struct WaitingRequests {
+    requests: Vec<Waiting>,
+    /// Slot time that requests of callers have earned by letting calls go first, seconds.
+    owed: f64,
+}
+
+impl WaitingRequests {
+    pub(super) fn len(&self) -> usize {
+        self.requests.len()
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.requests.is_empty()
+    }
+
+    pub(super) fn push(&mut self, waiting: Waiting) {
+        self.requests.push(waiting);
+    }
+
+    pub(super) fn withdraw(&mut self, ticket: Ticket) {
+        self.requests.retain(|waiting| waiting.ticket != ticket);
+    }
+
+    /// Removes the requests for which `keep` returns false.
+    pub(super) fn retain(&mut self, keep: impl FnMut(&Waiting) -> bool) {
+        self.requests.retain(keep);
+    }
+
+    /// Returns the number of requests that go before or with one of the given precedence.
+    pub(super) fn ahead_of(&self, precedence: Precedence) -> usize {
+        self.requests.iter().filter(|w| w.work.precedence() <= precedence).count()
+    }
+
+    /// Returns the same number of requests of callers only.
+    pub(super) fn callers_ahead_of(&self, precedence: Precedence) -> usize {
+        let callers = self.requests.iter().filter(|w| !w.work.nested);
+        callers.filter(|w| w.work.precedence() <= precedence).count()
+    }
+
+    /// Returns whether a request may join: there is room, or the last of its kind gives way.
+    pub(super) fn has_room(&self, now: Instant, work: &Work, bound: usize) -> bool {
+        let last = self.last(now, work.nested);
+        self.count(work.nested) < bound
+            || last.is_some_and(|at| turn(now, &self.requests[at].work) > turn(now, work))
+    }
+
+    /// Removes and returns the last call or request of a caller that is beyond its bound.
+    pub(super) fn pop_surplus(&mut self, now: Instant, bound: usize) -> Option<Waiting> {
+        let nested = [true, false].into_iter().find(|nested| self.count(*nested) > bound)?;
+        let last = self.last(now, nested)?;
+        Some(self.requests.remove(last))
+    }
+
+    /// Removes and returns the request that gets the next slot. Calls go first until the callers'
+    /// requests that wait have earned the time of one; `expected` is the running time.
+    pub(super) fn pop_next(
+        &mut self,
+        now: Instant,
+        expected: impl Fn(&Work) -> Duration,
+    ) -> Option<Waiting> {
+        let first = |nested: bool| {
+            let requests = self.requests.iter().enumerate();
+            let requests = requests.filter(|(_, w)| w.work.nested == nested);
+            requests.min_by_key(|(_, w)| turn(now, &w.work)).map(|(at, _)| at)
+        };
+        let at = match (first(true), first(false)) {
+            (Some(call), Some(own)) => {
+                let time = |at: usize| expected(&self.requests[at].work).as_secs_f64();
+                let (call_time, own_time) = (time(call), time(own));
+                if self.owed >= own_time {
+                    self.owed -= own_time;
+                    own
+                } else {
+                    self.owed += call_time * CALLERS_SHARE / (1.0 - CALLERS_SHARE);
+                    call
+                }
+            }
+            (call, own) => {
+                self.owed = 0.0;
+                call.or(own)?
+            }
+        };
+        Some(self.requests.remove(at))
+    }
+
+    fn count(&self, nested: bool) -> usize {
+        self.requests.iter().filter(|w| w.work.nested == nested).count()
+    }
+
+    /// Returns the place of the call, or of the caller's request, that would go last.
+    fn last(&self, now: Instant, nested: bool) -> Option<usize> {
+        let requests = self.requests.iter().enumerate().filter(|(_, w)| w.work.nested == nested);
+        requests.max_by_key(|(_, w)| turn(now, &w.work)).map(|(at, _)| at)
+    }
+}
+
+/// Order of waiting requests: calls, then requests that can still meet their objective, then by
+/// precedence and time. A late call is worth as much as its caller's work.
+fn turn(now: Instant, work: &Work) -> (bool, bool, Precedence, Instant) {
+    let late = !work.nested && now + work.expected > work.objective;
+    (!work.nested, late, work.precedence(), work.objective)
+}
