Let a repeated SIGTERM renew the time of a stop

Ruled out: a panic, the idle timeout, a closed connection of the guard (the guard saw the ingress leave first).

The platform counts from the last SIGTERM, or may: requests that are not placed are still refused by the first, running ones keep the process until the last. The times are StopTimes in the core, with a test; it fails with the end taken from the first SIGTERM.

--- /dev/null
+++ b/crates/fescuemux-core/src/placement/stop_times.rs
@@ -0,0 +1,41 @@
+//! When a process that was told to stop ends.
+
+use std::time::{Duration, Instant};
+
+/// Time before SIGKILL at which the process ends, whatever is under way.
+const KILL_MARGIN: Duration = Duration::from_millis(300);
+
+/// Time before the end in which requests that are not placed get their refusal.
+const ANSWER_MARGIN: Duration = Duration::from_millis(700);
+
+/// Times of a stop. A process may be told to stop more than once, as when two plans name its
+/// machine. Requests that are not placed are refused by the first time, after which the process
+/// may be killed; those that run keep it alive until the last, in case it is not.
+#[derive(Clone, Copy, Debug)]
+pub struct StopTimes {
+    first: Instant,
+    last: Instant,
+    grace: Duration,
+}
+
+impl StopTimes {
+    /// Returns the times of a stop that was asked for at `now`; SIGKILL comes after `grace`.
+    pub fn new(now: Instant, grace: Duration) -> StopTimes {
+        StopTimes { first: now, last: now, grace }
+    }
+
+    /// Notes that the process was told to stop again.
+    pub fn on_repeat(&mut self, now: Instant) {
+        self.last = now;
+    }
+
+    /// Returns whether requests that are not placed are refused.
+    pub fn refuses_unplaced(&self, now: Instant) -> bool {
+        now + KILL_MARGIN + ANSWER_MARGIN >= self.first + self.grace
+    }
+
+    /// Returns whether the process ends with requests under way.
+    pub fn is_over(&self, now: Instant) -> bool {
+        now + KILL_MARGIN >= self.last + self.grace
+    }
+}
--- a/crates/fescuemux-core/tests/placement/main.rs
+++ b/crates/fescuemux-core/tests/placement/main.rs
@@ -9,5 +9,6 @@
 mod ranking;
 mod routes;
 mod servers;
+mod stopping;
 mod support;
 mod suspicion;
--- /dev/null
+++ b/crates/fescuemux-core/tests/placement/stopping.rs
@@ -0,0 +1,45 @@
+use crate::support::ms;
+use fescuemux_core::placement::StopTimes;
+use std::time::Instant;
+
+/// A second SIGTERM renews the time until SIGKILL, so a process that ends by the first one breaks
+/// requests off that its servers still work on.
+#[test]
+fn a_repeated_stop_keeps_running_requests() {
+    struct Case {
+        name: &'static str,
+        again_ms: Option<u64>,
+        at_ms: u64,
+        refuses: bool,
+        over: bool,
+    }
+    let cases = [
+        Case { name: "early", again_ms: None, at_ms: 4_000, refuses: false, over: false },
+        Case { name: "refusals first", again_ms: None, at_ms: 5_200, refuses: true, over: false },
+        Case { name: "before the kill", again_ms: None, at_ms: 5_800, refuses: true, over: true },
+        Case {
+            name: "told again after 1.9 s",
+            again_ms: Some(1_900),
+            at_ms: 5_800,
+            refuses: true,
+            over: false,
+        },
+        Case {
+            name: "told again, at its end",
+            again_ms: Some(1_900),
+            at_ms: 7_650,
+            refuses: true,
+            over: true,
+        },
+    ];
+    for case in cases {
+        let start = Instant::now();
+        let mut times = StopTimes::new(start, ms(6_000));
+        if let Some(again) = case.again_ms {
+            times.on_repeat(start + ms(again));
+        }
+        let now = start + ms(case.at_ms);
+        assert_eq!(times.refuses_unplaced(now), case.refuses, "{}", case.name);
+        assert_eq!(times.is_over(now), case.over, "{}", case.name);
+    }
+}
--- a/crates/fescuemux-sidecar/src/run.rs
+++ b/crates/fescuemux-sidecar/src/run.rs
@@ -6,6 +6,7 @@
 use crate::{control, guard, hop, ingress, quotes, sync};
 use anyhow::Result;
 use fescuemux_core::base::Clock;
+use fescuemux_core::placement::StopTimes;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
@@ -17,12 +18,6 @@
 /// second apart, and one second for what is on its way.
 const CALLERS_LEAVE: Duration = Duration::from_millis(2_600);
 
-/// Time before SIGKILL at which the process ends, whatever is under way.
-const KILL_MARGIN: Duration = Duration::from_millis(300);
-
-/// Time before the end in which requests that are not placed get their refusal.
-const ANSWER_MARGIN: Duration = Duration::from_millis(700);
-
 /// Pause between looks at the number of requests under way.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
@@ -78,7 +73,7 @@
     let registration = spawn_local(sync::register(node.clone(), store));
 
     terminate.recv().await;
-    drain(&node).await;
+    drain(&node, &mut terminate).await;
     registration.abort();
     info!(event = "stopped", in_flight = node.in_flight.get());
     Ok(())
@@ -94,20 +89,27 @@
 }
 
 /// Refuses new work at the guard, lets callers go elsewhere, and waits for what is under way.
-async fn drain(node: &Node) {
-    let grace = node.settings.borrow().grace;
+async fn drain(node: &Node, terminate: &mut Signal) {
     let begun = node.now();
+    let mut times = StopTimes::new(begun, node.settings.borrow().grace);
     info!(event = "stopping", in_flight = node.in_flight.get());
     node.refuse_from.set(Some(begun + CALLERS_LEAVE));
     node.stopping.send_replace(true);
     node.gate.borrow_mut().stop();
     node.advance_gate();
     loop {
-        tokio::time::sleep(DRAIN_POLL).await;
-        let passed = node.now().saturating_duration_since(begun);
+        tokio::select! {
+            _ = terminate.recv() => {
+                info!(event = "stop_repeated", in_flight = node.in_flight.get());
+                times.on_repeat(node.now());
+            }
+            () = tokio::time::sleep(DRAIN_POLL) => {}
+        }
+        let now = node.now();
         let idle = node.in_flight.get() == 0 && node.gate.borrow().busy() == 0;
-        node.ending.set(passed + KILL_MARGIN + ANSWER_MARGIN >= grace);
-        if (passed >= CALLERS_LEAVE && idle) || passed + KILL_MARGIN >= grace {
+        node.ending.set(times.refuses_unplaced(now));
+        let callers_left = now.saturating_duration_since(begun) >= CALLERS_LEAVE;
+        if (callers_left && idle) || times.is_over(now) {
             return;
         }
     }
