Compute the precedence of a request in one place

Found when reading the whole change again; behaviour stays as it is.

- Work::precedence and Call::precedence held the same match; both call Precedence::new.
- The order of waiting requests compared twice whether a request is a call: Precedence begins with it, and a call is never late there.
- Gate::ask computed the longest wait twice.
- The callers' share is kept as a deficit, the usual name of it in fair queues.

--- a/crates/fescuemux-core/src/placement/gate.rs
+++ b/crates/fescuemux-core/src/placement/gate.rs
@@ -169,11 +169,11 @@
         if self.doubt(now) > NO_QUEUE_ABOVE {
             return refuse(RefusalReason::Doubted);
         }
-        if wait > self.longest_wait(now, &work) {
+        let longest_wait = self.longest_wait(now, &work);
+        if wait > longest_wait {
             return refuse(RefusalReason::TooLate);
         }
-        let until =
-            if work.nested { now + self.longest_wait(now, &work) } else { work.last_start() };
+        let until = if work.nested { now + longest_wait } else { work.last_start() };
         self.queue.push(Waiting { ticket, work, until });
         Admission::Queued(wait)
     }
--- a/crates/fescuemux-core/src/placement/precedence.rs
+++ b/crates/fescuemux-core/src/placement/precedence.rs
@@ -20,8 +20,12 @@
         Precedence { of_caller: true, priority, lot: 0 }
     }
 
-    /// Returns the precedence of a call that a running request with `lot` makes.
-    pub fn of_call(priority: u8, lot: u16) -> Precedence {
-        Precedence { of_caller: false, priority, lot }
+    /// Returns the precedence of a request; `lot` counts only if it is `nested`, a call that a
+    /// running request makes.
+    pub fn new(nested: bool, priority: u8, lot: u16) -> Precedence {
+        match nested {
+            true => Precedence { of_caller: false, priority, lot },
+            false => Precedence::of_caller(priority),
+        }
     }
 }
--- a/crates/fescuemux-core/src/placement/waiting.rs
+++ b/crates/fescuemux-core/src/placement/waiting.rs
@@ -22,8 +22,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct WaitingRequests {
     requests: Vec<Waiting>,
-    /// Slot time that requests of callers have earned by letting calls go first, seconds.
-    owed: f64,
+    /// Slot time by which requests of callers are short of their share, seconds.
+    deficit: f64,
 }
 
 impl WaitingRequests {
@@ -74,7 +74,7 @@
     }
 
     /// Removes and returns the request that gets the next slot. Calls go first until the callers'
-    /// requests that wait have earned the time of one; `expected` is the running time.
+    /// requests that wait are short of the time of one; `expected` is the running time.
     pub(super) fn pop_next(
         &mut self,
         now: Instant,
@@ -89,16 +89,16 @@
             (Some(call), Some(own)) => {
                 let time = |at: usize| expected(&self.requests[at].work).as_secs_f64();
                 let (call_time, own_time) = (time(call), time(own));
-                if self.owed >= own_time {
-                    self.owed -= own_time;
+                if self.deficit >= own_time {
+                    self.deficit -= own_time;
                     own
                 } else {
-                    self.owed += call_time * CALLERS_SHARE / (1.0 - CALLERS_SHARE);
+                    self.deficit += call_time * CALLERS_SHARE / (1.0 - CALLERS_SHARE);
                     call
                 }
             }
             (call, own) => {
-                self.owed = 0.0;
+                self.deficit = 0.0;
                 call.or(own)?
             }
         };
@@ -118,7 +118,7 @@
 
 /// Order of waiting requests: calls, then requests that can still meet their objective, then by
 /// precedence and time. A late call is worth as much as its caller's work.
-fn turn(now: Instant, work: &Work) -> (bool, bool, Precedence, Instant) {
+fn turn(now: Instant, work: &Work) -> (bool, Precedence, Instant) {
     let late = !work.nested && now + work.expected > work.objective;
-    (!work.nested, late, work.precedence(), work.objective)
+    (late, work.precedence(), work.objective)
 }
--- a/crates/fescuemux-core/src/placement/work.rs
+++ b/crates/fescuemux-core/src/placement/work.rs
@@ -44,10 +44,7 @@
 impl Work {
     /// Returns what decides about its place among waiting requests.
     pub fn precedence(&self) -> Precedence {
-        match self.nested {
-            true => Precedence::of_call(self.priority, self.lot),
-            false => Precedence::of_caller(self.priority),
-        }
+        Precedence::new(self.nested, self.priority, self.lot)
     }
 
     /// Time at which a caller's request stops waiting. It gives up at its objective: under a load
--- a/crates/fescuemux-sidecar/src/ingress/call.rs
+++ b/crates/fescuemux-sidecar/src/ingress/call.rs
@@ -110,10 +110,7 @@
 
     /// Returns what decides about its place among waiting requests.
     pub(super) fn precedence(&self) -> Precedence {
-        match self.nested {
-            true => Precedence::of_call(self.policy.priority, self.lot),
-            false => Precedence::of_caller(self.policy.priority),
-        }
+        Precedence::new(self.nested, self.policy.priority, self.lot)
     }
 
     /// Claims another attempt and returns whether the route allows it.
--- a/crates/fescuemux-sidecar/src/sync/pull.rs
+++ b/crates/fescuemux-sidecar/src/sync/pull.rs
@@ -3,6 +3,7 @@
 use crate::hop::{Message, State};
 use crate::node::Node;
 use crate::quotes;
+use fescuemux_core::placement::Precedence;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -73,13 +74,7 @@
         let own = node.settings.borrow().instance.clone();
         let peer = node.decide(|cx| node.directory.borrow().any(cx, &own));
         if let Some(peer) = peer {
-            quotes::collect(
-                &node,
-                vec![peer],
-                fescuemux_core::placement::Precedence::of_caller(0),
-                0,
-            )
-            .await;
+            quotes::collect(&node, vec![peer], Precedence::of_caller(0), 0).await;
         }
         for id in node.directory.borrow_mut().sweep(node.now()) {
             info!(event = "peer_dropped", peer = %id);
