Refuse at a stopping process what would outlast it

Cause: a stopping process placed waiting requests until one second before its end.

Change: a request that is not placed is refused when less than three times its mean running time is left. `StopTimes` is shared with the ingress in place of a flag.

Requests that hang at their servers since before the signal still end there.

--- a/crates/fescuemux-core/src/placement/stop_times.rs
+++ b/crates/fescuemux-core/src/placement/stop_times.rs
@@ -5,9 +5,13 @@
 /// Time before SIGKILL at which the process ends, whatever is under way.
 const KILL_MARGIN: Duration = Duration::from_millis(300);
 
-/// Time before the end in which requests that are not placed get their refusal.
+/// Least time before the end in which requests that are not placed get their refusal.
 const ANSWER_MARGIN: Duration = Duration::from_millis(700);
 
+/// Multiple of the mean running time that must be left for a request to be sent. About one in
+/// twenty runs longer; what still runs at the end is broken off, which a refusal avoids.
+const RUNNING_MARGIN: f64 = 3.0;
+
 /// Times of a stop. A process may be told to stop more than once, as when two plans name its
 /// machine. Requests that are not placed are refused by the first time, after which the process
 /// may be killed; those that run keep it alive until the last, in case it is not.
@@ -29,9 +33,11 @@
         self.last = now;
     }
 
-    /// Returns whether requests that are not placed are refused.
-    pub fn refuses_unplaced(&self, now: Instant) -> bool {
-        now + KILL_MARGIN + ANSWER_MARGIN >= self.first + self.grace
+    /// Returns whether a request that is not placed is refused, as it would probably not end in
+    /// time. Requests like it run for `running` on average.
+    pub fn refuses_unplaced(&self, now: Instant, running: Duration) -> bool {
+        let needed = running.mul_f64(RUNNING_MARGIN).max(ANSWER_MARGIN);
+        now + KILL_MARGIN + needed >= self.first + self.grace
     }
 
     /// Returns whether the process ends with requests under way.
--- a/crates/fescuemux-core/tests/placement/stopping.rs
+++ b/crates/fescuemux-core/tests/placement/stopping.rs
@@ -39,7 +39,32 @@
             times.on_repeat(start + ms(again));
         }
         let now = start + ms(case.at_ms);
-        assert_eq!(times.refuses_unplaced(now), case.refuses, "{}", case.name);
+        assert_eq!(times.refuses_unplaced(now, ms(100)), case.refuses, "{}", case.name);
         assert_eq!(times.is_over(now), case.over, "{}", case.name);
     }
 }
+
+/// A request that is placed with less time left than it runs is broken off at the end of the
+/// process, although a refusal would have let its caller go elsewhere.
+#[test]
+fn a_request_that_would_outlast_the_process_is_refused() {
+    struct Case {
+        name: &'static str,
+        running_ms: u64,
+        at_ms: u64,
+        refuses: bool,
+    }
+    let cases = [
+        Case { name: "short, early", running_ms: 200, at_ms: 4_000, refuses: false },
+        Case { name: "short, late", running_ms: 200, at_ms: 5_100, refuses: true },
+        Case { name: "long, 1.5 s are left", running_ms: 600, at_ms: 4_500, refuses: true },
+        Case { name: "long, early", running_ms: 600, at_ms: 3_000, refuses: false },
+        Case { name: "longer than the grace", running_ms: 3_000, at_ms: 0, refuses: true },
+    ];
+    for case in cases {
+        let start = Instant::now();
+        let times = StopTimes::new(start, ms(6_000));
+        let refuses = times.refuses_unplaced(start + ms(case.at_ms), ms(case.running_ms));
+        assert_eq!(refuses, case.refuses, "{}", case.name);
+    }
+}
--- a/crates/fescuemux-sidecar/src/ingress/place.rs
+++ b/crates/fescuemux-sidecar/src/ingress/place.rs
@@ -61,7 +61,7 @@
     let mut refusal = Refusal { reason: RefusalReason::NoServer, retry_in: RETRY_IN };
     let mut rounds = 0;
     loop {
-        if node.ending.get() {
+        if outlasts_process(node, call) {
             let reason = RefusalReason::Stopping;
             return Err(Refusal { reason, retry_in: RETRY_IN });
         }
@@ -110,6 +110,13 @@
     }
 }
 
+/// Returns whether a request that is sent now would probably outlast a stopping process.
+fn outlasts_process(node: &Node, call: &Call) -> bool {
+    let Some(times) = node.stop_times.get() else { return false };
+    let running = node.running.borrow().mean_of(call.route);
+    times.refuses_unplaced(node.now(), running)
+}
+
 /// Returns whether a request looks for a slot beyond the first rounds. The work of a parent is
 /// lost with its call, so a call looks on while it can still end in time, unless there is no
 /// room: its parent would hold a slot for nothing.
--- a/crates/fescuemux-sidecar/src/node.rs
+++ b/crates/fescuemux-sidecar/src/node.rs
@@ -8,7 +8,7 @@
 use anyhow::Result;
 use fescuemux_core::base::{Clock, Cx, Generation, HashMap, Incarnation};
 use fescuemux_core::placement::{
-    Admission, Directory, FailedCalls, Gate, Peer, RunningTimes, Splitter, Ticket,
+    Admission, Directory, FailedCalls, Gate, Peer, RunningTimes, Splitter, StopTimes, Ticket,
 };
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -46,8 +46,8 @@
     pub(crate) running_here: RefCell<Vec<RunningRequest>>,
     /// Time from which requests that come are refused, as they could outlast the process.
     pub(crate) refuse_from: Cell<Option<Instant>>,
-    /// True shortly before the process ends; nothing is placed any more.
-    pub(crate) ending: Cell<bool>,
+    /// Times of the stop, once the process was told to stop.
+    pub(crate) stop_times: Cell<Option<StopTimes>>,
     /// Requests that failed here a moment ago, calls of the own server among them.
     pub(crate) failed_calls: RefCell<FailedCalls>,
     pub(crate) directory: RefCell<Directory>,
@@ -92,7 +92,7 @@
             server_doubted: Cell::new(false),
             running_here: RefCell::default(),
             refuse_from: Cell::new(None),
-            ending: Cell::new(false),
+            stop_times: Cell::new(None),
             failed_calls: RefCell::default(),
             directory: RefCell::default(),
             config: RefCell::default(),
--- a/crates/fescuemux-sidecar/src/run.rs
+++ b/crates/fescuemux-sidecar/src/run.rs
@@ -93,6 +93,7 @@
     let begun = node.now();
     let mut times = StopTimes::new(begun, node.settings.borrow().grace);
     info!(event = "stopping", in_flight = node.in_flight.get());
+    node.stop_times.set(Some(times));
     node.refuse_from.set(Some(begun + CALLERS_LEAVE));
     node.stopping.send_replace(true);
     node.gate.borrow_mut().stop();
@@ -102,12 +103,12 @@
             _ = terminate.recv() => {
                 info!(event = "stop_repeated", in_flight = node.in_flight.get());
                 times.on_repeat(node.now());
+                node.stop_times.set(Some(times));
             }
             () = tokio::time::sleep(DRAIN_POLL) => {}
         }
         let now = node.now();
         let idle = node.in_flight.get() == 0 && node.gate.borrow().busy() == 0;
-        node.ending.set(times.refuses_unplaced(now));
         let callers_left = now.saturating_duration_since(begun) >= CALLERS_LEAVE;
         if (callers_left && idle) || times.is_over(now) {
             return;
