Free a slot of a doubted server from requests that hang

A doubted server has nobody who waits, and only those that wait took slots from hanging requests, so the server could not show that its fault had ended. Once it answered, eight requests that hung outweighed any number of successes.

Change: `Gate::evict` takes one slot of a full, doubted server, the longest running first, and marks what it took, so that one is not told twice. `Suspicion` halves the evidence of an overdue request with each success since it was due.

--- a/crates/fescuemux-core/src/placement/gate.rs
+++ b/crates/fescuemux-core/src/placement/gate.rs
@@ -29,6 +29,10 @@
 /// The same multiple for a request that runs again elsewhere.
 const EVICT_REPEATABLE: f64 = 3.5;
 
+/// Time in which a request that lost its slot is expected to leave. Its ingress answers at once;
+/// one that stops or is cut off does not.
+const EVICTION_WAIT: Duration = Duration::from_millis(500);
+
 /// Probability of a fault above which nobody waits at a server: its slots are not to be had
 /// before its fault ends, and others of its service serve the request sooner.
 const NO_QUEUE_ABOVE: f64 = 0.75;
@@ -56,6 +60,7 @@
     work: Work,
     granted: Instant,
     started: Option<Instant>,
+    evicted: Option<Instant>,
 }
 
 /// Admission state of one guard.
@@ -235,20 +240,41 @@
         decided
     }
 
-    /// Returns requests that hang and whose slots others wait for, one for each that waits. A
-    /// hanging request that may not be repeated is lost whatever happens; with deadlines of many
-    /// times the running time, a few of them would hold all slots of a service.
-    pub fn stuck(&self, now: Instant) -> Vec<Ticket> {
+    /// Takes the slots of requests that hang and returns their tickets, the longest running first:
+    /// one for each request that waits, or one when the server is doubted. Nobody waits there,
+    /// and without a free slot it could not show that its fault has ended. A hanging request that
+    /// may not be repeated is lost whatever happens; with deadlines of many times the running
+    /// time, a few of them would hold all slots of a service.
+    pub fn evict(&mut self, now: Instant) -> Vec<Ticket> {
         if self.stopping || self.holders.len() < self.slots() {
             return Vec::new();
         }
-        let stuck = self.holders.iter().filter(|(_, holder)| {
-            let took = holder.started.map(|at| now.saturating_duration_since(at));
-            let ratio = took.map_or(0.0, |took| self.ratio(&holder.work, took));
-            let bound = if holder.work.idempotent { EVICT_REPEATABLE } else { EVICT_RATIO };
-            ratio > bound && (holder.work.idempotent || now > holder.work.objective)
+        let doubted = self.doubt(now) > NO_QUEUE_ABOVE;
+        let leaving = self.holders.values().filter(|holder| {
+            holder.evicted.is_some_and(|at| now.saturating_duration_since(at) < EVICTION_WAIT)
         });
-        stuck.map(|(ticket, _)| *ticket).take(self.queue.len()).collect()
+        let wanted = self.queue.len().max(usize::from(doubted)).saturating_sub(leaving.count());
+        let hanging = self
+            .holders
+            .iter()
+            .filter(|(_, holder)| holder.evicted.is_none() && self.hangs(now, holder));
+        let mut hanging: Vec<_> =
+            hanging.map(|(ticket, holder)| (holder.started, *ticket)).collect();
+        hanging.sort_unstable();
+        hanging.truncate(wanted);
+        for (_, ticket) in &hanging {
+            if let Some(holder) = self.holders.get_mut(ticket) {
+                holder.evicted = Some(now);
+            }
+        }
+        hanging.into_iter().map(|(_, ticket)| ticket).collect()
+    }
+
+    fn hangs(&self, now: Instant, holder: &Holder) -> bool {
+        let took = holder.started.map(|at| now.saturating_duration_since(at));
+        let ratio = took.map_or(0.0, |took| self.ratio(&holder.work, took));
+        let bound = if holder.work.idempotent { EVICT_REPEATABLE } else { EVICT_RATIO };
+        ratio > bound && (holder.work.idempotent || now > holder.work.objective)
     }
 
     /// Returns the offer to a request of the given precedence and route.
@@ -295,7 +321,7 @@
 
     fn hold(&mut self, now: Instant, ticket: Ticket, work: Work) {
         self.last_grant = now;
-        let holder = Holder { work, granted: now, started: None };
+        let holder = Holder { work, granted: now, started: None, evicted: None };
         self.holders.insert(ticket, holder);
     }
 
--- a/crates/fescuemux-core/src/placement/suspicion.rs
+++ b/crates/fescuemux-core/src/placement/suspicion.rs
@@ -1,5 +1,6 @@
 //! Evidence that a backend server fails, at a few requests a second.
 
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 /// Log-odds of a fault without evidence: at any time about one server in seven fails some of
@@ -34,6 +35,13 @@
 /// answered: one in twenty at a sound server runs so long.
 const OVERDUE_RATIO: f64 = 3.0;
 
+/// Share of the evidence of an overdue request that is left after a success. A server whose fault
+/// has ended answers while requests from the time of the fault still hang.
+const LEFT_BY_SUCCESS: f64 = 0.5;
+
+/// Successes that are kept; more of them leave almost nothing of the evidence.
+const MAX_SUCCESSES: usize = 8;
+
 /// What one request says about its server.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Evidence {
@@ -65,20 +73,24 @@
 pub struct Suspicion {
     log_odds: f64,
     at: Instant,
-    last_success: Instant,
+    /// Times of the last successes, or of the start.
+    successes: VecDeque<Instant>,
 }
 
 impl Suspicion {
     /// Returns the state of a server without a record.
     pub fn new(now: Instant) -> Suspicion {
-        Suspicion { log_odds: PRIOR, at: now, last_success: now }
+        Suspicion { log_odds: PRIOR, at: now, successes: VecDeque::from([now]) }
     }
 
     /// Adds what a request showed.
     pub fn add(&mut self, now: Instant, evidence: Evidence) {
         let odds = match evidence {
             Evidence::Success => {
-                self.last_success = now;
+                self.successes.push_back(now);
+                if self.successes.len() > MAX_SUCCESSES {
+                    self.successes.pop_front();
+                }
                 SUCCESS
             }
             Evidence::Failure => FAILURE,
@@ -92,13 +104,16 @@
     /// says little of the server now, so the evidence of a request fades from the time at which
     /// most others of its route would have ended.
     pub fn probability(&self, now: Instant, running: impl Iterator<Item = StillRunning>) -> f64 {
-        let proven = now.saturating_duration_since(self.last_success);
+        let last_success = self.successes.back().copied().unwrap_or(now);
+        let proven = now.saturating_duration_since(last_success);
         let running: f64 = running
             .map(|request| {
                 let ratio = |took: Duration| took.as_secs_f64() / request.expected.as_secs_f64();
                 let overdue = request.took.saturating_sub(request.expected * MOST_ENDED);
                 let odds = match still_running(ratio(request.took)) {
-                    odds if ratio(request.took) >= OVERDUE_RATIO => odds,
+                    odds if ratio(request.took) >= OVERDUE_RATIO => {
+                        odds * LEFT_BY_SUCCESS.powi(self.successes_within(now, overdue))
+                    }
                     odds => odds - still_running(ratio(request.took.saturating_sub(proven))),
                 };
                 odds * fading(overdue)
@@ -108,6 +123,11 @@
         1.0 / (1.0 + (-log_odds).exp())
     }
 
+    fn successes_within(&self, now: Instant, age: Duration) -> i32 {
+        let ages = self.successes.iter().map(|at| now.saturating_duration_since(*at));
+        ages.filter(|success| *success < age).count() as i32
+    }
+
     fn faded(&self, now: Instant) -> f64 {
         PRIOR + (self.log_odds - PRIOR) * fading(now.saturating_duration_since(self.at))
     }
--- a/crates/fescuemux-sidecar/src/node.rs
+++ b/crates/fescuemux-sidecar/src/node.rs
@@ -188,7 +188,8 @@
 
     /// Tells waiting requests what the gate decides as time passes or slots become free.
     pub(crate) fn advance_gate(&self) {
-        for ticket in self.gate.borrow().stuck(self.now()) {
+        let evicted = self.gate.borrow_mut().evict(self.now());
+        for ticket in evicted {
             if let Some(tx) = self.evictions.borrow_mut().remove(&ticket) {
                 // A request that has just ended needs no eviction.
                 let _ = tx.send(());
