Learn running times quickly after a start

Cause: after a start the mean running time of a route was 300 ms and moved by a tenth with each request. Until some twenty requests had ended at a guard, registrations (mean 0.9 s) looked three times late: sound servers were doubted and requests lost their slots.

Change: the first times weigh more (one over their number). Before the first, a quarter of the route's objective is assumed, sent along with each question. `SlotHolder` moves to a file of its own.

--- a/crates/fescuemux-core/src/placement.rs
+++ b/crates/fescuemux-core/src/placement.rs
@@ -18,6 +18,7 @@
 mod route_map;
 mod route_policy;
 mod running_times;
+mod slot_holder;
 mod split;
 mod stop_times;
 mod suspicion;
--- a/crates/fescuemux-core/src/placement/gate.rs
+++ b/crates/fescuemux-core/src/placement/gate.rs
@@ -1,6 +1,7 @@
 //! Admission at a guard: slots of the one backend server, and the requests that wait for them.
 
 use crate::base::HashMap;
+use crate::placement::slot_holder::{SlotHolder, expected, ratio};
 use crate::placement::waiting::{CALLERS_SHARE, Waiting, WaitingRequests};
 use crate::placement::{
     Admission, Evidence, LocalServer, Precedence, Quote, Readiness, Refusal, RefusalReason, Repeat,
@@ -22,13 +23,6 @@
 /// Multiple of the expected running time from which a request is taken to hang.
 const STUCK_RATIO: f64 = 5.0;
 
-/// Multiple of the expected running time from which a request loses its slot to one that waits.
-/// The longest work of the users' routes takes about six times its mean.
-const EVICT_RATIO: f64 = 6.0;
-
-/// The same multiple for a request that runs again elsewhere.
-const EVICT_REPEATABLE: f64 = 3.5;
-
 /// Time in which a request that lost its slot is expected to leave. Its ingress answers at once;
 /// one that stops or is cut off does not.
 const EVICTION_WAIT: Duration = Duration::from_millis(500);
@@ -48,26 +42,15 @@
 /// of its own meanwhile; on the users' sheets the objective of calls is the same share.
 const CALL_WAIT: f64 = 0.3;
 
-/// Least expected running time; below it, delays of the process itself decide.
-const MIN_EXPECTED: Duration = Duration::from_millis(40);
-
 /// Time without a request after which a server is offered as idle. Sound servers that are wrongly
 /// doubted get work within any two seconds so.
 const IDLE_AFTER: Duration = Duration::from_millis(1_600);
 
-#[derive(Clone, Debug)]
-struct Holder {
-    work: Work,
-    granted: Instant,
-    started: Option<Instant>,
-    evicted: Option<Instant>,
-}
-
 /// Admission state of one guard.
 #[derive(Clone, Debug)]
 pub struct Gate {
     server: Option<LocalServer>,
-    holders: HashMap<Ticket, Holder>,
+    holders: HashMap<Ticket, SlotHolder>,
     queue: WaitingRequests,
     times: RunningTimes,
     suspicion: Suspicion,
@@ -147,7 +130,7 @@
     pub fn doubt(&self, now: Instant) -> f64 {
         let running = self.holders.values().filter_map(|holder| {
             let took = now.saturating_duration_since(holder.started?);
-            Some(StillRunning { took, expected: self.expected(&holder.work) })
+            Some(StillRunning { took, expected: expected(&self.times, &holder.work) })
         });
         self.suspicion.probability(now, running)
     }
@@ -166,7 +149,7 @@
             self.hold(now, ticket, work);
             return Admission::Granted;
         }
-        let wait = self.wait(now, work.precedence(), work.route);
+        let wait = self.wait(now, work.precedence(), expected(&self.times, &work));
         let refuse = |reason| Admission::Refused(Refusal { reason, retry_in: wait });
         if !work.may_wait || !self.queue.has_room(now, &work, self.most_waiting()) {
             return refuse(RefusalReason::Full);
@@ -217,7 +200,7 @@
                 Evidence::Success
             }
             WorkOutcome::Failed | WorkOutcome::Unreachable => Evidence::Failure,
-            WorkOutcome::Abandoned => Evidence::Unanswered(self.ratio(&holder.work, took)),
+            WorkOutcome::Abandoned => Evidence::Unanswered(ratio(&self.times, &holder.work, took)),
             WorkOutcome::CallFailed | WorkOutcome::Shed => return,
         };
         self.suspicion.add(now, evidence);
@@ -257,7 +240,7 @@
         let hanging = self
             .holders
             .iter()
-            .filter(|(_, holder)| holder.evicted.is_none() && self.hangs(now, holder));
+            .filter(|(_, holder)| holder.evicted.is_none() && holder.hangs(now, &self.times));
         let mut hanging: Vec<_> =
             hanging.map(|(ticket, holder)| (holder.started, *ticket)).collect();
         hanging.sort_unstable();
@@ -270,15 +253,15 @@
         hanging.into_iter().map(|(_, ticket)| ticket).collect()
     }
 
-    fn hangs(&self, now: Instant, holder: &Holder) -> bool {
-        let took = holder.started.map(|at| now.saturating_duration_since(at));
-        let ratio = took.map_or(0.0, |took| self.ratio(&holder.work, took));
-        let bound = if holder.work.idempotent { EVICT_REPEATABLE } else { EVICT_RATIO };
-        ratio > bound && (holder.work.idempotent || now > holder.work.objective)
-    }
-
-    /// Returns the offer to a request of the given precedence and route.
-    pub fn quote(&mut self, now: Instant, precedence: Precedence, route: u64) -> Quote {
+    /// Returns the offer to a request of the given precedence and route. The asker's `expected`
+    /// running time serves for a route without a record.
+    pub fn quote(
+        &mut self,
+        now: Instant,
+        precedence: Precedence,
+        route: u64,
+        expected: Duration,
+    ) -> Quote {
         let idle = now.saturating_duration_since(self.last_grant) >= IDLE_AFTER;
         let readiness = match self.closed() {
             Some(_) => Readiness::Closed,
@@ -286,13 +269,13 @@
             None => Readiness::Open,
         };
         let cold = self.server.as_ref().is_some_and(|server| server.cold_until > now);
-        let running = self.times.mean_of(route) * if cold { 2 } else { 1 };
+        let running = self.times.known_mean(route).unwrap_or(expected) * if cold { 2 } else { 1 };
         Quote {
             readiness,
             slots: self.slots() as u32,
             busy: self.holders.len() as u32,
             queued: self.queue.len() as u32,
-            wait: self.wait(now, precedence, route),
+            wait: self.wait(now, precedence, running),
             running,
             doubt: self.doubt(now),
         }
@@ -321,21 +304,18 @@
 
     fn hold(&mut self, now: Instant, ticket: Ticket, work: Work) {
         self.last_grant = now;
-        let holder = Holder { work, granted: now, started: None, evicted: None };
-        self.holders.insert(ticket, holder);
+        self.holders.insert(ticket, SlotHolder::new(now, work));
     }
 
     /// Expected wait of a new request: those ahead of it leave at the rate at which slots become
     /// free. Slots of requests that seem to hang do not count.
-    fn wait(&self, now: Instant, precedence: Precedence, route: u64) -> Duration {
+    fn wait(&self, now: Instant, precedence: Precedence, running: Duration) -> Duration {
         if self.queue.is_empty() && self.holders.len() < self.slots() {
             return Duration::ZERO;
         }
         let ahead = self.queue.ahead_of(precedence);
-        let stuck = self.holders.values().filter(|holder| {
-            let took = holder.started.map(|at| now.saturating_duration_since(at));
-            took.is_some_and(|took| self.ratio(&holder.work, took) > STUCK_RATIO)
-        });
+        let stuck =
+            self.holders.values().filter(|holder| holder.ratio(now, &self.times) > STUCK_RATIO);
         let moving = (self.slots().saturating_sub(stuck.count()) as f64).max(MIN_MOVING);
         let wait = self.times.mean().mul_f64((ahead as f64 + 1.0) / moving);
         if !precedence.of_caller {
@@ -343,7 +323,7 @@
         }
         let ahead = self.queue.callers_ahead_of(precedence);
         let share = (ahead as f64 + 1.0) / (moving * CALLERS_SHARE);
-        wait.min(self.times.mean_of(route).mul_f64(share))
+        wait.min(running.mul_f64(share))
     }
 
     /// Longest wait after which a request is still worth its slot. New work must be able to meet
@@ -354,7 +334,7 @@
         if work.nested {
             return left.mul_f64(CALL_WAIT);
         }
-        let running = self.times.mean_of(work.route);
+        let running = expected(&self.times, work);
         let objective = work.objective.saturating_duration_since(now).min(left);
         objective.saturating_sub(running.mul_f64(RUNNING_MARGIN)).max(objective / 4)
     }
@@ -368,7 +348,7 @@
         let mut refused = Vec::new();
         let times = &self.times;
         self.queue.retain(|waiting| {
-            let too_late = now + times.mean_of(waiting.work.route) / 2 > waiting.until;
+            let too_late = now + expected(times, &waiting.work) / 2 > waiting.until;
             let reason = closed
                 .or(too_late.then_some(RefusalReason::TooLate))
                 .or(doubted.then_some(RefusalReason::Doubted));
@@ -385,17 +365,4 @@
         }
         refused
     }
-
-    /// Running time as a multiple of the expected one.
-    fn ratio(&self, work: &Work, took: Duration) -> f64 {
-        took.as_secs_f64() / self.expected(work).as_secs_f64()
-    }
-
-    fn expected(&self, work: &Work) -> Duration {
-        expected(&self.times, work)
-    }
-}
-
-fn expected(times: &RunningTimes, work: &Work) -> Duration {
-    times.known_mean(work.route).unwrap_or(work.expected).max(MIN_EXPECTED)
 }
--- a/crates/fescuemux-core/src/placement/route_policy.rs
+++ b/crates/fescuemux-core/src/placement/route_policy.rs
@@ -30,6 +30,9 @@
     pub weight: u32,
 }
 
+/// Objective of a route as a multiple of its running time, on the users' sheets.
+const OBJECTIVE_RATIO: u32 = 4;
+
 /// Rules for the requests of one route.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RoutePolicy {
@@ -48,3 +51,10 @@
     /// Services, at least one.
     pub parts: Vec<ServicePart>,
 }
+
+impl RoutePolicy {
+    /// Returns the running time that is assumed before one was seen.
+    pub fn assumed_running(&self) -> Duration {
+        self.objective / OBJECTIVE_RATIO
+    }
+}
--- a/crates/fescuemux-core/tests/placement/calls.rs
+++ b/crates/fescuemux-core/tests/placement/calls.rs
@@ -26,7 +26,8 @@
 
     /// Asks the guard with the shortest wait.
     fn ask(&mut self, cx: &mut Cx, now: Instant, ticket: Ticket, work: &Work) {
-        let key = |gate: &mut Gate| gate.quote(now, work.precedence(), work.route).wait;
+        let key =
+            |gate: &mut Gate| gate.quote(now, work.precedence(), work.route, work.expected).wait;
         let (at, _) = self.gates.iter_mut().map(key).enumerate().min_by_key(|(_, w)| *w).unwrap();
         let admission = self.gates[at].ask(now, ticket, work.clone());
         self.decided(cx, now, at, vec![(ticket, admission)]);
--- a/crates/fescuemux-core/tests/placement/gate.rs
+++ b/crates/fescuemux-core/tests/placement/gate.rs
@@ -80,7 +80,7 @@
     assert!(gate.on_report(now, draining));
     assert!(!gate.begin(now, 5), "a grant from before the acknowledgement");
     assert_eq!(reason(gate.ask(now, 6, work(now))), Some(RefusalReason::Draining));
-    assert_eq!(gate.quote(now, Precedence::of_caller(1), 7).readiness, Readiness::Closed);
+    assert_eq!(gate.quote(now, Precedence::of_caller(1), 7, ms(400)).readiness, Readiness::Closed);
     gate.on_leave("server-1");
     assert_eq!(reason(gate.ask(now, 7, work(now))), Some(RefusalReason::NoServer));
 }
@@ -204,10 +204,16 @@
 fn an_unused_server_is_idle() {
     let now = Instant::now();
     let mut gate = open_gate(now);
-    assert_eq!(gate.quote(now, Precedence::of_caller(1), 7).readiness, Readiness::Open);
-    assert_eq!(gate.quote(now + ms(1_700), Precedence::of_caller(1), 7).readiness, Readiness::Idle);
+    assert_eq!(gate.quote(now, Precedence::of_caller(1), 7, ms(400)).readiness, Readiness::Open);
+    assert_eq!(
+        gate.quote(now + ms(1_700), Precedence::of_caller(1), 7, ms(400)).readiness,
+        Readiness::Idle
+    );
     assert_eq!(gate.ask(now + ms(1_700), 1, work(now + ms(1_700))), Admission::Granted);
-    assert_eq!(gate.quote(now + ms(1_800), Precedence::of_caller(1), 7).readiness, Readiness::Open);
+    assert_eq!(
+        gate.quote(now + ms(1_800), Precedence::of_caller(1), 7, ms(400)).readiness,
+        Readiness::Open
+    );
 }
 
 /// Slots of hanging requests do not become free soon, so they must not shorten the wait.
@@ -216,8 +222,8 @@
     let now = Instant::now();
     let mut gate = open_gate(now);
     fill(&mut gate, now);
-    let early = gate.quote(now + ms(100), Precedence::of_caller(1), 7).wait;
-    let late = gate.quote(now + ms(2_500), Precedence::of_caller(1), 7).wait;
+    let early = gate.quote(now + ms(100), Precedence::of_caller(1), 7, ms(400)).wait;
+    let late = gate.quote(now + ms(2_500), Precedence::of_caller(1), 7, ms(400)).wait;
     assert!(late > early * 4, "{early:?} to {late:?}");
 }
 
--- a/crates/fescuemux-core/tests/placement/main.rs
+++ b/crates/fescuemux-core/tests/placement/main.rs
@@ -8,6 +8,7 @@
 mod overload;
 mod ranking;
 mod routes;
+mod running_times;
 mod servers;
 mod stopping;
 mod support;
--- /dev/null
+++ b/crates/fescuemux-core/tests/placement/running_times.rs
@@ -0,0 +1,48 @@
+use crate::support::ms;
+use fescuemux_core::placement::RunningTimes;
+
+/// A mean that starts at an assumed time and follows slowly makes a process that has just started
+/// take most requests for late and all servers for faulty, for as long as twenty requests last.
+#[test]
+fn the_first_times_count_most() {
+    struct Case {
+        name: &'static str,
+        assumed_ms: u64,
+        seen_ms: &'static [u64],
+        at_least_ms: u64,
+        at_most_ms: u64,
+    }
+    let cases = [
+        Case {
+            name: "three requests",
+            assumed_ms: 300,
+            seen_ms: &[900, 900, 900],
+            at_least_ms: 700,
+            at_most_ms: 900,
+        },
+        Case {
+            name: "one long request after many",
+            assumed_ms: 900,
+            seen_ms: &[900, 900, 900, 900, 900, 900, 900, 900, 900, 900, 9_000],
+            at_least_ms: 900,
+            at_most_ms: 1_800,
+        },
+        Case {
+            name: "a server that turns slow",
+            assumed_ms: 300,
+            seen_ms: &[
+                300, 300, 300, 300, 300, 300, 300, 300, 300, 300, 300, 300, 1_500, 1_500, 1_500,
+                1_500, 1_500, 1_500, 1_500,
+            ],
+            at_least_ms: 900,
+            at_most_ms: 1_500,
+        },
+    ];
+    for case in cases {
+        let mut times = RunningTimes::default();
+        case.seen_ms.iter().for_each(|seen| times.record(7, ms(*seen), ms(case.assumed_ms)));
+        let mean = times.known_mean(7).unwrap_or_default();
+        let allowed = ms(case.at_least_ms)..=ms(case.at_most_ms);
+        assert!(allowed.contains(&mean), "{}: {mean:?}", case.name);
+    }
+}
--- a/crates/fescuemux-sidecar/src/ingress/place.rs
+++ b/crates/fescuemux-sidecar/src/ingress/place.rs
@@ -4,7 +4,7 @@
 use super::call::Call;
 use crate::hop::{HopConnection, HopError, Message, Reserve};
 use crate::node::Node;
-use crate::quotes::{self, Offer};
+use crate::quotes::{self, Offer, Question};
 use fescuemux_core::base::InstanceId;
 use fescuemux_core::placement::{Peer, PlacementCost, Refusal, RefusalReason, rank};
 use std::time::Duration;
@@ -113,16 +113,14 @@
 /// Returns whether a request that is sent now would probably outlast a stopping process.
 fn outlasts_process(node: &Node, call: &Call) -> bool {
     let Some(times) = node.stop_times.get() else { return false };
-    let running = node.running.borrow().mean_of(call.route);
-    times.refuses_unplaced(node.now(), running)
+    times.refuses_unplaced(node.now(), running(node, call))
 }
 
 /// Returns whether a request looks for a slot beyond the first rounds. The work of a parent is
 /// lost with its call, so a call looks on while it can still end in time, unless there is no
 /// room: its parent would hold a slot for nothing.
 fn keeps_looking(node: &Node, call: &Call, refusal: &Refusal) -> bool {
-    let expected = node.running.borrow().mean_of(call.route);
-    call.nested && !says_wait(refusal) && call.left(node.now()) > expected * 2
+    call.nested && !says_wait(refusal) && call.left(node.now()) > running(node, call) * 2
 }
 
 /// Keeps the refusal that says most: one with a wait for a slot before one without a server.
@@ -155,7 +153,12 @@
     if picked.is_empty() {
         return Vec::new();
     }
-    let mut offers = quotes::collect(node, picked, call.precedence(), call.route).await;
+    let question = Question {
+        precedence: call.precedence(),
+        route: call.route,
+        expected: running(node, call),
+    };
+    let mut offers = quotes::collect(node, picked, question).await;
     let answer_kb = node.answer_kb.borrow().get(&call.route).copied().unwrap_or(1.0);
     let kilobytes = answer_kb + body_len as f64 / 1024.0;
     let idempotent = call.policy.class.is_idempotent();
@@ -230,3 +233,10 @@
 fn expected(node: &Node, call: &Call, offer: &Offer) -> Duration {
     node.running.borrow().known_mean(call.route).unwrap_or(offer.quote.running)
 }
+
+/// Returns the running time of the route, from the answers seen here or as its objective lets
+/// assume.
+fn running(node: &Node, call: &Call) -> Duration {
+    let known = node.running.borrow().known_mean(call.route);
+    known.unwrap_or_else(|| call.policy.assumed_running())
+}
--- a/crates/fescuemux-sidecar/src/quotes.rs
+++ b/crates/fescuemux-sidecar/src/quotes.rs
@@ -35,6 +35,7 @@
         config_version: u64,
         precedence: PrecedenceRecord,
         route: u64,
+        expected_ms: u32,
     },
     Offer {
         seq: u64,
@@ -119,6 +120,16 @@
     pub(crate) quote: Quote,
 }
 
+/// What a request needs to know of a guard.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Question {
+    pub(crate) precedence: Precedence,
+    /// Hash of the route.
+    pub(crate) route: u64,
+    /// Expected running time, for guards without a record of the route.
+    pub(crate) expected: Duration,
+}
+
 /// The socket for questions, and the questions without an answer.
 #[derive(Debug)]
 pub(crate) struct Quotes {
@@ -144,12 +155,7 @@
 }
 
 /// Asks `peers` and returns their offers. Peers that stay silent rest for a moment.
-pub(crate) async fn collect(
-    node: &Node,
-    peers: Vec<Peer>,
-    precedence: Precedence,
-    route: u64,
-) -> Vec<Offer> {
+pub(crate) async fn collect(node: &Node, peers: Vec<Peer>, question: Question) -> Vec<Offer> {
     let (tx, rx) = flume::bounded(peers.len().max(1));
     let asked: Vec<(u64, Peer)> = peers
         .into_iter()
@@ -157,7 +163,7 @@
             let seq = node.quotes.next_seq.get() + 1;
             node.quotes.next_seq.set(seq);
             node.quotes.open.borrow_mut().insert(seq, tx.clone());
-            ask(node, &peer, seq, precedence, route);
+            ask(node, &peer, seq, question);
             (seq, peer)
         })
         .collect();
@@ -198,14 +204,15 @@
     }
 }
 
-fn ask(node: &Node, peer: &Peer, seq: u64, precedence: Precedence, route: u64) {
+fn ask(node: &Node, peer: &Peer, seq: u64, question: Question) {
     let datagram = Datagram::Ask {
         seq,
         to: peer.id.to_string(),
         from: node.settings.borrow().instance.to_string(),
         config_version: node.config_version(),
-        precedence: precedence.into(),
-        route,
+        precedence: question.precedence.into(),
+        route: question.route,
+        expected_ms: question.expected.as_millis() as u32,
     };
     send(node, peer.addr, &datagram);
 }
@@ -239,12 +246,14 @@
 
 fn on_datagram(node: &Node, addr: SocketAddr, datagram: Datagram) {
     match datagram {
-        Datagram::Ask { seq, to, from, config_version, precedence, route } => {
+        Datagram::Ask { seq, to, from, config_version, precedence, route, expected_ms } => {
             let own = node.settings.borrow().instance.clone();
             if to != own {
                 return;
             }
-            let quote = node.gate.borrow_mut().quote(node.now(), precedence.into(), route);
+            let expected = Duration::from_millis(u64::from(expected_ms));
+            let precedence = precedence.into();
+            let quote = node.gate.borrow_mut().quote(node.now(), precedence, route, expected);
             let held = node.config_version();
             let offer = Datagram::Offer {
                 seq,
--- a/crates/fescuemux-sidecar/src/sync/pull.rs
+++ b/crates/fescuemux-sidecar/src/sync/pull.rs
@@ -2,7 +2,7 @@
 
 use crate::hop::{Message, State};
 use crate::node::Node;
-use crate::quotes;
+use crate::quotes::{self, Question};
 use fescuemux_core::placement::Precedence;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -74,7 +74,9 @@
         let own = node.settings.borrow().instance.clone();
         let peer = node.decide(|cx| node.directory.borrow().any(cx, &own));
         if let Some(peer) = peer {
-            quotes::collect(&node, vec![peer], Precedence::of_caller(0), 0).await;
+            let precedence = Precedence::of_caller(0);
+            let question = Question { precedence, route: 0, expected: Duration::ZERO };
+            quotes::collect(&node, vec![peer], question).await;
         }
         for id in node.directory.borrow_mut().sweep(node.now()) {
             info!(event = "peer_dropped", peer = %id);
