Look on for answers owed by a stopping process; evict only at blocked servers

Evictions had become more frequent, as doubted servers gave slots up.

Change: a stopping process looks for a slot for a repeat as long as it can end in time (`Unplaced`). A doubted server gives a slot up only when all of its requests hang; otherwise one of them ends and shows how it works.

--- a/crates/fescuemux-core/src/placement.rs
+++ b/crates/fescuemux-core/src/placement.rs
@@ -22,6 +22,7 @@
 mod split;
 mod stop_times;
 mod suspicion;
+mod unplaced;
 mod waiting;
 mod work;
 
@@ -39,4 +40,5 @@
 pub use split::Splitter;
 pub use stop_times::StopTimes;
 pub use suspicion::{Evidence, StillRunning, Suspicion};
+pub use unplaced::Unplaced;
 pub use work::{Admission, Refusal, RefusalReason, Repeat, Work, WorkOutcome};
--- a/crates/fescuemux-core/src/placement/gate.rs
+++ b/crates/fescuemux-core/src/placement/gate.rs
@@ -224,27 +224,27 @@
     }
 
     /// Takes the slots of requests that hang and returns their tickets, the longest running first:
-    /// one for each request that waits, or one when the server is doubted. Nobody waits there,
-    /// and without a free slot it could not show that its fault has ended. A hanging request that
-    /// may not be repeated is lost whatever happens; with deadlines of many times the running
-    /// time, a few of them would hold all slots of a service.
+    /// one for each request that waits, or one when all requests at a doubted server hang. Nobody
+    /// waits there, and without a free slot it could not show that its fault has ended. A hanging
+    /// request that may not be repeated is lost whatever happens; with deadlines of many times the
+    /// running time, a few of them would hold all slots of a service.
     pub fn evict(&mut self, now: Instant) -> Vec<Ticket> {
         if self.stopping || self.holders.len() < self.slots() {
             return Vec::new();
         }
         let doubted = self.doubt(now) > NO_QUEUE_ABOVE;
-        let leaving = self.holders.values().filter(|holder| {
+        let (evicted, others): (Vec<_>, Vec<_>) =
+            self.holders.iter().partition(|(_, holder)| holder.evicted.is_some());
+        let leaving = evicted.iter().filter(|(_, holder)| {
             holder.evicted.is_some_and(|at| now.saturating_duration_since(at) < EVICTION_WAIT)
         });
-        let wanted = self.queue.len().max(usize::from(doubted)).saturating_sub(leaving.count());
-        let hanging = self
-            .holders
-            .iter()
-            .filter(|(_, holder)| holder.evicted.is_none() && holder.hangs(now, &self.times));
+        let hanging = others.iter().filter(|(_, holder)| holder.hangs(now, &self.times));
         let mut hanging: Vec<_> =
-            hanging.map(|(ticket, holder)| (holder.started, *ticket)).collect();
+            hanging.map(|(ticket, holder)| (holder.started, **ticket)).collect();
+        let is_blocked = doubted && hanging.len() == others.len();
+        let wanted = self.queue.len().max(usize::from(is_blocked));
         hanging.sort_unstable();
-        hanging.truncate(wanted);
+        hanging.truncate(wanted.saturating_sub(leaving.count()));
         for (_, ticket) in &hanging {
             if let Some(holder) = self.holders.get_mut(ticket) {
                 holder.evicted = Some(now);
--- /dev/null
+++ b/crates/fescuemux-core/src/placement/unplaced.rs
@@ -0,0 +1,43 @@
+//! Whether a request without a slot looks for one beyond the first rounds of questions.
+
+use crate::placement::{Refusal, RefusalReason};
+use std::time::Duration;
+
+/// Multiple of the running time that must be left; most requests end within it.
+const RUNNING_MARGIN: u32 = 2;
+
+/// A request that found no slot in the first rounds.
+#[derive(Clone, Copy, Debug)]
+pub struct Unplaced {
+    /// Whether a running request waits for this one.
+    pub nested: bool,
+    /// Whether a server has worked on it, and it may be repeated.
+    pub again: bool,
+    /// Whether the process stops.
+    pub stopping: bool,
+    /// Time left for an answer.
+    pub left: Duration,
+    /// Expected running time.
+    pub running: Duration,
+}
+
+impl Unplaced {
+    /// Returns whether the request looks on, given what the guards said.
+    ///
+    /// The work of a parent is lost with its call, so a call looks on unless there is no room:
+    /// its parent would hold a slot for nothing. A stopping process owes answers to requests that
+    /// servers have worked on; a request that lost its slot to others just before looks on.
+    pub fn keeps_looking(&self, refusal: &Refusal) -> bool {
+        let is_owed = self.again && self.stopping;
+        let may_find = self.nested && !refusal.says_wait();
+        (is_owed || may_find) && self.left > self.running * RUNNING_MARGIN
+    }
+}
+
+impl Refusal {
+    /// Returns whether the guard has a sound server without room, so that its time of return
+    /// means something.
+    pub fn says_wait(&self) -> bool {
+        matches!(self.reason, RefusalReason::Full | RefusalReason::TooLate)
+    }
+}
--- a/crates/fescuemux-core/tests/placement/main.rs
+++ b/crates/fescuemux-core/tests/placement/main.rs
@@ -13,3 +13,4 @@
 mod stopping;
 mod support;
 mod suspicion;
+mod unplaced;
--- /dev/null
+++ b/crates/fescuemux-core/tests/placement/unplaced.rs
@@ -0,0 +1,58 @@
+use crate::support::ms;
+use fescuemux_core::placement::{Refusal, RefusalReason, Unplaced};
+
+/// A search that had lost its slot to others 0.15 s before a SIGTERM was answered 504 right after
+/// it, as no other slot was free at that moment: the stop cut a request. Calls that look on for
+/// room hold the slots of their parents.
+#[test]
+fn a_stopping_process_looks_on_for_requests_that_ran() {
+    struct Case {
+        name: &'static str,
+        unplaced: Unplaced,
+        reason: RefusalReason,
+        looks_on: bool,
+    }
+    let first = Unplaced {
+        nested: false,
+        again: false,
+        stopping: false,
+        left: ms(5_000),
+        running: ms(700),
+    };
+    let owed = Unplaced { again: true, stopping: true, ..first };
+    let call = Unplaced { nested: true, ..first };
+    let full = RefusalReason::Full;
+    let cases = [
+        Case { name: "first attempt", unplaced: first, reason: full, looks_on: false },
+        Case {
+            name: "first attempt, stopping",
+            unplaced: Unplaced { stopping: true, ..first },
+            reason: full,
+            looks_on: false,
+        },
+        Case {
+            name: "repeat, not stopping",
+            unplaced: Unplaced { again: true, ..first },
+            reason: full,
+            looks_on: false,
+        },
+        Case { name: "repeat, stopping", unplaced: owed, reason: full, looks_on: true },
+        Case {
+            name: "repeat, stopping, too little time",
+            unplaced: Unplaced { left: ms(1_300), ..owed },
+            reason: full,
+            looks_on: false,
+        },
+        Case { name: "call without room", unplaced: call, reason: full, looks_on: false },
+        Case {
+            name: "call without a server",
+            unplaced: call,
+            reason: RefusalReason::NoServer,
+            looks_on: true,
+        },
+    ];
+    for case in cases {
+        let refusal = Refusal { reason: case.reason, retry_in: ms(300) };
+        assert_eq!(case.unplaced.keeps_looking(&refusal), case.looks_on, "{}", case.name);
+    }
+}
--- a/crates/fescuemux-sidecar/src/ingress/place.rs
+++ b/crates/fescuemux-sidecar/src/ingress/place.rs
@@ -6,7 +6,7 @@
 use crate::node::Node;
 use crate::quotes::{self, Offer, Question};
 use fescuemux_core::base::InstanceId;
-use fescuemux_core::placement::{Peer, PlacementCost, Refusal, RefusalReason, rank};
+use fescuemux_core::placement::{Peer, PlacementCost, Refusal, RefusalReason, Unplaced, rank};
 use std::time::Duration;
 
 /// Guards that are asked at once. With two thirds of them in the own failure domain, both the
@@ -85,7 +85,7 @@
         }
         let Some(placed) = &mut waiting else {
             rounds += 1;
-            if rounds >= MAX_ROUNDS && !keeps_looking(node, call, &refusal) {
+            if rounds >= MAX_ROUNDS && !keeps_looking(node, call, &refusal, may_wait) {
                 return Err(refusal);
             }
             passed.clear();
@@ -116,26 +116,27 @@
     times.refuses_unplaced(node.now(), running(node, call))
 }
 
-/// Returns whether a request looks for a slot beyond the first rounds. The work of a parent is
-/// lost with its call, so a call looks on while it can still end in time, unless there is no
-/// room: its parent would hold a slot for nothing.
-fn keeps_looking(node: &Node, call: &Call, refusal: &Refusal) -> bool {
-    call.nested && !says_wait(refusal) && call.left(node.now()) > running(node, call) * 2
+fn keeps_looking(node: &Node, call: &Call, refusal: &Refusal, may_wait: bool) -> bool {
+    let unplaced = Unplaced {
+        nested: call.nested,
+        // A double that finds no slot is tried again while the first attempt runs.
+        again: may_wait && call.sent.get() > 0 && call.policy.class.is_idempotent(),
+        stopping: *node.stopping.borrow(),
+        left: call.left(node.now()),
+        running: running(node, call),
+    };
+    unplaced.keeps_looking(refusal)
 }
 
 /// Keeps the refusal that says most: one with a wait for a slot before one without a server.
 fn soonest(held: Refusal, other: Refusal) -> Refusal {
-    match (says_wait(&held), says_wait(&other)) {
+    match (held.says_wait(), other.says_wait()) {
         (true, false) => held,
         (true, true) if held.retry_in <= other.retry_in => held,
         _ => other,
     }
 }
 
-fn says_wait(refusal: &Refusal) -> bool {
-    matches!(refusal.reason, RefusalReason::Full | RefusalReason::TooLate)
-}
-
 /// Asks some guards and returns their offers, best first.
 async fn ask(
     node: &Node,
