Fail calls beyond the budget of repeats at once

Calls that were refused for it looked on for up to two seconds, although the budget covers ten, and their parents held slots: failed registrations 2.3 s each, and registry served 12 instead of 60 registrations in two seconds.

--- a/crates/fescuemux-core/src/placement/unplaced.rs
+++ b/crates/fescuemux-core/src/placement/unplaced.rs
@@ -24,12 +24,19 @@
 impl Unplaced {
     /// Returns whether the request looks on, given what the guards said.
     ///
-    /// The work of a parent is lost with its call, so a call looks on unless there is no room:
-    /// its parent would hold a slot for nothing. A stopping process owes answers to requests that
+    /// The work of a parent is lost with its call, so a call looks on unless there is no room, or
+    /// it is a repeat beyond the budget: neither changes within its time, and its parent would
+    /// hold a slot for nothing. A stopping process owes answers to requests that
     /// servers have worked on; a request that lost its slot to others just before looks on.
     pub fn keeps_looking(&self, refusal: &Refusal) -> bool {
         let is_owed = self.again && self.stopping;
-        let may_find = self.nested && !refusal.says_wait();
+        let may_find = match refusal.reason {
+            RefusalReason::NoServer
+            | RefusalReason::Draining
+            | RefusalReason::Stopping
+            | RefusalReason::Doubted => self.nested,
+            RefusalReason::Full | RefusalReason::TooLate | RefusalReason::RepeatBudget => false,
+        };
         (is_owed || may_find) && self.left > self.running * RUNNING_MARGIN
     }
 }
--- a/crates/fescuemux-core/tests/placement/unplaced.rs
+++ b/crates/fescuemux-core/tests/placement/unplaced.rs
@@ -44,6 +44,12 @@
             looks_on: false,
         },
         Case { name: "call without room", unplaced: call, reason: full, looks_on: false },
+        Case {
+            name: "call beyond the budget of repeats",
+            unplaced: call,
+            reason: RefusalReason::RepeatBudget,
+            looks_on: false,
+        },
         Case {
             name: "call without a server",
             unplaced: call,
