Expect callers' waits by the pace at which their rank gets slots

Cause: a request that joined a queue was told the time for those that waited then.

Change: `WaitingRequests` keeps the pace of each rank since one of its requests began to wait; the expected wait is at least what it tells.

--- a/crates/fescuemux-core/src/placement/gate.rs
+++ b/crates/fescuemux-core/src/placement/gate.rs
@@ -34,14 +34,6 @@
 /// Slots that are assumed to become free at least, when all seem to hang.
 const MIN_MOVING: f64 = 0.25;
 
-/// Multiple of the mean running time that is set aside when a wait is allowed. Running times
-/// spread by about half their mean, so most requests end within twice the mean.
-const RUNNING_MARGIN: f64 = 2.0;
-
-/// Share of its time for which a call waits for a slot. The request that makes it holds a slot
-/// of its own meanwhile; on the users' sheets the objective of calls is the same share.
-const CALL_WAIT: f64 = 0.3;
-
 /// Time without a request after which a server is offered as idle. Sound servers that are wrongly
 /// doubted get work within any two seconds so.
 const IDLE_AFTER: Duration = Duration::from_millis(1_600);
@@ -157,12 +149,12 @@
         if self.doubt(now) > NO_QUEUE_ABOVE {
             return refuse(RefusalReason::Doubted);
         }
-        let longest_wait = self.longest_wait(now, &work);
+        let longest_wait = work.longest_wait(now, expected(&self.times, &work));
         if wait > longest_wait {
             return refuse(RefusalReason::TooLate);
         }
         let until = if work.nested { now + longest_wait } else { work.last_start() };
-        self.queue.push(Waiting { ticket, work, until });
+        self.queue.push(now, Waiting { ticket, work, until });
         Admission::Queued(wait)
     }
 
@@ -323,20 +315,7 @@
         }
         let ahead = self.queue.callers_ahead_of(precedence);
         let share = (ahead as f64 + 1.0) / (moving * CALLERS_SHARE);
-        wait.min(running.mul_f64(share))
-    }
-
-    /// Longest wait after which a request is still worth its slot. New work must be able to meet
-    /// its objective: a longer queue would delay all of it and serve no more. A call that waits
-    /// keeps the slot of its parent busy, so under overload it has to fail soon.
-    fn longest_wait(&self, now: Instant, work: &Work) -> Duration {
-        let left = work.deadline.saturating_duration_since(now);
-        if work.nested {
-            return left.mul_f64(CALL_WAIT);
-        }
-        let running = expected(&self.times, work);
-        let objective = work.objective.saturating_duration_since(now).min(left);
-        objective.saturating_sub(running.mul_f64(RUNNING_MARGIN)).max(objective / 4)
+        wait.min(running.mul_f64(share)).max(self.queue.pace_of(now, precedence.priority))
     }
 
     /// Refuses waiting requests that cannot end in time or have given way to others, or all when
--- a/crates/fescuemux-core/src/placement/waiting.rs
+++ b/crates/fescuemux-core/src/placement/waiting.rs
@@ -1,5 +1,6 @@
 //! Requests that wait for the slots of one backend server.
 
+use crate::base::HashMap;
 use crate::placement::{Precedence, Ticket, Work};
 use std::time::{Duration, Instant};
 
@@ -17,6 +18,33 @@
     pub(super) until: Instant,
 }
 
+/// Slots given to callers' requests of one rank from which half is forgotten, so that the pace
+/// follows changes within some slots.
+const PACE_SLOTS: u32 = 8;
+
+/// Pace at which callers' requests of one rank get slots, since one of them last began to wait.
+#[derive(Clone, Copy, Debug)]
+struct Pace {
+    since: Instant,
+    slots: u32,
+}
+
+impl Pace {
+    fn on_slot(&mut self, now: Instant) {
+        self.slots += 1;
+        if self.slots >= PACE_SLOTS {
+            self.since += now.saturating_duration_since(self.since) / 2;
+            self.slots /= 2;
+        }
+    }
+
+    /// Returns the time for `requests` of them, which is at least as long as it took so far.
+    fn time(self, now: Instant, requests: usize) -> Duration {
+        let passed = now.saturating_duration_since(self.since);
+        passed.mul_f64(requests as f64 / f64::from(self.slots + 1))
+    }
+}
+
 /// Requests that wait. Calls of running requests and requests of callers are bounded apart, so
 /// that neither fills the queue for the other.
 #[derive(Clone, Debug, Default)]
@@ -24,6 +52,8 @@
     requests: Vec<Waiting>,
     /// Slot time by which requests of callers are short of their share, seconds.
     deficit: f64,
+    /// Pace of callers' requests by rank.
+    paces: HashMap<u8, Pace>,
 }
 
 impl WaitingRequests {
@@ -35,7 +65,11 @@
         self.requests.is_empty()
     }
 
-    pub(super) fn push(&mut self, waiting: Waiting) {
+    pub(super) fn push(&mut self, now: Instant, waiting: Waiting) {
+        let Work { nested, priority, .. } = waiting.work;
+        if !nested && self.callers_of(priority) == 0 {
+            self.paces.insert(priority, Pace { since: now, slots: 0 });
+        }
         self.requests.push(waiting);
     }
 
@@ -59,6 +93,20 @@
         callers.filter(|w| w.work.precedence() <= precedence).count()
     }
 
+    /// Returns the time until a new caller's request of this rank gets a slot, by the pace at
+    /// which those that wait got theirs. Calls and requests of better ranks that come later go
+    /// first, so the requests that wait now do not tell.
+    pub(super) fn pace_of(&self, now: Instant, priority: u8) -> Duration {
+        let ahead = self.callers_of(priority);
+        let pace = self.paces.get(&priority).filter(|_| ahead > 0);
+        pace.map_or(Duration::ZERO, |pace| pace.time(now, ahead + 1))
+    }
+
+    fn callers_of(&self, priority: u8) -> usize {
+        let callers = self.requests.iter().filter(|w| !w.work.nested);
+        callers.filter(|w| w.work.priority == priority).count()
+    }
+
     /// Returns whether a request may join: there is room, or the last of its kind gives way.
     pub(super) fn has_room(&self, now: Instant, work: &Work, bound: usize) -> bool {
         let last = self.last(now, work.nested);
@@ -102,7 +150,11 @@
                 call.or(own)?
             }
         };
-        Some(self.requests.remove(at))
+        let next = self.requests.remove(at);
+        if let Some(pace) = self.paces.get_mut(&next.work.priority).filter(|_| !next.work.nested) {
+            pace.on_slot(now);
+        }
+        Some(next)
     }
 
     fn count(&self, nested: bool) -> usize {
--- a/crates/fescuemux-core/src/placement/work.rs
+++ b/crates/fescuemux-core/src/placement/work.rs
@@ -3,6 +3,14 @@
 use crate::placement::Precedence;
 use std::time::{Duration, Instant};
 
+/// Multiple of the mean running time that is set aside when a wait is allowed. Running times
+/// spread by about half their mean, so most requests end within twice the mean.
+const RUNNING_MARGIN: f64 = 2.0;
+
+/// Share of its time for which a call waits for a slot. The request that makes it holds a slot
+/// of its own meanwhile; on the users' sheets the objective of calls is the same share.
+const CALL_WAIT: f64 = 0.3;
+
 /// Whether a request is a repeat.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Repeat {
@@ -47,6 +55,19 @@
         Precedence::new(self.nested, self.priority, self.lot)
     }
 
+    /// Returns the longest wait after which the request is still worth its slot, if it runs for
+    /// `running`. New work must be able to meet its objective: a longer queue would delay all of
+    /// it and serve no more. A call that waits keeps the slot of its parent busy, so under
+    /// overload it has to fail soon.
+    pub(super) fn longest_wait(&self, now: Instant, running: Duration) -> Duration {
+        let left = self.deadline.saturating_duration_since(now);
+        if self.nested {
+            return left.mul_f64(CALL_WAIT);
+        }
+        let objective = self.objective.saturating_duration_since(now).min(left);
+        objective.saturating_sub(running.mul_f64(RUNNING_MARGIN)).max(objective / 4)
+    }
+
     /// Time at which a caller's request stops waiting. It gives up at its objective: under a load
     /// that keeps it waiting so long, its slot serves another caller in time, and its own can
     /// return.
--- a/crates/fescuemux-core/tests/placement/gate.rs
+++ b/crates/fescuemux-core/tests/placement/gate.rs
@@ -292,6 +292,32 @@
     assert!(gate.doubt(now + ms(900)) < doubt);
 }
 
+/// Requests that come later go first when they are calls or have a better rank, so those that
+/// wait now do not tell how long a request will wait. Callers were refused after seconds that
+/// could have been refused at once.
+#[test]
+fn the_pace_of_a_rank_tells_its_wait() {
+    let start = Instant::now();
+    let mut gate = open_gate(start);
+    fill(&mut gate, start);
+    let urgent = |now| Work { priority: 0, expected: ms(200), ..work(now) };
+    let patient = |now| Work { priority: 2, objective: now + ms(2_000), ..work(now) };
+    assert!(matches!(gate.ask(start, 100, patient(start)), Admission::Queued(_)));
+    let mut running: Vec<_> = (1..=4).collect();
+    for step in 1..=12 {
+        let now = start + ms(100 * step);
+        assert!(matches!(gate.ask(now, 10 + step, urgent(now)), Admission::Queued(_)));
+        gate.finish(now, running.remove(0), WorkOutcome::Answered);
+        assert_eq!(gate.advance(now), vec![(10 + step, Admission::Granted)], "step {step}");
+        assert!(gate.begin(now, 10 + step));
+        running.push(10 + step);
+    }
+    let now = start + ms(1_250);
+    let refusal = gate.ask(now, 101, patient(now));
+    assert_eq!(reason(refusal), Some(RefusalReason::TooLate));
+    assert!(matches!(gate.ask(now, 102, urgent(now)), Admission::Queued(_)), "its rank goes on");
+}
+
 /// Nobody waits for the slots of a server that probably fails; others serve them sooner.
 #[test]
 fn nobody_waits_at_a_doubted_server() {
