--- a/crates/fescuemux-sidecar/src/sync/watch_peers.rs
+++ b/crates/fescuemux-sidecar/src/sync/watch_peers.rs
@@ -1,6 +1,6 @@
 //! Entries of other instances in the store.
 
-use super::{PEER_PREFIX, RETRY_PAUSE, WATCH_WAIT};
+use super::{PEER_PREFIX, WATCH_WAIT};
 use crate::hop::PeerRecord;
 use crate::node::Node;
 use crate::{Change, Entry, MetadataStore, Revision};
@@ -11,7 +11,11 @@
 /// Pause between a change and the next watch. Instances start and leave in groups, and each
 /// answered watch is a call of every instance; a new instance makes itself known to those that
 /// it asks in the meantime.
-const GATHER: Duration = Duration::from_secs(5);
+const GATHER: Duration = Duration::from_secs(10);
+
+/// Pause after a failed call. Instances that the process does not know yet ask it, so a list
+/// can wait until the store is back.
+const LIST_AGAIN: Duration = Duration::from_secs(4);
 
 /// Pause between the own entry and the first list, in which the others enter too.
 const FIRST_LIST: Duration = Duration::from_millis(500);
@@ -32,7 +36,7 @@
             }
             Err(e) => warn!(event = "list_failed", error = %e),
         }
-        tokio::time::sleep(RETRY_PAUSE).await;
+        tokio::time::sleep(LIST_AGAIN).await;
     }
 }
 
