Let requests wait for the first server after a start

Change: within two heartbeats of the start a request that found no server looks on while it can still meet its objective.

--- a/crates/fescuemux-core/src/placement/unplaced.rs
+++ b/crates/fescuemux-core/src/placement/unplaced.rs
@@ -13,10 +13,14 @@
     pub nested: bool,
     /// Whether a server has worked on it, and it may be repeated.
     pub again: bool,
+    /// Whether the process has just started, so that servers have still to announce themselves.
+    pub starting: bool,
     /// Whether the process stops.
     pub stopping: bool,
     /// Time left for an answer.
     pub left: Duration,
+    /// Time left until an answer loses part of its value.
+    pub objective: Duration,
     /// Expected running time.
     pub running: Duration,
 }
@@ -26,7 +30,9 @@
     ///
     /// The work of a parent is lost with its call, so a call looks on unless there is no room, or
     /// it is a repeat beyond the budget: neither changes within its time, and its parent would
-    /// hold a slot for nothing. A stopping process owes answers to requests that
+    /// hold a slot for nothing. After a start, as after the loss of all processes, servers are
+    /// known within a heartbeat; a request that can still meet its objective waits for the first.
+    /// A stopping process owes answers to requests that
     /// servers have worked on; a request that lost its slot to others just before looks on.
     pub fn keeps_looking(&self, refusal: &Refusal) -> bool {
         let is_owed = self.again && self.stopping;
@@ -37,7 +43,9 @@
             | RefusalReason::Doubted => self.nested,
             RefusalReason::Full | RefusalReason::TooLate | RefusalReason::RepeatBudget => false,
         };
-        (is_owed || may_find) && self.left > self.running * RUNNING_MARGIN
+        let needed = self.running * RUNNING_MARGIN;
+        let is_early = self.starting && refusal.reason == RefusalReason::NoServer;
+        (is_early && self.objective > needed) || ((is_owed || may_find) && self.left > needed)
     }
 }
 
--- a/crates/fescuemux-core/tests/placement/unplaced.rs
+++ b/crates/fescuemux-core/tests/placement/unplaced.rs
@@ -3,9 +3,10 @@
 
 /// A search that had lost its slot to others 0.15 s before a SIGTERM was answered 504 right after
 /// it, as no other slot was free at that moment: the stop cut a request. Calls that look on for
-/// room hold the slots of their parents.
+/// room hold the slots of their parents. After all processes were killed, every request of the
+/// first second was refused, as no server had announced itself yet.
 #[test]
-fn a_stopping_process_looks_on_for_requests_that_ran() {
+fn requests_look_on_where_a_slot_may_come() {
     struct Case {
         name: &'static str,
         unplaced: Unplaced,
@@ -15,8 +16,10 @@
     let first = Unplaced {
         nested: false,
         again: false,
+        starting: false,
         stopping: false,
         left: ms(5_000),
+        objective: ms(3_000),
         running: ms(700),
     };
     let owed = Unplaced { again: true, stopping: true, ..first };
@@ -56,6 +59,30 @@
             reason: RefusalReason::NoServer,
             looks_on: true,
         },
+        Case {
+            name: "no server yet, after a start",
+            unplaced: Unplaced { starting: true, ..first },
+            reason: RefusalReason::NoServer,
+            looks_on: true,
+        },
+        Case {
+            name: "no server yet, too late for the objective",
+            unplaced: Unplaced { starting: true, objective: ms(1_300), ..first },
+            reason: RefusalReason::NoServer,
+            looks_on: false,
+        },
+        Case {
+            name: "no server, long after the start",
+            unplaced: first,
+            reason: RefusalReason::NoServer,
+            looks_on: false,
+        },
+        Case {
+            name: "full, after a start",
+            unplaced: Unplaced { starting: true, ..first },
+            reason: full,
+            looks_on: false,
+        },
     ];
     for case in cases {
         let refusal = Refusal { reason: case.reason, retry_in: ms(300) };
--- a/crates/fescuemux-sidecar/src/ingress/place.rs
+++ b/crates/fescuemux-sidecar/src/ingress/place.rs
@@ -22,6 +22,10 @@
 /// Time after which a request that waits at one guard looks for a free slot at others.
 const LOOK_AGAIN: Duration = Duration::from_millis(120);
 
+/// Time after a start in which servers have still to announce themselves: two of the users'
+/// heartbeats of 1.5 s.
+const START_TIME: Duration = Duration::from_secs(3);
+
 /// Time for the answer to a reservation, after the guard has just answered a question.
 const RESERVE_TIMEOUT: Duration = Duration::from_millis(120);
 
@@ -117,12 +121,15 @@
 }
 
 fn keeps_looking(node: &Node, call: &Call, refusal: &Refusal, may_wait: bool) -> bool {
+    let now = node.now();
     let unplaced = Unplaced {
         nested: call.nested,
         // A double that finds no slot is tried again while the first attempt runs.
         again: may_wait && call.sent.get() > 0 && call.policy.class.is_idempotent(),
+        starting: now.saturating_duration_since(node.started) < START_TIME,
         stopping: *node.stopping.borrow(),
-        left: call.left(node.now()),
+        left: call.left(now),
+        objective: (call.arrival + call.policy.objective).saturating_duration_since(now),
         running: running(node, call),
     };
     unplaced.keeps_looking(refusal)
--- a/crates/fescuemux-sidecar/src/node.rs
+++ b/crates/fescuemux-sidecar/src/node.rs
@@ -44,6 +44,8 @@
     pub(crate) server_doubted: Cell<bool>,
     /// Requests that the own server runs.
     pub(crate) running_here: RefCell<Vec<RunningRequest>>,
+    /// Start of the process.
+    pub(crate) started: Instant,
     /// Time from which requests that come are refused, as they could outlast the process.
     pub(crate) refuse_from: Cell<Option<Instant>>,
     /// Times of the stop, once the process was told to stop.
@@ -91,6 +93,7 @@
             servers: RefCell::default(),
             server_doubted: Cell::new(false),
             running_here: RefCell::default(),
+            started: now,
             refuse_from: Cell::new(None),
             stop_times: Cell::new(None),
             failed_calls: RefCell::default(),
