--- a/crates/fescuemux-core/tests/placement/suspicion.rs
+++ b/crates/fescuemux-core/tests/placement/suspicion.rs
@@ -136,3 +136,33 @@
         assert!(doubt > NO_QUEUE_ABOVE, "{slots} slots: {doubt} when all of them hang");
     }
 }
+
+/// Requests that hang since a fault outweighed any number of later answers, so a server whose
+/// fault had ended stayed doubted for as long as they hung.
+#[test]
+fn answers_end_the_doubt_of_requests_that_hang() {
+    struct Case {
+        name: &'static str,
+        answers: u64,
+        doubted: bool,
+    }
+    let cases = [
+        Case { name: "hangs only", answers: 0, doubted: true },
+        Case { name: "one answer proves little", answers: 1, doubted: true },
+        Case { name: "six answers since", answers: 6, doubted: false },
+    ];
+    for case in cases {
+        let start = Instant::now();
+        let mut suspicion = Suspicion::new(start);
+        let expected = ms(400);
+        let overdue = start + expected * 4;
+        for answer in 1..=case.answers {
+            suspicion.add(overdue + ms(100 * answer), Evidence::Success);
+        }
+        let now = overdue + ms(700);
+        let took = now.saturating_duration_since(start);
+        let hanging = [StillRunning { took, expected }; 8];
+        let doubt = suspicion.probability(now, hanging.into_iter());
+        assert_eq!(doubt > 0.75, case.doubted, "{}: {doubt}", case.name);
+    }
+}
