Double requests at twice their expected time

A request that may be repeated was doubled at 2.5 times its running time; the objectives of the users' routes are about four times.

--- a/crates/fescuemux-sidecar/src/ingress/try_once.rs
+++ b/crates/fescuemux-sidecar/src/ingress/try_once.rs
@@ -22,7 +22,7 @@
 const PIECE_BYTES: usize = 32 * 1024;
 
 /// Multiple of the expected running time after which a request that may be repeated is doubled.
-const HEDGE_FACTOR: f64 = 2.5;
+const HEDGE_FACTOR: f64 = 2.0;
 
 /// Least time before a request is doubled.
 const HEDGE_MIN: Duration = Duration::from_millis(200);
