Remember servers that left before they were known

Cause: a process that had started 0.3 s before acknowledged the leaving of a server that it did not know yet and forgot it.

Change: the gate keeps the last such servers with the time of day; a report counts only when the server was born later.

--- a/crates/fescuemux-core/src/placement/gate.rs
+++ b/crates/fescuemux-core/src/placement/gate.rs
@@ -1,6 +1,6 @@
 //! Admission at a guard: slots of the one backend server, and the requests that wait for them.
 
-use crate::base::HashMap;
+use crate::base::{HashMap, Incarnation, ServerId};
 use crate::placement::slot_holder::{SlotHolder, expected, ratio};
 use crate::placement::waiting::{CALLERS_SHARE, Waiting, WaitingRequests};
 use crate::placement::{
@@ -8,6 +8,7 @@
     RepeatBudget, RepeatLimits, RunningTimes, ServerReport, StillRunning, Suspicion, Work,
     WorkOutcome,
 };
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 /// Number of a request at a gate.
@@ -23,6 +24,9 @@
 /// Multiple of the expected running time from which a request is taken to hang.
 const STUCK_RATIO: f64 = 5.0;
 
+/// Servers that left before they were known, of which the last are kept.
+const MAX_LEFT: usize = 8;
+
 /// Time in which a request that lost its slot is expected to leave. Its ingress answers at once;
 /// one that stops or is cut off does not.
 const EVICTION_WAIT: Duration = Duration::from_millis(500);
@@ -50,6 +54,8 @@
     stopping: bool,
     budget: RepeatBudget,
     guards: usize,
+    /// Servers that left before they were known, with the time of day.
+    left: VecDeque<(ServerId, Incarnation)>,
 }
 
 impl Gate {
@@ -65,6 +71,7 @@
             stopping: false,
             budget: RepeatBudget::new(now, repeats),
             guards: 1,
+            left: VecDeque::new(),
         }
     }
 
@@ -74,8 +81,12 @@
     }
 
     /// Takes a server's report and returns whether it changed what is believed. A server that
-    /// started anew begins without a record.
+    /// started anew begins without a record. A report that was sent before its server left changes
+    /// nothing.
     pub fn on_report(&mut self, now: Instant, report: ServerReport) -> bool {
+        if self.left.iter().any(|(id, at)| *id == report.id && report.born <= *at) {
+            return false;
+        }
         let Some(server) = &mut self.server else {
             self.server = Some(LocalServer::new(now, report));
             return true;
@@ -89,9 +100,15 @@
         changed
     }
 
-    /// Marks the server with `id` as gone and returns whether it is the current one.
-    pub fn on_leave(&mut self, id: &str) -> bool {
+    /// Marks the server with `id` as gone and returns whether it is the current one. Another one
+    /// is remembered with the time of day `at`, in milliseconds since 1970: a process that has just
+    /// started may hear of a leaving before a delayed report of the same server.
+    pub fn on_leave(&mut self, at: Incarnation, id: &str) -> bool {
         let Some(server) = self.server.as_mut().filter(|server| server.report.id == id) else {
+            if self.left.len() >= MAX_LEFT {
+                self.left.pop_front();
+            }
+            self.left.push_back((id.into(), at));
             return false;
         };
         server.gone = true;
--- a/crates/fescuemux-core/tests/placement/exhaustive.rs
+++ b/crates/fescuemux-core/tests/placement/exhaustive.rs
@@ -132,7 +132,7 @@
                 self.leaving = true;
             }
             Step::Leave => {
-                self.gate.on_leave("server-1");
+                self.gate.on_leave(5, "server-1");
                 self.leaving = true;
             }
             Step::Stop => {
--- a/crates/fescuemux-core/tests/placement/gate.rs
+++ b/crates/fescuemux-core/tests/placement/gate.rs
@@ -81,7 +81,7 @@
     assert!(!gate.begin(now, 5), "a grant from before the acknowledgement");
     assert_eq!(reason(gate.ask(now, 6, work(now))), Some(RefusalReason::Draining));
     assert_eq!(gate.quote(now, Precedence::of_caller(1), 7, ms(400)).readiness, Readiness::Closed);
-    gate.on_leave("server-1");
+    gate.on_leave(5, "server-1");
     assert_eq!(reason(gate.ask(now, 7, work(now))), Some(RefusalReason::NoServer));
 }
 
--- a/crates/fescuemux-core/tests/placement/servers.rs
+++ b/crates/fescuemux-core/tests/placement/servers.rs
@@ -1,5 +1,7 @@
 use crate::support::{LIMITS, ms, report};
-use fescuemux_core::placement::{FailedCalls, Gate, ServerPhase, ServerReport, is_call_of};
+use fescuemux_core::placement::{
+    FailedCalls, Gate, LocalServer, ServerPhase, ServerReport, is_call_of,
+};
 use std::time::Instant;
 
 /// Reports arrive late, of dead servers, and under reused ids; only news of the newest start
@@ -76,7 +78,7 @@
             gate.on_report(now, made(*r));
         }
         if let Some(id) = case.leave {
-            gate.on_leave(id);
+            gate.on_leave(5, id);
         }
         if let Some(r) = case.then {
             gate.on_report(now, made(r));
@@ -111,3 +113,28 @@
     }
     assert!(is_call_of("aa.1", "aa"));
 }
+
+/// A process that has just started acknowledged the leaving of a server that it did not know yet,
+/// and took a delayed report of that server two seconds later.
+#[test]
+fn a_report_sent_before_the_leaving_changes_nothing() {
+    struct Case {
+        name: &'static str,
+        left: &'static str,
+        born: u64,
+        takes_work: bool,
+    }
+    let cases = [
+        Case { name: "delayed report", left: "server-1", born: 1_000, takes_work: false },
+        Case { name: "a later start", left: "server-1", born: 1_600, takes_work: true },
+        Case { name: "another server", left: "server-2", born: 1_000, takes_work: true },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let mut gate = Gate::new(now, LIMITS);
+        assert!(!gate.on_leave(1_500, case.left));
+        gate.on_report(now, report("server-1", case.born, 7));
+        let takes_work = gate.server().is_some_and(LocalServer::takes_work);
+        assert_eq!(takes_work, case.takes_work, "{}", case.name);
+    }
+}
--- a/crates/fescuemux-sidecar/src/control.rs
+++ b/crates/fescuemux-sidecar/src/control.rs
@@ -26,7 +26,7 @@
             acknowledged(node)
         }
         Ok(ControlCall::Leave(id)) => {
-            let current = node.gate.borrow_mut().on_leave(&id);
+            let current = node.gate.borrow_mut().on_leave(node.time_of_day(), &id);
             info!(event = "server_left", server = %id, current);
             node.advance_gate();
             acknowledged(node)
--- a/crates/fescuemux-sidecar/src/node.rs
+++ b/crates/fescuemux-sidecar/src/node.rs
@@ -82,8 +82,7 @@
         clock: Arc<dyn Clock>,
     ) -> Result<Node> {
         let now = clock.now();
-        let since_epoch = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let incarnation = since_epoch.as_millis() as Incarnation;
+        let incarnation = time_of_day(&*clock);
         let quotes = Quotes::bind(settings.listen.peers)?;
         Ok(Node {
             metrics: Metrics::new()?,
@@ -183,6 +182,11 @@
         self.metrics.peers.set(directory.len() as i64);
     }
 
+    /// Returns the time of day in milliseconds since 1970.
+    pub(crate) fn time_of_day(&self) -> Incarnation {
+        time_of_day(&*self.clock)
+    }
+
     /// Asks for what the instance at `addr` knows, when it knows more.
     pub(crate) fn request_pull(&self, addr: SocketAddr) {
         *self.pull_from.borrow_mut() = Some(addr);
@@ -208,3 +212,8 @@
         }
     }
 }
+
+fn time_of_day(clock: &dyn Clock) -> Incarnation {
+    let since_epoch = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
+    since_epoch.as_millis() as Incarnation
+}
