Hold the fleet's limit of retries while views differ and instances restart

Four ways past the limit: a retry was checked when it asked for a slot and counted when it started, so several passed the same check; requests nested in retries were never refused; an instance that knew few others took a larger part of the slack; a restarted instance forgot what it had used.

The test of nested requests of retries asserted that all of 100 are granted, which the users' rule does not allow; it now asserts that they are granted up to the limit.

--- a/crates/fescuemux-core/src/placement/admission_controller.rs
+++ b/crates/fescuemux-core/src/placement/admission_controller.rs
@@ -58,7 +58,6 @@
     last_grant: Instant,
     stopping: bool,
     retry_budget: ServiceRetryBudget,
-    instance_count: usize,
     /// Servers that left before their first report arrived, each with the wall-clock time at which
     /// it left, in milliseconds since 1970.
     departed: VecDeque<(ServerId, u64)>,
@@ -76,7 +75,6 @@
             last_grant: now,
             stopping: false,
             retry_budget: ServiceRetryBudget::new(now, retry_limits),
-            instance_count: 1,
             departed: VecDeque::new(),
         }
     }
@@ -129,8 +127,8 @@
     /// Sets the number of known instances whose backend server belongs to the service. Each of them
     /// may use an equal part of [`RetryLimits::slack`], the retries that the fleet may make
     /// regardless of the number of first attempts.
-    pub fn set_instance_count(&mut self, instance_count: usize) {
-        self.instance_count = instance_count;
+    pub fn set_instance_count(&mut self, now: Instant, instance_count: usize) {
+        self.retry_budget.set_instance_count(now, instance_count);
     }
 
     /// Refuses new requests from now on.
@@ -170,8 +168,8 @@
         if let Some(reason) = self.closed_reason() {
             return Admission::Refused(Refusal { reason, retry_in: self.running_times.mean() });
         }
-        let is_retry = request.attempt == AttemptKind::Retry;
-        if is_retry && !self.retry_budget.allows_retry(now, self.instance_count, request.nested) {
+        let pending = self.pending_retries();
+        if !self.retry_budget.allows(now, request.attempt, request.nested, pending) {
             let reason = SlotRefusalReason::RetryBudget;
             return Admission::Refused(Refusal { reason, retry_in: self.running_times.mean() });
         }
@@ -350,6 +348,14 @@
 
     /// Returns the maximum number of waiting nested requests, and likewise of waiting top-level
     /// requests.
+    /// Returns the number of waiting and granted requests that will count as retries once they
+    /// start.
+    fn pending_retries(&self) -> usize {
+        let granted = self.holders.values().filter(|holder| holder.started_at.is_none());
+        let granted = granted.filter(|holder| holder.request.attempt != AttemptKind::First);
+        granted.count() + self.queue.retry_count()
+    }
+
     fn max_waiting_per_kind(&self) -> usize {
         self.slots() * MAX_QUEUED_PER_SLOT
     }
--- a/crates/fescuemux-core/src/placement/service_retry_budget.rs
+++ b/crates/fescuemux-core/src/placement/service_retry_budget.rs
@@ -5,6 +5,7 @@
 //! over them. So little of the limit stays unused: a retry that one instance refuses is usually
 //! accepted by another.
 
+use crate::placement::AttemptKind;
 use std::time::{Duration, Instant};
 
 /// Limit of retries over the whole fleet, in any window. Every arrival of a request at an instance
@@ -23,14 +24,23 @@
 /// bucket is not over, and the sum must cover a whole window.
 const BUCKETS: usize = 10;
 
-/// Share of the limit that nested requests may use. The rest is a reserve for instances that know
-/// too few instances of their service and so take too large a part, and for retries that the users
-/// count in a slightly different window.
+/// Share of the limit that retries of nested requests may use. The rest is a reserve for first
+/// attempts of requests nested in retries, and for retries that the users count in a slightly
+/// different window.
 const NESTED_BUDGET_SHARE: f64 = 0.8;
 
-/// Share of the limit that top-level requests may use; their callers can retry themselves.
+/// Share of the limit that retries of top-level requests may use; their callers can retry
+/// themselves.
 const TOP_LEVEL_BUDGET_SHARE: f64 = 0.6;
 
+/// Share of the limit that requests nested in retries may use. To refuse one wastes the work of its
+/// parent, so they may use most of the reserve.
+const NESTED_IN_RETRY_BUDGET_SHARE: f64 = 0.95;
+
+/// Time for which the highest number of known instances divides the slack after the number fell.
+/// Instances that are only cut off from this one still use their parts.
+const INSTANCE_COUNT_MEMORY: Duration = Duration::from_secs(60);
+
 /// Sliding-window counts of first attempts and retries at one instance.
 #[derive(Clone, Debug)]
 pub struct ServiceRetryBudget {
@@ -39,16 +49,32 @@
     buckets: [(u32, u32); BUCKETS + 1],
     current_bucket: usize,
     bucket_start: Instant,
+    /// Time from which the instance may use its part of the slack.
+    slack_from: Instant,
+    /// Highest recent number of instances, and the time at which it was last known.
+    instance_count: (usize, Instant),
 }
 
 impl ServiceRetryBudget {
-    /// Returns a budget without any counts.
+    /// Returns a budget without any counts. An earlier process of the instance may have used its
+    /// part of the slack just before, so the new process uses none during its first window.
     pub fn new(now: Instant, limits: RetryLimits) -> ServiceRetryBudget {
         ServiceRetryBudget {
             limits,
             buckets: [(0, 0); BUCKETS + 1],
             current_bucket: 0,
             bucket_start: now,
+            slack_from: now + limits.window,
+            instance_count: (1, now),
+        }
+    }
+
+    /// Sets the number of known instances of the service, between which the slack is divided.
+    pub fn set_instance_count(&mut self, now: Instant, instance_count: usize) {
+        let (highest, known_at) = self.instance_count;
+        let is_forgotten = now.saturating_duration_since(known_at) > INSTANCE_COUNT_MEMORY;
+        if instance_count >= highest || is_forgotten {
+            self.instance_count = (instance_count.max(1), now);
         }
     }
 
@@ -58,19 +84,34 @@
         self.buckets[self.current_bucket].0 += 1;
     }
 
-    /// Returns whether a retry is allowed. The fleet's slack is divided by `instance_count`. Nested
-    /// requests may use a larger share, because a refusal also loses the work of their parent.
-    pub fn allows_retry(&mut self, now: Instant, instance_count: usize, nested: bool) -> bool {
+    /// Returns whether an attempt is allowed that counts as a retry. `pending` is the number of
+    /// such attempts that were allowed before and may still start. Nested requests may use a larger
+    /// share, because a refusal also loses the work of their parent.
+    pub fn allows(
+        &mut self,
+        now: Instant,
+        attempt: AttemptKind,
+        nested: bool,
+        pending: usize,
+    ) -> bool {
+        let usable_share = match attempt {
+            AttemptKind::First => return true,
+            AttemptKind::NestedInRetry => NESTED_IN_RETRY_BUDGET_SHARE,
+            AttemptKind::Retry if nested => NESTED_BUDGET_SHARE,
+            AttemptKind::Retry => TOP_LEVEL_BUDGET_SHARE,
+        };
         self.advance(now);
         let first_attempts: u32 = self.buckets.iter().map(|bucket| bucket.0).sum();
         let retries: u32 = self.buckets.iter().map(|bucket| bucket.1).sum();
-        let slack_share = self.limits.slack / instance_count.max(1) as f64;
-        let usable_share = if nested { NESTED_BUDGET_SHARE } else { TOP_LEVEL_BUDGET_SHARE };
-        let allowed = usable_share * (self.limits.ratio * f64::from(first_attempts) + slack_share);
-        f64::from(retries) + 1.0 <= allowed
+        let slack_part = match now >= self.slack_from {
+            true => self.limits.slack / self.instance_count.0 as f64,
+            false => 0.0,
+        };
+        let allowed = usable_share * (self.limits.ratio * f64::from(first_attempts) + slack_part);
+        f64::from(retries) + pending as f64 + 1.0 <= allowed
     }
 
-    /// Counts a retry.
+    /// Counts an attempt that counts as a retry.
     pub fn on_retry(&mut self, now: Instant) {
         self.advance(now);
         self.buckets[self.current_bucket].1 += 1;
--- a/crates/fescuemux-core/src/placement/slot_request.rs
+++ b/crates/fescuemux-core/src/placement/slot_request.rs
@@ -19,8 +19,8 @@
     /// No server has received the request before, and it is not nested in a retry.
     #[default]
     First,
-    /// First attempt of a request nested in a retry. It counts as a retry but is never refused for
-    /// the budget, because its parent's work would be lost.
+    /// First attempt of a request nested in a retry. It counts as a retry, but may use more of the
+    /// budget than a retry, because a refusal wastes the work of its parent.
     NestedInRetry,
     /// A server has received the request before.
     Retry,
--- a/crates/fescuemux-core/src/placement/waiting.rs
+++ b/crates/fescuemux-core/src/placement/waiting.rs
@@ -1,7 +1,7 @@
 //! Requests that wait for a slot of one backend server.
 
 use crate::base::HashMap;
-use crate::placement::{Precedence, SlotRequest, Ticket};
+use crate::placement::{AttemptKind, Precedence, SlotRequest, Ticket};
 use std::time::{Duration, Instant};
 
 /// Share of the slots' time that top-level requests get while nested requests wait too. Without
@@ -70,6 +70,11 @@
         self.requests.is_empty()
     }
 
+    /// Returns the number of waiting requests that will count as retries.
+    pub(super) fn retry_count(&self) -> usize {
+        self.requests.iter().filter(|w| w.request.attempt != AttemptKind::First).count()
+    }
+
     pub(super) fn push(&mut self, now: Instant, waiting: WaitingRequest) {
         let SlotRequest { nested, priority, .. } = waiting.request;
         if !nested && self.top_level_count(priority) == 0 {
--- a/crates/fescuemux-core/tests/placement/budget.rs
+++ b/crates/fescuemux-core/tests/placement/budget.rs
@@ -28,10 +28,11 @@
         for step in 0..3_000_u64 {
             let now = start + ms(step * 10);
             for budget in &mut budgets {
+                budget.set_instance_count(now, case.instance_count);
                 if case.requests_per_s > 0 && step % (100 / case.requests_per_s) == 0 {
                     budget.on_first_attempt(now);
                 }
-                if budget.allows_retry(now, case.instance_count, case.nested) {
+                if budget.allows(now, AttemptKind::Retry, case.nested, 0) {
                     budget.on_retry(now);
                     retry_times.push(step * 10);
                 }
@@ -55,12 +56,14 @@
 /// Top-level retries must leave a part of the budget to nested retries.
 #[test]
 fn nested_retries_may_use_more_of_the_budget() {
-    let now = Instant::now();
-    let mut budget = ServiceRetryBudget::new(now, LIMITS);
-    while budget.allows_retry(now, 6, false) {
+    let start = Instant::now();
+    let mut budget = ServiceRetryBudget::new(start, LIMITS);
+    budget.set_instance_count(start, 6);
+    let now = start + LIMITS.window;
+    while budget.allows(now, AttemptKind::Retry, false, 0) {
         budget.on_retry(now);
     }
-    assert!(budget.allows_retry(now, 6, true));
+    assert!(budget.allows(now, AttemptKind::Retry, true, 0));
 }
 
 proptest! {
@@ -70,7 +73,8 @@
         let limits = RetryLimits { ratio: 0.2, slack: 10.0, window: Duration::from_secs(10) };
         let start = Instant::now();
         let mut budget = ServiceRetryBudget::new(start, limits);
-        let mut at_ms = 0;
+        budget.set_instance_count(start, 2);
+        let mut at_ms = 10_000;
         let (mut request_times, mut retry_times) = (Vec::new(), Vec::new());
         for (pause, is_request) in steps {
             at_ms += pause;
@@ -78,7 +82,7 @@
             if is_request {
                 budget.on_first_attempt(now);
                 request_times.push(at_ms);
-            } else if budget.allows_retry(now, 2, true) {
+            } else if budget.allows(now, AttemptKind::Retry, true, 0) {
                 budget.on_retry(now);
                 retry_times.push(at_ms);
             }
@@ -95,37 +99,55 @@
 }
 
 /// A retried request repeats its nested requests. Each of them is a first attempt, but an
-/// additional arrival at its own service, so it must count against that service's budget.
+/// additional arrival at its own service, so it must count against that service's budget and be
+/// refused once the whole budget is used.
 #[test]
 fn nested_requests_of_retries_use_the_budget() {
     struct Case {
         name: &'static str,
         attempt: AttemptKind,
-        refused: bool,
+        granted: std::ops::RangeInclusive<u64>,
+        retry_refused: bool,
     }
     let cases = [
-        Case { name: "nested in a first attempt", attempt: AttemptKind::First, refused: false },
-        Case { name: "nested in a retry", attempt: AttemptKind::NestedInRetry, refused: true },
+        Case {
+            name: "nested in a first attempt",
+            attempt: AttemptKind::First,
+            granted: 100..=100,
+            retry_refused: false,
+        },
+        Case {
+            name: "nested in a retry",
+            attempt: AttemptKind::NestedInRetry,
+            granted: 50..=58,
+            retry_refused: true,
+        },
     ];
     for case in cases {
-        let now = Instant::now();
-        let mut controller = controller_with_server(now);
+        let start = Instant::now();
+        let mut controller = controller_with_server(start);
+        let now = start + LIMITS.window;
+        let is_refused = |admission| {
+            matches!(
+                admission,
+                Admission::Refused(refusal) if refusal.reason == SlotRefusalReason::RetryBudget
+            )
+        };
+        let mut granted = 0;
         for ticket in 0..100 {
             let nested = SlotRequest { nested: true, attempt: case.attempt, ..slot_request(now) };
-            assert_eq!(
-                controller.request_slot(now, ticket, nested),
-                Admission::Granted,
-                "{}",
-                case.name
-            );
-            assert!(controller.start(now, ticket), "{}", case.name);
-            controller.finish(now, ticket, RequestOutcome::Answered);
+            match controller.request_slot(now, ticket, nested) {
+                Admission::Granted => {
+                    granted += 1;
+                    assert!(controller.start(now, ticket), "{}", case.name);
+                    controller.finish(now, ticket, RequestOutcome::Answered);
+                }
+                other => assert!(is_refused(other), "{}: {other:?}", case.name),
+            }
         }
+        assert!(case.granted.contains(&granted), "{}: {granted} granted", case.name);
         let retry = SlotRequest { nested: true, attempt: AttemptKind::Retry, ..slot_request(now) };
-        let refused = matches!(
-            controller.request_slot(now, 200, retry),
-            Admission::Refused(refusal) if refusal.reason == SlotRefusalReason::RetryBudget
-        );
-        assert_eq!(refused, case.refused, "{}", case.name);
+        let refused = is_refused(controller.request_slot(now, 200, retry));
+        assert_eq!(refused, case.retry_refused, "{}", case.name);
     }
 }
--- a/crates/fescuemux-core/tests/placement/main.rs
+++ b/crates/fescuemux-core/tests/placement/main.rs
@@ -5,6 +5,7 @@
 mod directory;
 mod exhaustive;
 mod fault_estimator;
+mod fleet_retries;
 mod nested_requests;
 mod overload;
 mod ranking;
--- a/crates/fescuemux-sidecar/src/guard.rs
+++ b/crates/fescuemux-sidecar/src/guard.rs
@@ -108,7 +108,6 @@
         expected_running_time: Duration::from_millis(u64::from(reserve.expected_running_ms)),
         may_queue: reserve.may_wait,
     };
-    admission.set_instance_count(node.directory.borrow().instance_count(&reserve.service));
     admission.request_slot(now, ticket, slot_request)
 }
 
@@ -158,6 +157,9 @@
 pub(crate) async fn tick(node: Rc<Node>) {
     loop {
         tokio::time::sleep(TICK_INTERVAL).await;
+        let instance_count =
+            node.directory.borrow().instance_count(&node.settings.borrow().service);
+        node.admission.borrow_mut().set_instance_count(node.now(), instance_count);
         let active_requests = {
             let admission = node.admission.borrow();
             admission.used_slots() + admission.queued()
