Admit requests that end in time while the process stops

Change: for 2 s after SIGTERM the guard admits requests of which three times the expected running time fits before the exit.

--- a/crates/fescuemux-core/src/placement/admission_controller.rs
+++ b/crates/fescuemux-core/src/placement/admission_controller.rs
@@ -7,7 +7,7 @@
 use crate::placement::{
     Admission, AttemptKind, Evidence, FaultEstimator, InFlightRequest, LoadReport, LocalServer,
     Precedence, Readiness, Refusal, RequestOutcome, RetryLimits, RunningTimes, ServerReport,
-    ServiceRetryBudget, SlotRefusalReason, SlotRequest,
+    ServiceRetryBudget, ShutdownDeadlines, SlotRefusalReason, SlotRequest,
 };
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -56,7 +56,7 @@
     running_times: RunningTimes,
     fault_estimator: FaultEstimator,
     last_grant: Instant,
-    stopping: bool,
+    shutdown_deadlines: Option<ShutdownDeadlines>,
     retry_budget: ServiceRetryBudget,
     /// Servers that left before their first report arrived, each with the wall-clock time at which
     /// it left, in milliseconds since 1970.
@@ -73,7 +73,7 @@
             running_times: RunningTimes::default(),
             fault_estimator: FaultEstimator::new(now),
             last_grant: now,
-            stopping: false,
+            shutdown_deadlines: None,
             retry_budget: ServiceRetryBudget::new(now, retry_limits),
             departed: VecDeque::new(),
         }
@@ -131,9 +131,10 @@
         self.retry_budget.set_instance_count(now, instance_count);
     }
 
-    /// Refuses new requests from now on.
-    pub fn stop(&mut self) {
-        self.stopping = true;
+    /// Begins the shutdown. Requests that can end long before the exit are admitted for some time
+    /// still; see [`ShutdownDeadlines::refuses_admission`].
+    pub fn stop(&mut self, shutdown_deadlines: ShutdownDeadlines) {
+        self.shutdown_deadlines = Some(shutdown_deadlines);
     }
 
     /// Returns the number of slots in use, including slots whose requests have not arrived yet.
@@ -165,7 +166,8 @@
         ticket: Ticket,
         request: SlotRequest,
     ) -> Admission {
-        if let Some(reason) = self.closed_reason() {
+        let running_time = expected_running_time(&self.running_times, &request);
+        if let Some(reason) = self.closed_reason(now, running_time) {
             return Admission::Refused(Refusal { reason, retry_in: self.running_times.mean() });
         }
         let pending = self.pending_retries();
@@ -177,11 +179,7 @@
             self.grant(now, ticket, request);
             return Admission::Granted;
         }
-        let expected_wait = self.expected_wait(
-            now,
-            request.precedence(),
-            expected_running_time(&self.running_times, &request),
-        );
+        let expected_wait = self.expected_wait(now, request.precedence(), running_time);
         let refuse = |reason| Admission::Refused(Refusal { reason, retry_in: expected_wait });
         if !request.may_queue || !self.queue.has_room(now, &request, self.max_waiting_per_kind()) {
             return refuse(SlotRefusalReason::Full);
@@ -189,7 +187,7 @@
         if self.failure_probability(now) > NO_QUEUE_PROBABILITY {
             return refuse(SlotRefusalReason::LikelyFaulty);
         }
-        let max_wait = request.max_wait(now, expected_running_time(&self.running_times, &request));
+        let max_wait = request.max_wait(now, running_time);
         if expected_wait > max_wait {
             return refuse(SlotRefusalReason::TooLate);
         }
@@ -271,7 +269,7 @@
     /// that must not run twice is lost in any case. As deadlines are many times the running time, a
     /// few such requests would hold all slots of a service.
     pub fn evict(&mut self, now: Instant) -> Vec<Ticket> {
-        if self.stopping || self.holders.len() < self.slots() {
+        if self.shutdown_deadlines.is_some() || self.holders.len() < self.slots() {
             return Vec::new();
         }
         let likely_faulty = self.failure_probability(now) > NO_QUEUE_PROBABILITY;
@@ -308,16 +306,16 @@
         route_hash: u64,
         expected_running_time: Duration,
     ) -> LoadReport {
+        let is_cold = self.server.as_ref().is_some_and(|server| server.cold_until > now);
+        let running_time =
+            self.running_times.route_mean(route_hash).unwrap_or(expected_running_time)
+                * if is_cold { 2 } else { 1 };
         let is_idle = now.saturating_duration_since(self.last_grant) >= IDLE_AFTER;
-        let readiness = match self.closed_reason() {
+        let readiness = match self.closed_reason(now, running_time) {
             Some(_) => Readiness::Closed,
             None if is_idle => Readiness::Idle,
             None => Readiness::Open,
         };
-        let is_cold = self.server.as_ref().is_some_and(|server| server.cold_until > now);
-        let running_time =
-            self.running_times.route_mean(route_hash).unwrap_or(expected_running_time)
-                * if is_cold { 2 } else { 1 };
         LoadReport {
             readiness,
             slots: self.slots() as u32,
@@ -329,9 +327,10 @@
         }
     }
 
-    /// Returns why new requests are refused, or `None` while they are accepted.
-    fn closed_reason(&self) -> Option<SlotRefusalReason> {
-        if self.stopping {
+    /// Returns why a new request of this expected running time is refused, or `None` if it is
+    /// accepted.
+    fn closed_reason(&self, now: Instant, running_time: Duration) -> Option<SlotRefusalReason> {
+        if self.shutdown_deadlines.is_some_and(|d| d.refuses_admission(now, running_time)) {
             return Some(SlotRefusalReason::Stopping);
         }
         match &self.server {
@@ -342,12 +341,6 @@
         }
     }
 
-    fn slots(&self) -> usize {
-        self.server.as_ref().map_or(0, |server| server.report.slots)
-    }
-
-    /// Returns the maximum number of waiting nested requests, and likewise of waiting top-level
-    /// requests.
     /// Returns the number of waiting and granted requests that will count as retries once they
     /// start.
     fn pending_retries(&self) -> usize {
@@ -356,6 +349,12 @@
         granted.count() + self.queue.retry_count()
     }
 
+    fn slots(&self) -> usize {
+        self.server.as_ref().map_or(0, |server| server.report.slots)
+    }
+
+    /// Returns the maximum number of waiting nested requests, and likewise of waiting top-level
+    /// requests.
     fn max_waiting_per_kind(&self) -> usize {
         self.slots() * MAX_QUEUED_PER_SLOT
     }
@@ -398,18 +397,18 @@
             .max(self.queue.estimated_wait(now, precedence.priority))
     }
 
-    /// Refuses waiting requests that cannot end in time or exceed the queue limit, and all waiting
-    /// requests while no new ones are accepted or the server is probably faulty.
+    /// Refuses waiting requests that cannot end in time, exceed the queue limit or would not be
+    /// accepted any more, and all waiting requests while the server is probably faulty.
     fn refuse_waiting(&mut self, now: Instant) -> Vec<(Ticket, Admission)> {
-        let closed_reason = self.closed_reason();
         let likely_faulty = self.failure_probability(now) > NO_QUEUE_PROBABILITY;
         let retry_in = self.running_times.mean();
         let mut refused = Vec::new();
-        let running_times = &self.running_times;
-        self.queue.retain(|waiting| {
-            let too_late = now + expected_running_time(running_times, &waiting.request) / 2
-                > waiting.expires_at;
-            let reason = closed_reason
+        let mut queue = std::mem::take(&mut self.queue);
+        queue.retain(|waiting| {
+            let running_time = expected_running_time(&self.running_times, &waiting.request);
+            let too_late = now + running_time / 2 > waiting.expires_at;
+            let reason = self
+                .closed_reason(now, running_time)
                 .or(too_late.then_some(SlotRefusalReason::TooLate))
                 .or(likely_faulty.then_some(SlotRefusalReason::LikelyFaulty));
             if let Some(reason) = reason {
@@ -418,6 +417,7 @@
             }
             reason.is_none()
         });
+        self.queue = queue;
         let limit = self.max_waiting_per_kind();
         while let Some(excess) = self.queue.pop_excess(now, limit) {
             let refusal = Refusal { reason: SlotRefusalReason::Full, retry_in };
--- a/crates/fescuemux-core/src/placement/shutdown_deadlines.rs
+++ b/crates/fescuemux-core/src/placement/shutdown_deadlines.rs
@@ -14,6 +14,11 @@
 /// twenty runs even longer.
 const RUNNING_TIME_FACTOR: f64 = 3.0;
 
+/// Time after the first signal in which the guard still admits requests. Callers leave only after
+/// two failed readiness checks, so the process runs a little longer than this anyway; a server whose
+/// guard refused everything meanwhile would be unused without need.
+const ADMISSION_TIME: Duration = Duration::from_secs(2);
+
 /// Deadlines of a shutdown. A process may receive several stop signals, for example when its
 /// machine is told to stop twice. The process does not know whether SIGKILL follows the first or
 /// the last signal. Requests that have no slot yet must be answered in time for the earlier
@@ -45,6 +50,12 @@
         now + KILL_MARGIN + needed >= self.first_signal + self.grace_period
     }
 
+    /// Returns whether the guard refuses a request that has no slot yet.
+    pub fn refuses_admission(&self, now: Instant, expected_running_time: Duration) -> bool {
+        now >= self.first_signal + ADMISSION_TIME
+            || self.refuses_unplaced_request(now, expected_running_time)
+    }
+
     /// Returns whether the process must exit although requests are in flight.
     pub fn must_exit(&self, now: Instant) -> bool {
         now + KILL_MARGIN >= self.last_signal + self.grace_period
--- a/crates/fescuemux-sidecar/src/run.rs
+++ b/crates/fescuemux-sidecar/src/run.rs
@@ -91,9 +91,9 @@
     .await;
 }
 
-/// Stops admission at the guard and reports the process as not ready, so that callers leave. Waits
-/// until [`CALLER_DRAIN_TIME`] is over and no request is in flight, or the process must exit to end
-/// within its grace time.
+/// Reports the process as not ready, so that callers leave, and lets the guard admit only requests
+/// that end in time. Waits until [`CALLER_DRAIN_TIME`] is over and no request is in flight, or the
+/// process must exit to end within its grace time.
 async fn drain(node: &Node, terminate: &mut Signal) {
     let started_at = node.now();
     let mut shutdown_deadlines = ShutdownDeadlines::new(started_at, node.settings.borrow().grace);
@@ -101,7 +101,7 @@
     node.shutdown_deadlines.set(Some(shutdown_deadlines));
     node.refuse_requests_from.set(Some(started_at + CALLER_DRAIN_TIME));
     node.stopping.send_replace(true);
-    node.admission.borrow_mut().stop();
+    node.admission.borrow_mut().stop(shutdown_deadlines);
     node.advance_admission();
     loop {
         tokio::select! {
