Learn that a server sheds, and avoid it while it does

The outcome was ignored: the guard kept offering its free slots, and the budget went to servers that were known to shed.

Change: each guard keeps the share of recent requests that its server shed, with a half-life of 2 s, and reports it; the ranking weighs it as 1 s of wait.

Test: a table in ranking.rs. Load reports had no such field before.

--- a/crates/fescuemux-core/src/placement.rs
+++ b/crates/fescuemux-core/src/placement.rs
@@ -20,6 +20,7 @@
 mod route_policy;
 mod running_times;
 mod service_retry_budget;
+mod shed_rate;
 mod shutdown_deadlines;
 mod slot_holder;
 mod slot_request;
@@ -39,6 +40,7 @@
 pub use route_policy::{RequestClass, RoutePolicy, WeightedService};
 pub use running_times::RunningTimes;
 pub use service_retry_budget::{RetryLimits, ServiceRetryBudget};
+pub use shed_rate::ShedRate;
 pub use shutdown_deadlines::ShutdownDeadlines;
 pub use slot_request::{
     Admission, AttemptKind, Refusal, RequestOutcome, SlotRefusalReason, SlotRequest,
--- a/crates/fescuemux-core/src/placement/admission_controller.rs
+++ b/crates/fescuemux-core/src/placement/admission_controller.rs
@@ -7,7 +7,7 @@
 use crate::placement::{
     Admission, AttemptKind, Evidence, FaultEstimator, InFlightRequest, LoadReport, LocalServer,
     Precedence, Readiness, Refusal, RequestOutcome, RetryLimits, RunningTimes, ServerReport,
-    ServiceRetryBudget, ShutdownDeadlines, SlotRefusalReason, SlotRequest,
+    ServiceRetryBudget, ShedRate, ShutdownDeadlines, SlotRefusalReason, SlotRequest,
 };
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -55,6 +55,7 @@
     queue: WaitQueue,
     running_times: RunningTimes,
     fault_estimator: FaultEstimator,
+    shed_rate: ShedRate,
     last_grant: Instant,
     shutdown_deadlines: Option<ShutdownDeadlines>,
     retry_budget: ServiceRetryBudget,
@@ -72,6 +73,7 @@
             queue: WaitQueue::default(),
             running_times: RunningTimes::default(),
             fault_estimator: FaultEstimator::new(now),
+            shed_rate: ShedRate::new(now),
             last_grant: now,
             shutdown_deadlines: None,
             retry_budget: ServiceRetryBudget::new(now, retry_limits),
@@ -103,6 +105,7 @@
         let changed = server.update(now, report);
         if server.report.incarnation != incarnation {
             self.fault_estimator = FaultEstimator::new(now);
+            self.shed_rate = ShedRate::new(now);
             self.running_times = RunningTimes::default();
         }
         changed
@@ -224,6 +227,9 @@
         let Some(holder) = self.holders.remove(&ticket) else { return };
         let Some(started) = holder.started_at else { return };
         let elapsed = now.saturating_duration_since(started);
+        if outcome != RequestOutcome::Abandoned {
+            self.shed_rate.record(now, outcome == RequestOutcome::Shed);
+        }
         let evidence = match outcome {
             RequestOutcome::Answered => {
                 self.running_times.record(
@@ -324,6 +330,7 @@
             expected_wait: self.expected_wait(now, precedence, running_time),
             expected_running_time: running_time,
             failure_probability: self.failure_probability(now),
+            shed_probability: self.shed_rate.probability(now),
         }
     }
 
--- a/crates/fescuemux-core/src/placement/load_report.rs
+++ b/crates/fescuemux-core/src/placement/load_report.rs
@@ -34,6 +34,8 @@
     pub expected_running_time: Duration,
     /// Probability that the server fails the request.
     pub failure_probability: f64,
+    /// Probability that the server refuses the request although the guard grants a slot.
+    pub shed_probability: f64,
 }
 
 impl LoadReport {
--- a/crates/fescuemux-core/src/placement/rank.rs
+++ b/crates/fescuemux-core/src/placement/rank.rs
@@ -21,6 +21,9 @@
     /// Cost of a failure of an idempotent request: the time until the request is hedged, a second
     /// wait, and sometimes the lost work of its parent.
     pub retry: Duration,
+    /// Cost of a request that the server refuses without running it: another placement, and a part
+    /// of the retry budget that the fleet shares.
+    pub shed: Duration,
 }
 
 impl Default for PlacementCost {
@@ -31,6 +34,7 @@
             utilization: 0.5,
             lost_request: Duration::from_secs(4),
             retry: Duration::from_secs(2),
+            shed: Duration::from_secs(1),
         }
     }
 }
@@ -77,8 +81,10 @@
     };
     let failure_cost = if idempotent { cost.retry } else { cost.lost_request };
     let expected_failure_cost = report.failure_probability * failure_cost.as_secs_f64();
+    let expected_shed_cost = report.shed_probability * cost.shed.as_secs_f64();
     report.expected_wait.as_secs_f64()
         + running * (1.0 + cost.utilization * utilization)
         + cross_domain_cost
         + expected_failure_cost
+        + expected_shed_cost
 }
--- a/crates/fescuemux-core/tests/placement/ranking.rs
+++ b/crates/fescuemux-core/tests/placement/ranking.rs
@@ -1,5 +1,8 @@
-use crate::support::{load_report, ms};
-use fescuemux_core::placement::{LoadReport, PlacementCost, Readiness, rank};
+use crate::support::{controller_with_server, load_report, ms, slot_request};
+use fescuemux_core::placement::{
+    LoadReport, PlacementCost, Precedence, Readiness, RequestOutcome, rank,
+};
+use std::time::Instant;
 
 #[derive(Clone, Copy, Debug)]
 struct Offer {
@@ -116,3 +119,71 @@
     rank(&mut offers, &PlacementCost::default(), 1.0, true, |o| (o.same_domain, o.load_report));
     assert!(offers.is_empty());
 }
+
+/// A server that sheds what its guard granted must lose its load to others within a few requests,
+/// before the arrivals use up the fleet's retry budget, and be tried again when it may have
+/// recovered.
+#[test]
+fn a_shedding_server_is_avoided_until_it_recovers() {
+    struct Case {
+        name: &'static str,
+        shed_count: u64,
+        answered_count: u64,
+        after_ms: u64,
+        preferred_to_a_wait: bool,
+    }
+    let cases = [
+        Case {
+            name: "one refusal may be chance",
+            shed_count: 1,
+            answered_count: 0,
+            after_ms: 0,
+            preferred_to_a_wait: true,
+        },
+        Case {
+            name: "sheds all",
+            shed_count: 4,
+            answered_count: 0,
+            after_ms: 0,
+            preferred_to_a_wait: false,
+        },
+        Case {
+            name: "shed all five seconds ago",
+            shed_count: 4,
+            answered_count: 0,
+            after_ms: 5_000,
+            preferred_to_a_wait: true,
+        },
+        Case {
+            name: "answers again",
+            shed_count: 4,
+            answered_count: 4,
+            after_ms: 0,
+            preferred_to_a_wait: true,
+        },
+    ];
+    for case in cases {
+        let start = Instant::now();
+        let mut controller = controller_with_server(start);
+        let shed = (0..case.shed_count).map(|_| RequestOutcome::Shed);
+        let answered = (0..case.answered_count).map(|_| RequestOutcome::Answered);
+        for (ticket, outcome) in (1..).zip(shed.chain(answered)) {
+            controller.request_slot(start, ticket, slot_request(start));
+            assert!(controller.start(start, ticket), "{}", case.name);
+            controller.finish(start, ticket, outcome);
+        }
+        let now = start + ms(case.after_ms);
+        let report = controller.load_report(now, Precedence::top_level(1), 7, ms(400));
+        let report = LoadReport { failure_probability: 0.02, ..report };
+        // Until the wait of 300 ms is over, a slot of the other server is worth waiting for.
+        let queued = LoadReport {
+            used_slots: 4,
+            expected_wait: ms(300),
+            expected_running_time: report.expected_running_time,
+            ..load_report()
+        };
+        let mut offers = vec![("queued", queued), ("shedding", report)];
+        rank(&mut offers, &PlacementCost::default(), 4.0, false, |(_, report)| (true, *report));
+        assert_eq!(offers[0].0 == "shedding", case.preferred_to_a_wait, "{}", case.name);
+    }
+}
--- a/crates/fescuemux-core/tests/placement/support.rs
+++ b/crates/fescuemux-core/tests/placement/support.rs
@@ -62,5 +62,6 @@
         expected_wait: Duration::ZERO,
         expected_running_time: ms(400),
         failure_probability: 0.02,
+        shed_probability: 0.0,
     }
 }
--- a/crates/fescuemux-sidecar/src/load_query.rs
+++ b/crates/fescuemux-sidecar/src/load_query.rs
@@ -90,6 +90,7 @@
     expected_running_ms: u32,
     #[serde(rename = "doubt")]
     failure_probability: f32,
+    shed_probability: f32,
 }
 
 impl From<LoadReport> for LoadReportRecord {
@@ -106,6 +107,7 @@
             expected_wait_ms: load_report.expected_wait.as_millis() as u32,
             expected_running_ms: load_report.expected_running_time.as_millis() as u32,
             failure_probability: load_report.failure_probability as f32,
+            shed_probability: load_report.shed_probability as f32,
         }
     }
 }
@@ -124,6 +126,7 @@
             expected_wait: Duration::from_millis(u64::from(record.expected_wait_ms)),
             expected_running_time: Duration::from_millis(u64::from(record.expected_running_ms)),
             failure_probability: f64::from(record.failure_probability),
+            shed_probability: f64::from(record.shed_probability),
         }
     }
 }
