Use the retry slack at once when the whole fleet starts for the first time

Cause: since a new process uses no slack during its first window, a fresh fleet with little traffic retried nothing for ten seconds: faulty_servers_break_no_promise got 503 repeat_budget for a request that a server had shed.

Change: the platform's settings tell the first start of the whole fleet; no earlier process can have used the slack then.

--- a/crates/fescuemux-core/src/placement/admission_controller.rs
+++ b/crates/fescuemux-core/src/placement/admission_controller.rs
@@ -81,6 +81,12 @@
         }
     }
 
+    /// Allows retries from now on as if the process had run for a window, because it is the first of
+    /// its instance.
+    pub fn on_first_start(&mut self, now: Instant) {
+        self.retry_budget.allow_slack(now);
+    }
+
     /// Returns the current server, or `None` before the first report.
     pub fn server(&self) -> Option<&LocalServer> {
         self.server.as_ref()
--- a/crates/fescuemux-core/src/placement/service_retry_budget.rs
+++ b/crates/fescuemux-core/src/placement/service_retry_budget.rs
@@ -57,7 +57,8 @@
 
 impl ServiceRetryBudget {
     /// Returns a budget without any counts. An earlier process of the instance may have used its
-    /// part of the slack just before, so the new process uses none during its first window.
+    /// part of the slack just before, so the new process uses none during its first window, unless
+    /// [`ServiceRetryBudget::allow_slack`] is called.
     pub fn new(now: Instant, limits: RetryLimits) -> ServiceRetryBudget {
         ServiceRetryBudget {
             limits,
@@ -69,6 +70,11 @@
         }
     }
 
+    /// Allows the use of the slack from now on, as no earlier process can have used any.
+    pub fn allow_slack(&mut self, now: Instant) {
+        self.slack_from = now;
+    }
+
     /// Sets the number of known instances of the service, between which the slack is divided.
     pub fn set_instance_count(&mut self, now: Instant, instance_count: usize) {
         let (highest, known_at) = self.instance_count;
--- a/crates/fescuemux-core/tests/placement/fleet_retries.rs
+++ b/crates/fescuemux-core/tests/placement/fleet_retries.rs
@@ -80,22 +80,21 @@
             unplaced.resize(count, 0);
             requests.resize(requests.len() + count, now);
         }
-        for instance_index in 0..case.instance_count {
+        for this in &mut instances {
             if cx.rng.random_bool(case.restarts_per_s * STEP.as_secs_f64()) {
-                instances[instance_index] = instance(now);
+                *this = instance(now);
             }
             if step % 200 == 0 {
-                instances[instance_index].has_partial_view = cx.rng.random_bool(0.5);
+                this.has_partial_view = cx.rng.random_bool(0.5);
             }
-            let Instance { controller, started_at, has_partial_view } =
-                &mut instances[instance_index];
-            let is_listed = now.saturating_duration_since(*started_at) >= LIST_DELAY;
-            let known_share = match (is_listed, *has_partial_view) {
+            let is_listed = now.saturating_duration_since(this.started_at) >= LIST_DELAY;
+            let known_share = match (is_listed, this.has_partial_view) {
                 (false, _) => 0.0,
                 (true, true) => case.partial_view,
                 (true, false) => 1.0,
             };
-            controller.set_instance_count(now, (case.instance_count as f64 * known_share) as usize);
+            let known = (case.instance_count as f64 * known_share) as usize;
+            this.controller.set_instance_count(now, known);
         }
         let (due, later): (VecDeque<_>, VecDeque<_>) =
             arrivals.into_iter().partition(|arrival| arrival.at <= now);
--- a/crates/fescuemux-sidecar/src/node.rs
+++ b/crates/fescuemux-sidecar/src/node.rs
@@ -90,8 +90,12 @@
         let load_queries = LoadQueries::bind(settings.listen.peers)?;
         Ok(Node {
             metrics: Metrics::new()?,
-            admission: RefCell::new(AdmissionController::new(now, settings.retry_limits)),
+            admission: RefCell::new(admission),
             admission_senders: RefCell::default(),
+        let mut admission = AdmissionController::new(now, settings.retry_limits);
+        if settings.first_start {
+            admission.on_first_start(now);
+        }
             eviction_senders: RefCell::default(),
             idle_server_connections: RefCell::default(),
             logged_as_suspected: Cell::new(false),
--- a/crates/fescuemux-sidecar/src/settings.rs
+++ b/crates/fescuemux-sidecar/src/settings.rs
@@ -35,6 +35,8 @@
     pub service: ServiceId,
     /// Listen addresses.
     pub listen: ListenAddresses,
+    /// Whether no earlier process of any instance has served requests.
+    pub first_start: bool,
     /// Time between SIGTERM and SIGKILL.
     pub grace: Duration,
     /// Limits of the retry budget.
