Read configuration and membership from the store with few calls

Cause: every instance watched the configuration and the list of instances; each change and each batch of starts cost one call per instance.

Change: one instance of each failure domain, chosen by rendezvous hashing, watches the configuration; four standbys query it four times a second and read the store themselves when its confirmation is older than 1.2 s, any other instance after 5 to 7.5 s. Load queries and replies carry the age of the confirmation. A new version is announced to four random instances at once. Instances are listed from a possibly old state every ten seconds, which costs a tenth of a call; the list is compared by a set, not by scanning. An instance that meets an unknown one asks it for its record only, not for all instances that it knows.

Ways weighed: stale reads of the configuration (may be seconds old, so that a restart steps back); longer watches (each change still costs a call per instance); no watches, gossip from whoever reads (nobody notices that all readers have failed).

Test: config_spread.rs replays the roles on 2 to 998 instances: a change is everywhere within 2 s, also when all readers die, freeze or are refused just before it.

--- a/crates/fescuemux-core/src/placement.rs
+++ b/crates/fescuemux-core/src/placement.rs
@@ -9,6 +9,7 @@
 //! Must not know sockets, message formats or how configurations are stored.
 
 mod admission_controller;
+mod config_readers;
 mod failed_requests;
 mod fault_estimator;
 mod load_report;
@@ -29,6 +30,7 @@
 mod waiting;
 
 pub use admission_controller::{AdmissionController, Ticket};
+pub use config_readers::{ConfigFreshness, ConfigRole, config_role};
 pub use failed_requests::{FailedRequests, is_nested_request_of};
 pub use fault_estimator::{Evidence, FaultEstimator, InFlightRequest};
 pub use load_report::{LoadReport, Readiness};
--- a/crates/fescuemux-core/src/placement/peer_directory.rs
+++ b/crates/fescuemux-core/src/placement/peer_directory.rs
@@ -1,6 +1,8 @@
 //! Known instances, and the state of the network path to each.
 
-use crate::base::{Cx, DomainId, HashMap, Incarnation, InstanceId, ServiceId};
+use crate::base::{Cx, DomainId, HashMap, HashSet, Incarnation, InstanceId, ServiceId};
+use crate::placement::config_readers::config_rank;
+use crate::placement::{ConfigRole, config_role};
 use rand::seq::SliceRandom;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -20,6 +22,13 @@
 /// that is cut off from the store may still serve requests.
 const RESPONSE_TTL: Duration = Duration::from_secs(3);
 
+/// Number of consecutive timeouts from which an instance is not expected to read the configuration.
+/// A single datagram may be lost.
+const UNRESPONSIVE_TIMEOUTS: u32 = 2;
+
+/// Assumed maximum age of a list of instances, which the store may answer from an old state.
+const MAX_LIST_AGE: Duration = Duration::from_secs(10);
+
 /// An instance of the fleet.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Peer {
@@ -38,6 +47,7 @@
 #[derive(Clone, Debug)]
 struct Entry {
     peer: Peer,
+    learned_at: Instant,
     unlisted_since: Option<Instant>,
     last_response: Instant,
     consecutive_timeouts: u32,
@@ -67,6 +77,7 @@
         self.remove(&peer.id.clone());
         self.by_service.entry(peer.service.clone()).or_default().push(peer.id.clone());
         let entry = Entry {
+            learned_at: now,
             unlisted_since: None,
             last_response: now,
             consecutive_timeouts: 0,
@@ -84,9 +95,13 @@
         }
     }
 
-    /// Marks all instances as unlisted that are not in `listed`, the full list from the store.
-    pub fn mark_others_unlisted(&mut self, now: Instant, listed: &[InstanceId]) {
-        for entry in self.entries.values_mut().filter(|entry| !listed.contains(&entry.peer.id)) {
+    /// Marks all instances as unlisted that are not in `listed`, the full list from the store, and
+    /// were known before the list, which may be old by [`MAX_LIST_AGE`].
+    pub fn mark_others_unlisted(&mut self, now: Instant, listed: &HashSet<InstanceId>) {
+        let is_unlisted = |entry: &&mut Entry| {
+            now >= entry.learned_at + MAX_LIST_AGE && !listed.contains(&entry.peer.id)
+        };
+        for entry in self.entries.values_mut().filter(is_unlisted) {
             entry.unlisted_since.get_or_insert(now);
         }
     }
@@ -149,12 +164,32 @@
         preferred.chain(backing_off).take(limit).map(|entry| entry.peer.clone()).collect()
     }
 
-    /// Returns a random instance other than `own_id`, regardless of backoff.
-    pub fn random_peer(&self, cx: &mut Cx, own_id: &str) -> Option<Peer> {
-        let mut ids: Vec<_> = self.entries.keys().filter(|id| *id != own_id).collect();
-        ids.sort_unstable();
-        ids.shuffle(&mut cx.rng);
-        ids.first().and_then(|id| self.get(id)).cloned()
+    /// Returns up to `limit` random instances other than `own_id`, regardless of backoff.
+    pub fn random_peers(&self, cx: &mut Cx, own_id: &str, limit: usize) -> Vec<Peer> {
+        let mut others: Vec<_> = self.peers().filter(|peer| peer.id != own_id).collect();
+        others.sort_unstable_by(|a, b| a.id.cmp(&b.id));
+        let (chosen, _) = others.partial_shuffle(&mut cx.rng, limit);
+        chosen.iter().map(|peer| (*peer).clone()).collect()
+    }
+
+    /// Returns the role of the instance `own_id` in reading the configuration for its failure
+    /// domain.
+    pub fn config_role(&self, own_id: &str, domain: &str) -> ConfigRole {
+        config_role(own_id, self.responsive_in(domain).map(|peer| peer.id.as_str()))
+    }
+
+    /// Returns the instance that reads the configuration for a failure domain.
+    pub fn config_reader(&self, domain: &str) -> Option<&Peer> {
+        self.responsive_in(domain).min_by_key(|peer| config_rank(&peer.id))
+    }
+
+    fn responsive_in(&self, domain: &str) -> impl Iterator<Item = &Peer> {
+        self.entries
+            .values()
+            .filter(move |entry| {
+                entry.peer.domain == domain && entry.consecutive_timeouts < UNRESPONSIVE_TIMEOUTS
+            })
+            .map(|entry| &entry.peer)
     }
 
     /// Returns the instance with this name.
--- a/crates/fescuemux-core/tests/placement/main.rs
+++ b/crates/fescuemux-core/tests/placement/main.rs
@@ -2,6 +2,7 @@
 
 mod admission_controller;
 mod budget;
+mod config_spread;
 mod directory;
 mod exhaustive;
 mod fault_estimator;
--- a/crates/fescuemux-sidecar/src/guard.rs
+++ b/crates/fescuemux-sidecar/src/guard.rs
@@ -4,7 +4,7 @@
 mod relay;
 mod server_connections;
 
-use crate::hop::{Frame, HopConnection, HopError, Message, PeerRecord, Reserve, State};
+use crate::hop::{Frame, HopConnection, HopError, Message, PeerRecord, Pull, Reserve, State};
 use crate::node::Node;
 use fescuemux_core::placement::{
     Admission, AttemptKind, Refusal, SlotRefusalReason, SlotRequest, Ticket,
@@ -25,7 +25,7 @@
     loop {
         let result = match hop.next_message().await {
             Ok(Message::Reserve(reserve)) => handle_reserve(&node, &mut hop, reserve).await,
-            Ok(Message::Pull(version)) => handle_pull(&node, &mut hop, version).await,
+            Ok(Message::Pull(pull)) => handle_pull(&node, &mut hop, pull).await,
             Ok(_) => Err(HopError::UnexpectedMessage),
             Err(e) => Err(e),
         };
@@ -41,9 +41,12 @@
     }
 }
 
-async fn handle_pull(node: &Node, hop: &mut HopConnection, version: u64) -> Result<(), HopError> {
-    let config = node.config.borrow().clone().filter(|config| config.version > version);
-    let mut peers: Vec<PeerRecord> = node.directory.borrow().peers().map(Into::into).collect();
+async fn handle_pull(node: &Node, hop: &mut HopConnection, pull: Pull) -> Result<(), HopError> {
+    let config = node.config.borrow().clone().filter(|config| config.version > pull.config_version);
+    let mut peers: Vec<PeerRecord> = match pull.all_peers {
+        true => node.directory.borrow().peers().map(Into::into).collect(),
+        false => Vec::new(),
+    };
     peers.push(PeerRecord::from(&node.own_peer()));
     let config = config.map(|config| config.raw.to_vec());
     hop.send(Message::State(State { config, peers })).await
--- a/crates/fescuemux-sidecar/src/hop/message.rs
+++ b/crates/fescuemux-sidecar/src/hop/message.rs
@@ -203,12 +203,23 @@
     }
 }
 
+/// Request for the state of an instance.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(crate) struct Pull {
+    /// Version of the requester's configuration. The state contains a configuration only if its
+    /// version is greater.
+    pub(crate) config_version: u64,
+    /// Whether the state contains all known instances. A fleet of a thousand would send a list of
+    /// 100 KB for each instance that starts, if each pull asked for it.
+    pub(crate) all_peers: bool,
+}
+
 /// Configuration and membership known to an instance.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct State {
     /// Encoded configuration, if it is newer than the requester's configuration.
     pub(crate) config: Option<Vec<u8>>,
-    /// All known instances.
+    /// The instance itself, and all instances that it knows if the requester asked for them.
     pub(crate) peers: Vec<PeerRecord>,
 }
 
@@ -238,9 +249,8 @@
     End,
     /// Guard to ingress: there is no response, or it is truncated.
     Failed(Failure),
-    /// Requests the receiver's [`State`]. The state contains the receiver's configuration only if
-    /// the version of that configuration is greater than this version.
-    Pull(u64),
+    /// Requests the receiver's [`State`].
+    Pull(Pull),
     /// Response to a pull.
     State(State),
 }
--- a/crates/fescuemux-sidecar/src/lib.rs
+++ b/crates/fescuemux-sidecar/src/lib.rs
@@ -33,5 +33,5 @@
 pub use run::run;
 pub use settings::{ListenAddresses, NodeSettings, SettingsSource};
 pub use store::{
-    Change, Entry, Lease, LeaseId, Listing, MetadataStore, Revision, StoreError, WatchResponse,
+    Change, Entry, Lease, LeaseId, MetadataStore, Revision, StoreError, WatchResponse,
 };
--- a/crates/fescuemux-sidecar/src/load_query.rs
+++ b/crates/fescuemux-sidecar/src/load_query.rs
@@ -37,6 +37,7 @@
         /// Id of the instance that sent the query.
         from: String,
         config_version: u64,
+        config_age_ms: u32,
         precedence: PrecedenceRecord,
         #[serde(rename = "route")]
         route_hash: u64,
@@ -49,6 +50,7 @@
         /// Id of the instance that replies.
         from: String,
         config_version: u64,
+        config_age_ms: u32,
         #[serde(rename = "quote")]
         load_report: LoadReportRecord,
     },
@@ -148,6 +150,17 @@
     pub(crate) expected_running_time: Duration,
 }
 
+impl LoadQuery {
+    /// Returns a query that only exchanges configuration versions.
+    pub(crate) fn without_request() -> LoadQuery {
+        LoadQuery {
+            precedence: Precedence::top_level(0),
+            route_hash: 0,
+            expected_running_time: Duration::ZERO,
+        }
+    }
+}
+
 /// Socket for load queries, and the senders that deliver replies to the tasks that wait for them,
 /// by the sequence number of the query.
 #[derive(Debug)]
@@ -232,6 +245,7 @@
         to: peer.id.to_string(),
         from: node.settings.borrow().instance.to_string(),
         config_version: node.config_version(),
+        config_age_ms: config_age_ms(node),
         precedence: query.precedence.into(),
         route_hash: query.route_hash,
         expected_running_ms: query.expected_running_time.as_millis() as u32,
@@ -247,6 +261,16 @@
     }
 }
 
+/// Returns the age of the confirmation of the own configuration, in milliseconds.
+fn config_age_ms(node: &Node) -> u32 {
+    let age = node.config_freshness.borrow().age(node.now());
+    age.map_or(u32::MAX, |age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX))
+}
+
+fn from_millis(ms: u32) -> Duration {
+    Duration::from_millis(u64::from(ms))
+}
+
 /// Responds to load queries, and passes replies to the tasks that wait for them. Runs until the
 /// process ends.
 pub(crate) async fn serve(node: Rc<Node>) {
@@ -274,6 +298,7 @@
             to,
             from,
             config_version,
+            config_age_ms,
             precedence,
             route_hash,
             expected_running_ms,
@@ -290,24 +315,23 @@
                 route_hash,
                 expected_running_time,
             );
-            let installed_version = node.config_version();
             let reply = Datagram::Offer {
                 seq,
                 from: own_id.to_string(),
-                config_version: installed_version,
+                config_version: node.config_version(),
+                config_age_ms: self::config_age_ms(node),
                 load_report: load_report.into(),
             };
             send(node, addr, &reply);
+            node.on_peer_config(addr, config_version, from_millis(config_age_ms));
             let sender_unknown = node.directory.borrow().get(&from).is_none();
-            if config_version > installed_version || sender_unknown {
+            if sender_unknown {
                 node.request_pull(addr);
             }
         }
-        Datagram::Offer { seq, from, config_version, load_report } => {
+        Datagram::Offer { seq, from, config_version, config_age_ms, load_report } => {
             node.directory.borrow_mut().on_response(node.now(), &from);
-            if config_version > node.config_version() {
-                node.request_pull(addr);
-            }
+            node.on_peer_config(addr, config_version, from_millis(config_age_ms));
             let reply_tx = node.load_queries.pending.borrow_mut().remove(&seq);
             if let Some(reply_tx) = reply_tx {
                 // The send fails if the task that sent the query no longer waits.
--- a/crates/fescuemux-sidecar/src/node.rs
+++ b/crates/fescuemux-sidecar/src/node.rs
@@ -8,14 +8,14 @@
 use anyhow::Result;
 use fescuemux_core::base::{Clock, Cx, Generation, HashMap, Incarnation};
 use fescuemux_core::placement::{
-    Admission, AdmissionController, FailedRequests, Peer, PeerDirectory, RunningTimes,
-    ShutdownDeadlines, Ticket, TrafficSplitter,
+    Admission, AdmissionController, ConfigFreshness, ConfigRole, FailedRequests, Peer,
+    PeerDirectory, RunningTimes, ShutdownDeadlines, Ticket, TrafficSplitter,
 };
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Instant, UNIX_EPOCH};
+use std::time::{Duration, Instant, UNIX_EPOCH};
 use tokio::sync::{Notify, oneshot, watch};
 use tracing::info;
 
@@ -55,7 +55,12 @@
     /// backend server.
     pub(crate) failed_requests: RefCell<FailedRequests>,
     pub(crate) directory: RefCell<PeerDirectory>,
+    /// Time of the last list of the instances in the store.
+    pub(crate) listed_at: Cell<Option<Instant>>,
     pub(crate) config: RefCell<Option<Rc<FleetConfig>>>,
+    pub(crate) config_freshness: RefCell<ConfigFreshness>,
+    /// Wakes the task that announces a new configuration to other instances.
+    pub(crate) config_notify: Notify,
     pub(crate) traffic_splitter: RefCell<TrafficSplitter>,
     /// Mean response size by route hash, in kilobytes.
     pub(crate) mean_response_kb: RefCell<HashMap<u64, f64>>,
@@ -87,15 +92,15 @@
     ) -> Result<Node> {
         let now = clock.now();
         let incarnation = unix_millis(&*clock);
+        let mut admission = AdmissionController::new(now, settings.retry_limits);
+        if settings.first_start {
+            admission.on_first_start(now);
+        }
         let load_queries = LoadQueries::bind(settings.listen.peers)?;
         Ok(Node {
             metrics: Metrics::new()?,
             admission: RefCell::new(admission),
             admission_senders: RefCell::default(),
-        let mut admission = AdmissionController::new(now, settings.retry_limits);
-        if settings.first_start {
-            admission.on_first_start(now);
-        }
             eviction_senders: RefCell::default(),
             idle_server_connections: RefCell::default(),
             logged_as_suspected: Cell::new(false),
@@ -105,7 +110,10 @@
             shutdown_deadlines: Cell::new(None),
             failed_requests: RefCell::default(),
             directory: RefCell::default(),
+            listed_at: Cell::new(None),
             config: RefCell::default(),
+            config_freshness: RefCell::new(ConfigFreshness::new(rand::random())),
+            config_notify: Notify::new(),
             traffic_splitter: RefCell::default(),
             mean_response_kb: RefCell::default(),
             running_times: RefCell::default(),
@@ -178,6 +186,24 @@
         // Drop the state of removed routes, as hundreds may be added and removed in a day.
         self.traffic_splitter.borrow_mut().retain(|id| config.routes.contains(id));
         *self.config.borrow_mut() = Some(Rc::new(config));
+        self.config_notify.notify_one();
+    }
+
+    /// Records that another instance has the configuration `version`, confirmed `age` ago, and
+    /// requests a pull from `addr` if that version is newer.
+    pub(crate) fn on_peer_config(&self, addr: SocketAddr, version: Generation, age: Duration) {
+        let installed_version = self.config_version();
+        if version > installed_version {
+            self.request_pull(addr);
+        } else if version == installed_version {
+            self.config_freshness.borrow_mut().confirm(self.now(), age);
+        }
+    }
+
+    /// Returns the role of this instance in reading the configuration for its failure domain.
+    pub(crate) fn config_role(&self) -> ConfigRole {
+        let settings = self.settings.borrow();
+        self.directory.borrow().config_role(&settings.instance, &settings.domain)
     }
 
     /// Adds or updates an instance in the directory. `source` is logged.
--- a/crates/fescuemux-sidecar/src/run.rs
+++ b/crates/fescuemux-sidecar/src/run.rs
@@ -69,7 +69,7 @@
     spawn_local(sync::pull(node.clone()));
     spawn_local(sync::gossip(node.clone()));
     spawn_local(sync::watch_config(node.clone(), store.clone()));
-    spawn_local(sync::watch_peers(node.clone(), store.clone()));
+    spawn_local(sync::list_peers(node.clone(), store.clone()));
     spawn_local(watch_settings(node.clone(), source, hangup));
     let registration = spawn_local(sync::register(node.clone(), store));
 
--- a/crates/fescuemux-sidecar/src/store.rs
+++ b/crates/fescuemux-sidecar/src/store.rs
@@ -20,15 +20,6 @@
     pub revision: Revision,
 }
 
-/// All entries under a prefix.
-#[derive(Clone, Debug, Default)]
-pub struct Listing {
-    /// Entries in the order of their keys.
-    pub entries: Vec<Entry>,
-    /// Revision from which to start a watch that misses no change.
-    pub revision: Revision,
-}
-
 /// One change under a watched prefix.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -86,11 +77,12 @@
     fn get(&self, key: &str)
     -> impl Future<Output = Result<(Option<Entry>, Revision), StoreError>>;
 
-    /// Returns all entries under `prefix`.
+    /// Returns the entries under `prefix` in the order of their keys, from a state that may be some
+    /// seconds old.
     ///
     /// # Errors
     /// Fails without a valid response.
-    fn list(&self, prefix: &str) -> impl Future<Output = Result<Listing, StoreError>>;
+    fn list(&self, prefix: &str) -> impl Future<Output = Result<Vec<Entry>, StoreError>>;
 
     /// Waits up to `wait` for changes under `prefix` after revision `after`.
     ///
--- a/crates/fescuemux-sidecar/src/sync/configuration.rs
+++ b/crates/fescuemux-sidecar/src/sync/configuration.rs
@@ -1,12 +1,32 @@
-//! Watch of the configuration in the store.
+//! Watch of the configuration in the store, by a few instances of each failure domain.
 
-use super::{RETRY_PAUSE, WATCH_WAIT};
+use super::RETRY_PAUSE;
+use crate::load_query::{self, LoadQuery};
 use crate::node::Node;
 use crate::{Change, Entry, MetadataStore, Revision};
+use fescuemux_core::placement::ConfigRole;
 use std::rc::Rc;
-use tracing::warn;
+use std::time::Duration;
+use tracing::{info, warn};
 
-/// Reads and watches the configuration. Runs until the process ends.
+/// Time for which a reader's watch waits for a change. Each answer confirms that the configuration
+/// is the latest; without confirmations, the other instances turn to the store themselves.
+const WATCH_WAIT: Duration = Duration::from_millis(750);
+
+/// Interval at which an instance checks whether it must read, and at which a standby queries its
+/// reader.
+const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Time after the start in which the instance waits for its first list before it decides whether it
+/// is a reader.
+const FIRST_LIST_WAIT: Duration = Duration::from_millis(1_500);
+
+/// Pause after a failed call of a follower, so that an outage of the store costs few calls. Readers
+/// and standbys retry sooner, and pass on what they read.
+const FOLLOWER_RETRY_PAUSE: Duration = Duration::from_secs(4);
+
+/// Reads the configuration, and keeps it current from the store while this instance is a reader or
+/// no instance has confirmed it for a while. Runs until the process ends.
 pub(crate) async fn watch_config<S: MetadataStore>(node: Rc<Node>, store: Rc<S>) {
     let key = node.dialect.config_key();
     loop {
@@ -17,22 +37,38 @@
                 if let Some(entry) = entry {
                     apply_entry(&node, &entry);
                 }
-                watch_until_error(&node, &*store, key, revision).await;
+                confirm(&node);
+                watch_while_reader(&node, &*store, key, revision).await;
+            }
+            Err(e) => {
+                warn!(event = "read_failed", key, error = %e);
+                let is_follower = node.config_role() == ConfigRole::Follower;
+                let has_config = node.config_version() > 0;
+                let pause =
+                    if is_follower && has_config { FOLLOWER_RETRY_PAUSE } else { RETRY_PAUSE };
+                tokio::time::sleep(pause).await;
             }
-            Err(e) => warn!(event = "read_failed", key, error = %e),
         }
-        tokio::time::sleep(RETRY_PAUSE).await;
+        while !must_read(&node) {
+            tokio::time::sleep(ROLE_CHECK_INTERVAL).await;
+            query_reader(&node).await;
+        }
     }
 }
 
-/// Watches and applies changes until a watch fails.
-async fn watch_until_error<S: MetadataStore>(
+/// Watches and applies changes until a watch fails or this instance needs not read any more.
+async fn watch_while_reader<S: MetadataStore>(
     node: &Node,
     store: &S,
     key: &str,
     mut after: Revision,
 ) {
-    loop {
+    while node.listed_at.get().is_none()
+        && node.now().saturating_duration_since(node.started_at) < FIRST_LIST_WAIT
+    {
+        tokio::time::sleep(ROLE_CHECK_INTERVAL).await;
+    }
+    while node.config_role() == ConfigRole::Reader {
         let watched = store.watch(key, after, WATCH_WAIT).await;
         node.metrics.record_store_call("watch", watched.is_ok());
         match watched {
@@ -44,15 +80,46 @@
                         Change::Removed(_) => warn!(event = "configuration_removed", key),
                     }
                 }
+                confirm(node);
             }
             Err(e) => {
                 warn!(event = "watch_failed", prefix = key, error = %e);
+                tokio::time::sleep(RETRY_PAUSE).await;
                 return;
             }
         }
     }
 }
 
+/// Returns whether this instance must read the store: it is the reader of its failure domain, or the
+/// reader does not confirm the configuration.
+fn must_read(node: &Node) -> bool {
+    let role = node.config_role();
+    let must_read = node.config_freshness.borrow().must_read(node.now(), role);
+    if must_read && role != ConfigRole::Reader {
+        info!(event = "configuration_unconfirmed", role = ?role, version = node.config_version());
+    }
+    must_read
+}
+
+/// Queries the reader of the failure domain if this instance is a standby: the reply tells the
+/// reader's version and the age of its confirmation, and a reader that does not reply loses its
+/// role.
+async fn query_reader(node: &Node) {
+    if !matches!(node.config_role(), ConfigRole::Standby(_)) {
+        return;
+    }
+    let domain = node.settings.borrow().domain.clone();
+    let reader = node.directory.borrow().config_reader(&domain).cloned();
+    if let Some(reader) = reader {
+        load_query::query_peers(node, vec![reader], LoadQuery::without_request()).await;
+    }
+}
+
+fn confirm(node: &Node) {
+    node.config_freshness.borrow_mut().confirm(node.now(), Duration::ZERO);
+}
+
 fn apply_entry(node: &Node, entry: &Entry) {
     if entry.key != node.dialect.config_key() {
         return;
--- a/crates/fescuemux-sidecar/src/sync/list_peers.rs
+++ b/crates/fescuemux-sidecar/src/sync/list_peers.rs
@@ -1,79 +1,47 @@
-//! Watch of the other instances' entries in the store.
+//! Regular lists of the other instances' entries in the store.
 
-use super::{PEER_PREFIX, WATCH_WAIT};
+use super::PEER_PREFIX;
 use crate::hop::PeerRecord;
 use crate::node::Node;
-use crate::{Change, Entry, MetadataStore, Revision};
+use crate::{Entry, MetadataStore};
+use fescuemux_core::base::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
-use tracing::{info, warn};
-
-/// Pause between a change and the next watch, so that the next response contains several changes:
-/// instances start and leave in groups, and every watch response costs one store call per instance.
-/// During the pause a new instance becomes known to the peers that it queries.
-const WATCH_BATCH_PAUSE: Duration = Duration::from_secs(10);
-
-/// Pause before listing again after a failed list or watch. The pause may be long, because new
-/// instances also become known when they query this process.
-const RELIST_PAUSE: Duration = Duration::from_secs(4);
-
-/// Delay between the start of the process and its first list, so that the list contains instances
-/// that start at the same time.
-const FIRST_LIST_DELAY: Duration = Duration::from_millis(500);
-
-/// Lists and watches the entries of other instances. Runs until the process ends.
-pub(crate) async fn watch_peers<S: MetadataStore>(node: Rc<Node>, store: Rc<S>) {
-    tokio::time::sleep(FIRST_LIST_DELAY).await;
+use tracing::warn;
+
+/// Delays before the first lists. The first one contains the instances that ran before; the store
+/// may answer it from an old state, so the later ones contain those that start at the same time.
+const FIRST_LIST_DELAYS: [Duration; 2] = [Duration::from_millis(500), Duration::from_secs(3)];
+
+/// Minimum interval between lists. New instances also become known when they query this process.
+const MIN_LIST_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Interval between lists for each entry of the last list. An entry has about 200 bytes, so that
+/// lists use at most 8 KB/s.
+const LIST_INTERVAL_PER_ENTRY: Duration = Duration::from_millis(25);
+
+/// Lists the entries of other instances. Runs until the process ends.
+///
+/// Lists cost a tenth of a watch, as the store may answer them from an old state, and their cost
+/// does not grow with the number of changes. What a list misses is learned from load queries.
+pub(crate) async fn list_peers<S: MetadataStore>(node: Rc<Node>, store: Rc<S>) {
+    let mut first_delays = FIRST_LIST_DELAYS.into_iter();
+    let mut interval = MIN_LIST_INTERVAL;
     loop {
+        tokio::time::sleep(first_delays.next().unwrap_or(interval)).await;
         let listed = store.list(PEER_PREFIX).await;
         node.metrics.record_store_call("list", listed.is_ok());
         match listed {
-            Ok(listing) => {
-                let peers: Vec<_> = listing.entries.iter().filter_map(decode_peer).collect();
-                let ids: Vec<_> = peers.iter().map(|peer| peer.id.clone()).collect();
+            Ok(entries) => {
+                let peers: Vec<_> = entries.iter().filter_map(decode_peer).collect();
+                interval = MIN_LIST_INTERVAL.max(LIST_INTERVAL_PER_ENTRY * peers.len() as u32);
+                let ids: HashSet<_> = peers.iter().map(|peer| peer.id.clone()).collect();
                 peers.into_iter().for_each(|peer| node.add_peer(peer, "list"));
                 node.directory.borrow_mut().mark_others_unlisted(node.now(), &ids);
-                watch_until_error(&node, &*store, listing.revision).await;
+                node.listed_at.set(Some(node.now()));
             }
             Err(e) => warn!(event = "list_failed", error = %e),
         }
-        tokio::time::sleep(RELIST_PAUSE).await;
-    }
-}
-
-/// Watches and applies changes until a watch fails.
-async fn watch_until_error<S: MetadataStore>(node: &Node, store: &S, mut after: Revision) {
-    loop {
-        let watched = store.watch(PEER_PREFIX, after, WATCH_WAIT).await;
-        node.metrics.record_store_call("watch", watched.is_ok());
-        let response = match watched {
-            Ok(response) => response,
-            Err(e) => {
-                warn!(event = "watch_failed", prefix = PEER_PREFIX, error = %e);
-                return;
-            }
-        };
-        after = response.revision;
-        let is_empty = response.changes.is_empty();
-        response.changes.into_iter().for_each(|change| apply_change(node, change));
-        if !is_empty {
-            tokio::time::sleep(WATCH_BATCH_PAUSE).await;
-        }
-    }
-}
-
-fn apply_change(node: &Node, change: Change) {
-    match change {
-        Change::Put(entry) => {
-            if let Some(peer) = decode_peer(&entry) {
-                node.add_peer(peer, "watch");
-            }
-        }
-        Change::Removed(key) => {
-            let id = key.strip_prefix(PEER_PREFIX).unwrap_or_default();
-            info!(event = "peer_unlisted", peer = id);
-            node.directory.borrow_mut().mark_unlisted(node.now(), id);
-        }
     }
 }
 
--- a/crates/fescuemux-sidecar/src/sync/pull.rs
+++ b/crates/fescuemux-sidecar/src/sync/pull.rs
@@ -1,9 +1,8 @@
 //! Exchange of configuration and membership between instances.
 
-use crate::hop::{Message, State};
+use crate::hop::{Message, Pull, State};
 use crate::load_query::{self, LoadQuery};
 use crate::node::Node;
-use fescuemux_core::placement::Precedence;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,6 +12,14 @@
 /// reaches all other instances within a few intervals.
 const GOSSIP_INTERVAL: Duration = Duration::from_millis(700);
 
+/// Number of random instances that are told of a new configuration at once. Each of them tells as
+/// many others, so the configuration reaches a thousand instances in five steps.
+const ANNOUNCED_PEERS: usize = 4;
+
+/// Age of the last list of instances above which a pull asks for all instances that the other one
+/// knows, because the store does not answer.
+const LIST_MAX_AGE: Duration = Duration::from_secs(60);
+
 /// Timeout of a pull, including a complete configuration.
 const PULL_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -37,7 +44,12 @@
 
 async fn fetch_state(node: &Node, addr: SocketAddr) -> Result<State, crate::hop::HopError> {
     let mut hop = node.hop_pool.take(addr, node.now()).await?;
-    hop.send(Message::Pull(node.config_version())).await?;
+    let all_peers = node
+        .listed_at
+        .get()
+        .is_none_or(|at| node.now().saturating_duration_since(at) > LIST_MAX_AGE);
+    let pull = Pull { config_version: node.config_version(), all_peers };
+    hop.send(Message::Pull(pull)).await?;
     match hop.next_message().await? {
         Message::State(state) => {
             node.hop_pool.put(addr, node.now(), hop);
@@ -68,18 +80,20 @@
     }
 }
 
-/// Queries a random instance at a regular interval, so that configuration versions spread even
-/// without traffic, and drops peers and connections that have expired.
+/// Queries a random instance at a regular interval, and several at once after a new configuration
+/// was installed, so that configurations spread without traffic. Drops peers and connections that
+/// have expired.
 pub(crate) async fn gossip(node: Rc<Node>) {
     loop {
-        tokio::time::sleep(GOSSIP_INTERVAL).await;
+        let peer_count = tokio::select! {
+            () = tokio::time::sleep(GOSSIP_INTERVAL) => 1,
+            () = node.config_notify.notified() => ANNOUNCED_PEERS,
+        };
         let own_id = node.settings.borrow().instance.clone();
-        let peer = node.with_cx(|cx| node.directory.borrow().random_peer(cx, &own_id));
-        if let Some(peer) = peer {
-            let precedence = Precedence::top_level(0);
-            let query =
-                LoadQuery { precedence, route_hash: 0, expected_running_time: Duration::ZERO };
-            load_query::query_peers(&node, vec![peer], query).await;
+        let peers =
+            node.with_cx(|cx| node.directory.borrow().random_peers(cx, &own_id, peer_count));
+        if !peers.is_empty() {
+            load_query::query_peers(&node, peers, LoadQuery::without_request()).await;
         }
         for id in node.directory.borrow_mut().remove_expired(node.now()) {
             info!(event = "peer_dropped", peer = %id);
