Bound bytes without end, and reject malformed reports

Cause: interim responses, trailers, and bodies of responses to other requests had no limit but the deadline; a response body had none in bytes; bytes on an idle connection stayed buffered until the next request. A load report that is not a number broke the total order of the ranking's sort, which may panic.

--- a/crates/fescuemux-core/src/placement/rank.rs
+++ b/crates/fescuemux-core/src/placement/rank.rs
@@ -1,7 +1,6 @@
 //! Ranking of the load reports of several instances.
 
 use crate::placement::{LoadReport, Readiness};
-use std::cmp::Ordering;
 use std::time::Duration;
 
 /// Costs of a placement besides the wait and the running time, all expressed as time.
@@ -59,7 +58,8 @@
     };
     offers.sort_by(|a, b| {
         let (a, b) = (key(a), key(b));
-        a.0.cmp(&b.0).then(a.1.partial_cmp(&b.1).unwrap_or(Ordering::Equal))
+        // A report from a faulty instance may contain a value that is not a number; it goes last.
+        a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
     });
 }
 
--- a/crates/fescuemux-core/tests/placement/ranking.rs
+++ b/crates/fescuemux-core/tests/placement/ranking.rs
@@ -187,3 +187,19 @@
         assert_eq!(offers[0].0 == "shedding", case.preferred_to_a_wait, "{}", case.name);
     }
 }
+
+/// A malformed report must neither stop the process nor attract requests. A sort panics if its
+/// comparison is no total order, which only shows with many elements.
+#[test]
+fn reports_that_are_no_numbers_go_last() {
+    let malformed = LoadReport { failure_probability: f64::NAN, ..load_report() };
+    let mut offers: Vec<_> = (0..200)
+        .map(|index: u32| match index.is_multiple_of(3) {
+            true => malformed,
+            false => LoadReport { used_slots: index * 7 % 5, ..load_report() },
+        })
+        .collect();
+    rank(&mut offers, &PlacementCost::default(), 4.0, false, |report| (true, *report));
+    let first_malformed = offers.iter().position(|report| report.failure_probability.is_nan());
+    assert_eq!(first_malformed, Some(200 - 67));
+}
--- a/crates/fescuemux-sidecar/src/guard.rs
+++ b/crates/fescuemux-sidecar/src/guard.rs
@@ -163,6 +163,7 @@
         let instance_count =
             node.directory.borrow().instance_count(&node.settings.borrow().service);
         node.admission.borrow_mut().set_instance_count(node.now(), instance_count);
+        server_connections::close_unusable(&node);
         let active_requests = {
             let admission = node.admission.borrow();
             admission.used_slots() + admission.queued()
--- a/crates/fescuemux-sidecar/src/guard/relay.rs
+++ b/crates/fescuemux-sidecar/src/guard/relay.rs
@@ -26,6 +26,14 @@
 /// Maximum number of response heads read to find the one that matches the request.
 const MAX_RESPONSE_HEADS: usize = 4;
 
+/// Maximum number of body bytes of a response to an earlier request that are read to find the one
+/// that matches.
+const MAX_SKIPPED_BODY_BYTES: u64 = 1 << 20;
+
+/// Maximum number of body bytes of a response. A server in trouble may send bytes until its caller
+/// closes the connection; the deadline limits the time, and this the bytes.
+const MAX_RESPONSE_BYTES: u64 = 1 << 30;
+
 type HopFrames<'a> = &'a mut Framed<TcpStream, HopCodec>;
 type HopSink<'a> = SplitSink<HopFrames<'a>, Frame>;
 type HopStream<'a> = SplitStream<HopFrames<'a>>;
@@ -358,7 +366,7 @@
         if framing == Framing::UntilClose {
             return Err(H1Error::Malformed);
         }
-        let mut body = BodyReader::new(framing);
+        let mut body = BodyReader::new(framing, MAX_SKIPPED_BODY_BYTES);
         while body.next_chunk(reader).await?.is_some() {}
     }
     Err(H1Error::Malformed)
@@ -386,7 +394,7 @@
     let ingress_error = |_: io::Error| RelayError::Ingress;
     let mut sink = sink.lock().await;
     sink.feed(Frame::Message(Message::Head(head))).await.map_err(ingress_error)?;
-    let mut body = BodyReader::new(framing);
+    let mut body = BodyReader::new(framing, MAX_RESPONSE_BYTES);
     while let Some(chunk) = body.next_chunk(reader).await.map_err(RelayError::Server)? {
         sink.feed(Frame::Body(chunk)).await.map_err(ingress_error)?;
     }
--- a/crates/fescuemux-sidecar/src/guard/server_connections.rs
+++ b/crates/fescuemux-sidecar/src/guard/server_connections.rs
@@ -62,6 +62,13 @@
     }
 }
 
+/// Closes idle connections on which the server has sent bytes or closed. Bytes that belong to no
+/// request would otherwise stay buffered until the next request.
+pub(super) fn close_unusable(node: &Node) {
+    let mut idle = node.idle_server_connections.borrow_mut();
+    idle.retain_mut(|(_, connection)| connection.is_reusable());
+}
+
 fn pop(node: &Node, addr: SocketAddr) -> Option<Connection> {
     let mut idle = node.idle_server_connections.borrow_mut();
     // Drop connections to former addresses of the server; it does not return to them.
--- a/crates/fescuemux-sidecar/src/h1/body.rs
+++ b/crates/fescuemux-sidecar/src/h1/body.rs
@@ -6,6 +6,9 @@
 /// Maximum length of a chunk-size or trailer line.
 const MAX_LINE_BYTES: usize = 8 * 1024;
 
+/// Maximum number of trailer lines.
+const MAX_TRAILERS: u32 = 64;
+
 /// Framing of a body, which determines its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Framing {
@@ -23,7 +26,8 @@
     ChunkSize,
     ChunkData(u64),
     ChunkEnd,
-    Trailers,
+    /// Number of trailer lines read so far.
+    Trailers(u32),
     UntilClose,
     Done,
 }
@@ -32,28 +36,37 @@
 #[derive(Debug)]
 pub struct BodyReader {
     state: State,
+    /// Number of bytes that the body may still have.
+    len_left: u64,
 }
 
 impl BodyReader {
-    /// Returns a reader of a body with this framing.
-    pub fn new(framing: Framing) -> BodyReader {
+    /// Returns a reader of a body with this framing and at most `max_len` bytes.
+    pub fn new(framing: Framing, max_len: u64) -> BodyReader {
         let state = match framing {
             Framing::Length(0) => State::Done,
             Framing::Length(remaining) => State::Fixed(remaining),
             Framing::Chunked => State::ChunkSize,
             Framing::UntilClose => State::UntilClose,
         };
-        BodyReader { state }
+        BodyReader { state, len_left: max_len }
     }
 
     /// Returns the next part of the body, or `None` at its end.
     ///
     /// # Errors
-    /// Fails if the body is truncated or its framing is invalid.
+    /// Fails if the body is truncated or too long, or its framing is invalid.
     pub async fn next_chunk(
         &mut self,
         reader: &mut ResponseReader,
     ) -> Result<Option<Bytes>, H1Error> {
+        let chunk = self.read_chunk(reader).await?;
+        let len = chunk.as_ref().map_or(0, |chunk| chunk.len() as u64);
+        self.len_left = self.len_left.checked_sub(len).ok_or(H1Error::TooLarge)?;
+        Ok(chunk)
+    }
+
+    async fn read_chunk(&mut self, reader: &mut ResponseReader) -> Result<Option<Bytes>, H1Error> {
         loop {
             match self.state {
                 State::Done => return Ok(None),
@@ -75,9 +88,13 @@
                     }
                     self.state = State::ChunkSize;
                 }
-                State::Trailers => {
+                State::Trailers(count) => {
                     if reader.read_line(MAX_LINE_BYTES).await?.is_empty() {
                         self.state = State::Done;
+                    } else if count == MAX_TRAILERS {
+                        return Err(H1Error::Malformed);
+                    } else {
+                        self.state = State::Trailers(count + 1);
                     }
                 }
             }
@@ -100,7 +117,7 @@
         let digits = line.split(|byte| *byte == b';').next().unwrap_or_default();
         let digits = std::str::from_utf8(digits).map_err(|_| H1Error::Malformed)?.trim();
         let size = u64::from_str_radix(digits, 16).map_err(|_| H1Error::Malformed)?;
-        self.state = if size == 0 { State::Trailers } else { State::ChunkData(size) };
+        self.state = if size == 0 { State::Trailers(0) } else { State::ChunkData(size) };
         Ok(())
     }
 
--- a/crates/fescuemux-sidecar/src/h1/connection.rs
+++ b/crates/fescuemux-sidecar/src/h1/connection.rs
@@ -15,6 +15,9 @@
 /// Maximum size of a response head.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
+/// Maximum number of interim (1xx) responses before a response.
+const MAX_INTERIM_RESPONSES: usize = 16;
+
 /// Read half of a connection, with its buffer.
 #[derive(Debug)]
 pub struct ResponseReader {
@@ -70,12 +73,9 @@
     ) -> Result<(ResponseHead, Bytes), H1Error> {
         self.writer.write_all(request).await?;
         let head = self.reader.next_head().await?;
-        let mut body = BodyReader::new(head.framing()?);
+        let mut body = BodyReader::new(head.framing()?, max_len as u64);
         let mut body_bytes = BytesMut::new();
         while let Some(chunk) = body.next_chunk(&mut self.reader).await? {
-            if body_bytes.len() + chunk.len() > max_len {
-                return Err(H1Error::TooLarge);
-            }
             body_bytes.extend_from_slice(&chunk);
         }
         Ok((head, body_bytes.freeze()))
@@ -86,15 +86,21 @@
     /// Returns the next response head, skipping interim (1xx) responses.
     ///
     /// # Errors
-    /// Fails if the connection ends first or the head is malformed.
+    /// Fails if the connection ends first, the head is malformed or too long, or too many interim
+    /// responses come before it.
     pub async fn next_head(&mut self) -> Result<ResponseHead, H1Error> {
+        let mut interim_count = 0;
         loop {
             if let Some((head, len)) = ResponseHead::parse(&self.buf)? {
                 let _ = self.buf.split_to(len);
-                if head.status < 200 {
-                    continue;
+                if head.status >= 200 {
+                    return Ok(head);
+                }
+                interim_count += 1;
+                if interim_count > MAX_INTERIM_RESPONSES {
+                    return Err(H1Error::Malformed);
                 }
-                return Ok(head);
+                continue;
             }
             if self.buf.len() > MAX_HEAD_BYTES {
                 return Err(H1Error::Malformed);
--- a/crates/fescuemux-sidecar/src/load_query.rs
+++ b/crates/fescuemux-sidecar/src/load_query.rs
@@ -127,12 +127,18 @@
             queued: record.queued,
             expected_wait: Duration::from_millis(u64::from(record.expected_wait_ms)),
             expected_running_time: Duration::from_millis(u64::from(record.expected_running_ms)),
-            failure_probability: f64::from(record.failure_probability),
-            shed_probability: f64::from(record.shed_probability),
+            failure_probability: probability(record.failure_probability),
+            shed_probability: probability(record.shed_probability),
         }
     }
 }
 
+/// Returns a received probability. A value that is none counts as one, so that the instance goes
+/// last.
+fn probability(received: f32) -> f64 {
+    if received.is_nan() { 1.0 } else { f64::from(received).clamp(0.0, 1.0) }
+}
+
 /// Load report of an instance, received as a reply to a load query.
 #[derive(Clone, Debug)]
 pub(crate) struct LoadReply {
