Restart essential tasks after a panic; show that endless servers are cut off

Cause: a panic in the task that answers load queries, or in another one that must run as long as the process, ended it for good: the process went on, looked alive and served nothing.

Test: supervise.rs; in fleet.rs, real sidecars beside a stand-in server that sends a head, interim responses or a foreign body without end, or bytes without end after a response.

--- a/crates/fescuemux-sidecar/src/lib.rs
+++ b/crates/fescuemux-sidecar/src/lib.rs
@@ -25,6 +25,7 @@
 mod serve;
 mod settings;
 mod store;
+mod supervise;
 mod sync;
 
 pub use dialect::{ControlCall, DecodeError, Dialect, HeaderNames};
@@ -35,3 +36,4 @@
 pub use store::{
     Change, Entry, Lease, LeaseId, MetadataStore, Revision, StoreError, WatchResponse,
 };
+pub use supervise::supervise;
--- a/crates/fescuemux-sidecar/src/run.rs
+++ b/crates/fescuemux-sidecar/src/run.rs
@@ -2,7 +2,7 @@
 
 use crate::node::Node;
 use crate::serve::{accept_connections, bind, serve_simple};
-use crate::{Dialect, MetadataStore, NodeSettings, SettingsSource};
+use crate::{Dialect, MetadataStore, NodeSettings, SettingsSource, supervise};
 use crate::{control, guard, hop, ingress, load_query, sync};
 use anyhow::Result;
 use fescuemux_core::base::Clock;
@@ -64,12 +64,16 @@
     serve_simple(node.clone(), bind(addresses.metrics).await?, control::handle_metrics);
     spawn_local(ingress::serve(node.clone(), bind(addresses.callers).await?));
     spawn_local(serve_peers(node.clone(), peer_listener));
-    spawn_local(load_query::serve(node.clone()));
-    spawn_local(guard::tick(node.clone()));
-    spawn_local(sync::pull(node.clone()));
-    spawn_local(sync::gossip(node.clone()));
-    spawn_local(sync::watch_config(node.clone(), store.clone()));
-    spawn_local(sync::list_peers(node.clone(), store.clone()));
+    spawn_supervised("load_query", &node, load_query::serve);
+    spawn_supervised("tick", &node, guard::tick);
+    spawn_supervised("pull", &node, sync::pull);
+    spawn_supervised("gossip", &node, sync::gossip);
+    let config_store = store.clone();
+    spawn_supervised("watch_config", &node, move |node| {
+        sync::watch_config(node, config_store.clone())
+    });
+    let list_store = store.clone();
+    spawn_supervised("list_peers", &node, move |node| sync::list_peers(node, list_store.clone()));
     spawn_local(watch_settings(node.clone(), source, hangup));
     let registration = spawn_local(sync::register(node.clone(), store));
 
@@ -80,6 +84,16 @@
     Ok(())
 }
 
+/// Spawns a task that runs as long as the process; see [`supervise`].
+fn spawn_supervised<F: Future<Output = ()> + 'static>(
+    name: &'static str,
+    node: &Rc<Node>,
+    start: impl Fn(Rc<Node>) -> F + 'static,
+) {
+    let node = node.clone();
+    spawn_local(supervise(name, move || start(node.clone())));
+}
+
 async fn serve_peers(node: Rc<Node>, listener: tokio::net::TcpListener) {
     let clock_node = node.clone();
     accept_connections(listener, move |stream| {
--- a/crates/fescuemux-standins/src/platform/app_fault.rs
+++ b/crates/fescuemux-standins/src/platform/app_fault.rs
@@ -21,4 +21,12 @@
     /// Closes the connection after each response without announcing it, so that the client's idle
     /// connection goes stale.
     CloseAfterResponse,
+    /// Runs the request and sends a head without end, until the client closes.
+    EndlessHead,
+    /// Runs the request and sends interim responses without end.
+    EndlessInterimResponses,
+    /// Runs the request and sends, after a response to another request, a body without end.
+    EndlessForeignBody,
+    /// Responds, and then sends bytes that are no response without end.
+    EndlessAfterResponse,
 }
--- a/crates/fescuemux-standins/src/platform/app_server.rs
+++ b/crates/fescuemux-standins/src/platform/app_server.rs
@@ -205,9 +205,26 @@
                 let body = response_body(&id);
                 write_response(&mut stream, 200, &id, &body, body.len())?;
             }
-            AppFault::None | AppFault::CloseAfterResponse | AppFault::Shed => {
+            AppFault::EndlessHead => {
+                return write_without_end(&mut stream, b"HTTP/1.1 200 OK\r\n", b"X-A: b\r\n");
+            }
+            AppFault::EndlessInterimResponses => {
+                return write_without_end(&mut stream, b"", b"HTTP/1.1 100 Continue\r\n\r\n");
+            }
+            AppFault::EndlessForeignBody => {
+                let head = b"HTTP/1.1 200 OK\r\nRequest-Id: another-request\r\n\
+                             Transfer-Encoding: chunked\r\n\r\n";
+                return write_without_end(&mut stream, head, b"4\r\nabcd\r\n");
+            }
+            AppFault::None
+            | AppFault::CloseAfterResponse
+            | AppFault::EndlessAfterResponse
+            | AppFault::Shed => {
                 let body = response_body(&id);
                 write_response(&mut stream, 200, &id, &body, body.len())?;
+                if fault == AppFault::EndlessAfterResponse {
+                    return write_without_end(&mut stream, b"", b"\0\x01\x02\x03");
+                }
                 if fault == AppFault::CloseAfterResponse {
                     return stream.shutdown(Shutdown::Both);
                 }
@@ -217,6 +234,15 @@
     Ok(())
 }
 
+/// Sends `first` and then `repeated` until the client closes the connection.
+fn write_without_end(stream: &mut TcpStream, first: &[u8], repeated: &[u8]) -> io::Result<()> {
+    stream.write_all(first)?;
+    let piece = repeated.repeat(1_024);
+    loop {
+        stream.write_all(&piece)?;
+    }
+}
+
 fn record_execution(shared: &Shared, request: &Request, id: &str) {
     shared.log.add(Execution {
         request_id: id.to_owned(),
