Keep an announced departure across a restart

Cause: a process that restarts within seconds of acknowledging a drain knew nothing of it. A report from before the drain that arrives late brought the server back: in a_drained_server_stays_out_of_ use_after_a_restart eight of 40 requests ran on it after the acknowledged drain.

Change: a departure is recorded in the store for a minute, with the server's incarnation; a process that is not of the fleet's first start reads the record before it believes a report that a server is ready. Cost: two calls a departure, one a restart. A process that is killed within the few milliseconds before the record is written, or that starts while the store is away, is not protected.

--- a/crates/fescuemux-core/src/placement/admission_controller.rs
+++ b/crates/fescuemux-core/src/placement/admission_controller.rs
@@ -120,7 +120,8 @@
     /// Marks the server `id` as gone and returns whether it is the current server. The departure of
     /// any other server is remembered with the wall-clock time `left_at_ms`, in milliseconds since
     /// 1970 like a server's incarnation: a process that has just started may learn that a server
-    /// left before a delayed report of that server arrives.
+    /// left before a delayed report of that server arrives. If the incarnation that left is known,
+    /// it is given instead of the time.
     pub fn on_server_left(&mut self, left_at_ms: u64, id: &str) -> bool {
         let Some(server) = self.server.as_mut().filter(|server| server.report.id == id) else {
             if self.departed.len() >= MAX_DEPARTED {
--- a/crates/fescuemux-sidecar/src/control.rs
+++ b/crates/fescuemux-sidecar/src/control.rs
@@ -4,6 +4,7 @@
 use crate::node::Node;
 use crate::serve::{SimpleResponse, text_response};
 use bytes::Bytes;
+use fescuemux_core::placement::ServerPhase;
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::Full;
 use tracing::{info, warn};
@@ -16,11 +17,22 @@
             warn!(event = "report_refused", server = %report.id, service = %report.service);
             text_response(StatusCode::BAD_REQUEST, "unknown service")
         }
+        // Until the record of departures is read, the report might be a late one of a server that
+        // left. The next report comes within a heartbeat.
+        Ok(ControlCall::Report(report))
+            if report.phase == ServerPhase::Ready && !node.departures_known.get() =>
+        {
+            info!(event = "report_deferred", server = %report.id);
+            ack_response(node)
+        }
         Ok(ControlCall::Report(report)) => {
             let (id, phase, incarnation) = (report.id.clone(), report.phase, report.incarnation);
             let changed = node.admission.borrow_mut().on_report(node.now(), report);
             if changed {
                 info!(event = "server_report", server = %id, phase = ?phase, incarnation);
+                if phase == ServerPhase::Draining {
+                    node.record_departure();
+                }
                 node.advance_admission();
             }
             ack_response(node)
@@ -28,6 +40,9 @@
         Ok(ControlCall::Leave(id)) => {
             let current = node.admission.borrow_mut().on_server_left(node.unix_millis(), &id);
             info!(event = "server_left", server = %id, current);
+            if current {
+                node.record_departure();
+            }
             node.advance_admission();
             ack_response(node)
         }
--- a/crates/fescuemux-sidecar/src/node.rs
+++ b/crates/fescuemux-sidecar/src/node.rs
@@ -4,6 +4,7 @@
 use crate::hop::HopPool;
 use crate::load_query::LoadQueries;
 use crate::metrics::Metrics;
+use crate::sync::Departure;
 use crate::{Dialect, FleetConfig, NodeSettings};
 use anyhow::Result;
 use fescuemux_core::base::{Clock, Cx, Generation, HashMap, Incarnation};
@@ -66,6 +67,12 @@
     pub(crate) mean_response_kb: RefCell<HashMap<u64, f64>>,
     /// Running times, by route, of attempts that got a response.
     pub(crate) running_times: RefCell<RunningTimes>,
+    /// Whether this process knows which server announced its departure to an earlier process.
+    pub(crate) departures_known: Cell<bool>,
+    /// Departure to record in the store next.
+    pub(crate) departure: RefCell<Option<Departure>>,
+    /// Wakes the task that records departures.
+    pub(crate) departure_notify: Notify,
     pub(crate) hop_pool: HopPool,
     pub(crate) load_queries: LoadQueries,
     /// True once shutdown has begun.
@@ -117,6 +124,9 @@
             traffic_splitter: RefCell::default(),
             mean_response_kb: RefCell::default(),
             running_times: RefCell::default(),
+            departures_known: Cell::new(settings.first_start),
+            departure: RefCell::default(),
+            departure_notify: Notify::new(),
             hop_pool: HopPool::default(),
             load_queries,
             stopping: watch::Sender::new(false),
@@ -216,6 +226,18 @@
         self.metrics.peers.set(directory.len() as i64);
     }
 
+    /// Records in the store that the current server announces its departure.
+    pub(crate) fn record_departure(&self) {
+        let departure = self.admission.borrow().server().map(|server| Departure {
+            server: server.report.id.to_string(),
+            incarnation: server.report.incarnation,
+        });
+        if departure.is_some() {
+            *self.departure.borrow_mut() = departure;
+            self.departure_notify.notify_one();
+        }
+    }
+
     /// Returns the wall-clock time in milliseconds since 1970.
     pub(crate) fn unix_millis(&self) -> Incarnation {
         unix_millis(&*self.clock)
--- a/crates/fescuemux-sidecar/src/run.rs
+++ b/crates/fescuemux-sidecar/src/run.rs
@@ -74,6 +74,10 @@
     });
     let list_store = store.clone();
     spawn_supervised("list_peers", &node, move |node| sync::list_peers(node, list_store.clone()));
+    let departure_store = store.clone();
+    spawn_supervised("departures", &node, move |node| {
+        sync::keep_departures(node, departure_store.clone())
+    });
     spawn_local(watch_settings(node.clone(), source, hangup));
     let registration = spawn_local(sync::register(node.clone(), store));
 
--- a/crates/fescuemux-sidecar/src/sync.rs
+++ b/crates/fescuemux-sidecar/src/sync.rs
@@ -2,11 +2,13 @@
 //! unavailable, directly between instances.
 
 mod configuration;
+mod departures;
 mod list_peers;
 mod pull;
 mod register;
 
 pub(crate) use configuration::watch_config;
+pub(crate) use departures::{Departure, keep_departures};
 pub(crate) use list_peers::list_peers;
 pub(crate) use pull::{gossip, pull};
 pub(crate) use register::register;
--- a/crates/fescuemux-standins/src/platform/app_server.rs
+++ b/crates/fescuemux-standins/src/platform/app_server.rs
@@ -92,6 +92,11 @@
         self.shared.hanging_requests.load(Ordering::SeqCst)
     }
 
+    /// Returns the start time that heartbeats state, in milliseconds since 1970.
+    pub fn started_ms(&self) -> u64 {
+        self.shared.started_ms as u64
+    }
+
     /// Reports the server as draining from the next heartbeat on, and waits for up to `timeout`
     /// until such a heartbeat is acknowledged. Returns whether one was acknowledged.
     pub fn drain(&self, timeout: Duration) -> bool {
