--- a/crates/fescuemux-sidecar/src/lib.rs
+++ b/crates/fescuemux-sidecar/src/lib.rs
@@ -30,7 +30,7 @@
 
 pub use dialect::{ControlCall, DecodeError, Dialect, HeaderNames};
 pub use fleet_config::{CallerLimits, FleetConfig};
-pub use logs::init as init_logs;
+pub use logs::{LogFlusher, init as init_logs};
 pub use run::run;
 pub use settings::{ListenAddresses, NodeSettings, SettingsSource};
 pub use store::{
