Apply deferred reports, let the slack grow after a restart, name the guards that refused

Change: the last deferred report is applied once the record is read. In its first window a process may use up to 0.6 of its part of the slack, growing from zero, and none before it has listed the instances. A refusal for want of a slot logs the guards of the last round with their reasons.

Test: fleet_retries.rs, now also with all instances restarting together, held the limit; an instance that used slack before its list passed it by 93 to 425 arrivals in four cases.

--- a/crates/fescuemux-core/src/placement/service_retry_budget.rs
+++ b/crates/fescuemux-core/src/placement/service_retry_budget.rs
@@ -37,6 +37,11 @@
 /// parent, so they may use most of the reserve.
 const NESTED_IN_RETRY_BUDGET_SHARE: f64 = 0.95;
 
+/// Share of its part of the slack that a new process may use at the end of its first window; it grows
+/// from zero. An earlier process of the instance may have used the whole part just before, but all
+/// instances seldom restart right after that.
+const FIRST_WINDOW_SLACK_SHARE: f64 = 0.6;
+
 /// Time for which the highest number of known instances divides the slack after the number fell.
 /// Instances that are only cut off from this one still use their parts.
 const INSTANCE_COUNT_MEMORY: Duration = Duration::from_secs(60);
@@ -49,15 +54,16 @@
     buckets: [(u32, u32); BUCKETS + 1],
     current_bucket: usize,
     bucket_start: Instant,
-    /// Time from which the instance may use its part of the slack.
+    /// Time from which the instance may use its whole part of the slack.
     slack_from: Instant,
-    /// Highest recent number of instances, and the time at which it was last known.
-    instance_count: (usize, Instant),
+    /// Highest recent number of instances, and the time at which it was last known. Without it, no
+    /// slack is used.
+    instance_count: Option<(usize, Instant)>,
 }
 
 impl ServiceRetryBudget {
     /// Returns a budget without any counts. An earlier process of the instance may have used its
-    /// part of the slack just before, so the new process uses none during its first window, unless
+    /// part of the slack just before, so the new process uses less during its first window, unless
     /// [`ServiceRetryBudget::allow_slack`] is called.
     pub fn new(now: Instant, limits: RetryLimits) -> ServiceRetryBudget {
         ServiceRetryBudget {
@@ -66,7 +72,7 @@
             current_bucket: 0,
             bucket_start: now,
             slack_from: now + limits.window,
-            instance_count: (1, now),
+            instance_count: None,
         }
     }
 
@@ -75,12 +81,15 @@
         self.slack_from = now;
     }
 
-    /// Sets the number of known instances of the service, between which the slack is divided.
+    /// Sets the number of known instances of the service, between which the slack is divided. It must
+    /// not be called before the instances have been listed.
     pub fn set_instance_count(&mut self, now: Instant, instance_count: usize) {
-        let (highest, known_at) = self.instance_count;
-        let is_forgotten = now.saturating_duration_since(known_at) > INSTANCE_COUNT_MEMORY;
-        if instance_count >= highest || is_forgotten {
-            self.instance_count = (instance_count.max(1), now);
+        let keeps_highest = self.instance_count.is_some_and(|(highest, known_at)| {
+            let age = now.saturating_duration_since(known_at);
+            instance_count < highest && age <= INSTANCE_COUNT_MEMORY
+        });
+        if !keeps_highest {
+            self.instance_count = Some((instance_count.max(1), now));
         }
     }
 
@@ -109,10 +118,16 @@
         self.advance(now);
         let first_attempts: u32 = self.buckets.iter().map(|bucket| bucket.0).sum();
         let retries: u32 = self.buckets.iter().map(|bucket| bucket.1).sum();
-        let slack_part = match now >= self.slack_from {
-            true => self.limits.slack / self.instance_count.0 as f64,
-            false => 0.0,
+        let usable_slack = match self.slack_from.checked_duration_since(now) {
+            Some(left) if !left.is_zero() => {
+                let elapsed_share = 1.0 - left.as_secs_f64() / self.limits.window.as_secs_f64();
+                FIRST_WINDOW_SLACK_SHARE * elapsed_share.max(0.0)
+            }
+            _ => 1.0,
         };
+        let slack_part = self
+            .instance_count
+            .map_or(0.0, |(count, _)| usable_slack * self.limits.slack / count as f64);
         let allowed = usable_share * (self.limits.ratio * f64::from(first_attempts) + slack_part);
         f64::from(retries) + pending as f64 + 1.0 <= allowed
     }
--- a/crates/fescuemux-core/tests/placement/budget.rs
+++ b/crates/fescuemux-core/tests/placement/budget.rs
@@ -126,6 +126,7 @@
     for case in cases {
         let start = Instant::now();
         let mut controller = controller_with_server(start);
+        controller.set_instance_count(start, 1);
         let now = start + LIMITS.window;
         let is_refused = |admission| {
             matches!(
--- a/crates/fescuemux-core/tests/placement/fleet_retries.rs
+++ b/crates/fescuemux-core/tests/placement/fleet_retries.rs
@@ -13,7 +13,7 @@
 /// Length of a step of the replay.
 const STEP: Duration = Duration::from_millis(10);
 
-/// Time until a fresh instance has read the list of all instances.
+/// Time until a fresh instance has read the list of all instances, and so may use slack.
 const LIST_DELAY: Duration = Duration::from_secs(3);
 
 /// Maximum number of servers that receive a request.
@@ -28,6 +28,8 @@
     nested: bool,
     /// Share of the instances that restart in each second.
     restarts_per_s: f64,
+    /// Whether all instances restart together in the middle of the replay.
+    restarts_together: bool,
     /// Share of the instances that an instance knows while its view is partial.
     partial_view: f64,
 }
@@ -39,6 +41,7 @@
     first: AttemptKind::First,
     nested: true,
     restarts_per_s: 0.0,
+    restarts_together: false,
     partial_view: 1.0,
 };
 
@@ -81,20 +84,18 @@
             requests.resize(requests.len() + count, now);
         }
         for this in &mut instances {
-            if cx.rng.random_bool(case.restarts_per_s * STEP.as_secs_f64()) {
+            let restarts = cx.rng.random_bool(case.restarts_per_s * STEP.as_secs_f64());
+            if restarts || (case.restarts_together && step == 2_000) {
                 *this = instance(now);
             }
             if step % 200 == 0 {
                 this.has_partial_view = cx.rng.random_bool(0.5);
             }
-            let is_listed = now.saturating_duration_since(this.started_at) >= LIST_DELAY;
-            let known_share = match (is_listed, this.has_partial_view) {
-                (false, _) => 0.0,
-                (true, true) => case.partial_view,
-                (true, false) => 1.0,
-            };
-            let known = (case.instance_count as f64 * known_share) as usize;
-            this.controller.set_instance_count(now, known);
+            if now.saturating_duration_since(this.started_at) >= LIST_DELAY {
+                let known_share = if this.has_partial_view { case.partial_view } else { 1.0 };
+                let known = (case.instance_count as f64 * known_share) as usize;
+                this.controller.set_instance_count(now, known);
+            }
         }
         let (due, later): (VecDeque<_>, VecDeque<_>) =
             arrivals.into_iter().partition(|arrival| arrival.at <= now);
@@ -149,6 +150,7 @@
         Case { name: "24, nested in retries", first: AttemptKind::NestedInRetry, ..CALM },
         Case { name: "24, partial views", partial_view: 0.34, ..CALM },
         Case { name: "24, restarts", restarts_per_s: 0.2, requests_per_s: 1.0, ..CALM },
+        Case { name: "24, all restart", restarts_together: true, ..CALM },
         Case {
             name: "108, partial views and restarts",
             instance_count: 108,
--- a/crates/fescuemux-sidecar/src/control.rs
+++ b/crates/fescuemux-sidecar/src/control.rs
@@ -4,7 +4,7 @@
 use crate::node::Node;
 use crate::serve::{SimpleResponse, text_response};
 use bytes::Bytes;
-use fescuemux_core::placement::ServerPhase;
+use fescuemux_core::placement::{ServerPhase, ServerReport};
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::Full;
 use tracing::{info, warn};
@@ -18,23 +18,16 @@
             text_response(StatusCode::BAD_REQUEST, "unknown service")
         }
         // Until the record of departures is read, the report might be a late one of a server that
-        // left. The next report comes within a heartbeat.
+        // left.
         Ok(ControlCall::Report(report))
             if report.phase == ServerPhase::Ready && !node.departures_known.get() =>
         {
             info!(event = "report_deferred", server = %report.id);
+            *node.deferred_report.borrow_mut() = Some(report);
             ack_response(node)
         }
         Ok(ControlCall::Report(report)) => {
-            let (id, phase, incarnation) = (report.id.clone(), report.phase, report.incarnation);
-            let changed = node.admission.borrow_mut().on_report(node.now(), report);
-            if changed {
-                info!(event = "server_report", server = %id, phase = ?phase, incarnation);
-                if phase == ServerPhase::Draining {
-                    node.record_departure();
-                }
-                node.advance_admission();
-            }
+            apply_report(node, report);
             ack_response(node)
         }
         Ok(ControlCall::Leave(id)) => {
@@ -53,6 +46,19 @@
     }
 }
 
+/// Applies a report of the local backend server.
+pub(crate) fn apply_report(node: &Node, report: ServerReport) {
+    let (id, phase, incarnation) = (report.id.clone(), report.phase, report.incarnation);
+    let changed = node.admission.borrow_mut().on_report(node.now(), report);
+    if changed {
+        info!(event = "server_report", server = %id, phase = ?phase, incarnation);
+        if phase == ServerPhase::Draining {
+            node.record_departure();
+        }
+        node.advance_admission();
+    }
+}
+
 /// Returns whether a service is configured, or there is no configuration yet. A report with an
 /// unknown service does not come from a server of the fleet, and must not replace the known server.
 fn may_be_configured(node: &Node, service: &str) -> bool {
--- a/crates/fescuemux-sidecar/src/guard.rs
+++ b/crates/fescuemux-sidecar/src/guard.rs
@@ -160,9 +160,11 @@
 pub(crate) async fn tick(node: Rc<Node>) {
     loop {
         tokio::time::sleep(TICK_INTERVAL).await;
-        let instance_count =
-            node.directory.borrow().instance_count(&node.settings.borrow().service);
-        node.admission.borrow_mut().set_instance_count(node.now(), instance_count);
+        if node.listed_at.get().is_some() {
+            let instance_count =
+                node.directory.borrow().instance_count(&node.settings.borrow().service);
+            node.admission.borrow_mut().set_instance_count(node.now(), instance_count);
+        }
         server_connections::close_unusable(&node);
         let active_requests = {
             let admission = node.admission.borrow();
--- a/crates/fescuemux-sidecar/src/ingress/reservation.rs
+++ b/crates/fescuemux-sidecar/src/ingress/reservation.rs
@@ -70,6 +70,8 @@
     let mut refusal =
         Refusal { reason: SlotRefusalReason::NoServer, retry_in: DEFAULT_RETRY_AFTER };
     let mut rounds = 0;
+    // Guards that refused in the current round, with their reasons.
+    let mut refused_by: Vec<(InstanceId, &'static str)> = Vec::new();
     loop {
         if might_outlast_process(node, request) {
             let reason = SlotRefusalReason::Stopping;
@@ -92,6 +94,7 @@
                 }
                 ReserveReply::Refused(other) => {
                     refusal = more_informative(refusal, other);
+                    refused_by.push((load_reply.peer.id.clone(), other.reason.as_str()));
                     skipped.push(load_reply.peer.id);
                 }
                 ReserveReply::NoReply => skipped.push(load_reply.peer.id),
@@ -100,8 +103,10 @@
         let Some(reservation) = &mut queued_reservation else {
             rounds += 1;
             if rounds >= MAX_ROUNDS && !should_keep_looking(node, request, &refusal, may_wait) {
+                log_unplaced(request, &refusal, rounds, &refused_by);
                 return Err(refusal);
             }
+            refused_by.clear();
             skipped.clear();
             tokio::time::sleep(ROUND_PAUSE).await;
             continue;
@@ -124,6 +129,23 @@
     }
 }
 
+/// Logs which guards refused a request in the last round, and why.
+fn log_unplaced(
+    request: &CallerRequest,
+    refusal: &Refusal,
+    rounds: usize,
+    refused_by: &[(InstanceId, &'static str)],
+) {
+    let guards: Vec<_> = refused_by.iter().map(|(id, reason)| format!("{id}:{reason}")).collect();
+    tracing::info!(
+        event = "unplaced",
+        request = request.request_id,
+        reason = refusal.reason.as_str(),
+        rounds,
+        guards = guards.join(" "),
+    );
+}
+
 /// Returns whether the process is stopping and a request sent now might still run when the process
 /// exits, or a later refusal might not reach the caller. About one request in twenty runs longer
 /// than assumed here.
--- a/crates/fescuemux-sidecar/src/node.rs
+++ b/crates/fescuemux-sidecar/src/node.rs
@@ -10,7 +10,7 @@
 use fescuemux_core::base::{Clock, Cx, Generation, HashMap, Incarnation};
 use fescuemux_core::placement::{
     Admission, AdmissionController, ConfigFreshness, ConfigRole, FailedRequests, Peer,
-    PeerDirectory, RunningTimes, ShutdownDeadlines, Ticket, TrafficSplitter,
+    PeerDirectory, RunningTimes, ServerReport, ShutdownDeadlines, Ticket, TrafficSplitter,
 };
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -69,6 +69,8 @@
     pub(crate) running_times: RefCell<RunningTimes>,
     /// Whether this process knows which server announced its departure to an earlier process.
     pub(crate) departures_known: Cell<bool>,
+    /// Last report that came before [`Node::departures_known`].
+    pub(crate) deferred_report: RefCell<Option<ServerReport>>,
     /// Departure to record in the store next.
     pub(crate) departure: RefCell<Option<Departure>>,
     /// Wakes the task that records departures.
@@ -125,6 +127,7 @@
             mean_response_kb: RefCell::default(),
             running_times: RefCell::default(),
             departures_known: Cell::new(settings.first_start),
+            deferred_report: RefCell::default(),
             departure: RefCell::default(),
             departure_notify: Notify::new(),
             hop_pool: HopPool::default(),
--- a/crates/fescuemux-sidecar/src/sync/departures.rs
+++ b/crates/fescuemux-sidecar/src/sync/departures.rs
@@ -1,6 +1,7 @@
 //! Record in the store of the backend server that announced its departure to this instance. A new
 //! process of the instance reads it, so that a delayed report does not bring the server back.
 
+use crate::control::apply_report;
 use crate::node::Node;
 use crate::{MetadataStore, StoreError};
 use fescuemux_core::base::Incarnation;
@@ -40,6 +41,10 @@
             Err(e) => warn!(event = "departures_unknown", error = %e),
         }
         node.departures_known.set(true);
+        let deferred_report = node.deferred_report.borrow_mut().take();
+        if let Some(report) = deferred_report {
+            apply_report(&node, report);
+        }
     }
     loop {
         node.departure_notify.notified().await;
