--- a/crates/fescuemux-core/src/placement/rank.rs
+++ b/crates/fescuemux-core/src/placement/rank.rs
@@ -8,9 +8,8 @@
 pub struct PlacementCost {
     /// Cost of a server in another failure domain.
     pub cross_domain: Duration,
-    /// Cost of each kilobyte that crosses failure domains. At the users' prices, a request and its
-    /// answer of 10 KB lose a twentieth of their worth when they cross. A wait of 300 ms costs as
-    /// much: it makes about one request in twenty miss its objective.
+    /// Cost of each kilobyte that crosses failure domains. The users pay for these bytes, and a wait
+    /// that leaves time to meet the objective costs a caller little.
     pub cross_domain_per_kb: Duration,
     /// Share of the running time that full utilization adds; servers slow down as they fill.
     pub utilization: f64,
