Read the store when a newer configuration cannot be pulled

An instance that hears of a newer version over a link that is cut the other way cannot pull it, and each attempt takes up to 800 ms; only the age of the last confirmation, 1.2 s for standbys and 5 s or more for others, made it read the store.

Change: an instance that has known of a newer version for 400 ms reads the store itself.

Test: config_spread::an_outdated_instance_reads_the_store.

--- a/crates/fescuemux-core/src/placement/config_readers.rs
+++ b/crates/fescuemux-core/src/placement/config_readers.rs
@@ -18,6 +18,10 @@
 /// domains that are in contact have failed by then.
 const FOLLOWER_READS_AFTER: Duration = Duration::from_secs(5);
 
+/// Time from which an instance reads the store after it heard of a newer version that it could not
+/// get from the instance that has it, for example because a link is cut one way.
+const NEWER_VERSION_READS_AFTER: Duration = Duration::from_millis(400);
+
 /// Part of an instance in reading the configuration for its failure domain.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConfigRole {
@@ -55,6 +59,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct ConfigFreshness {
     confirmed_at: Option<Instant>,
+    /// Time since which another instance is known to have a newer version.
+    outdated_since: Option<Instant>,
     follower_reads_after: Duration,
 }
 
@@ -63,7 +69,7 @@
     /// times at which followers turn to the store.
     pub fn new(jitter: f64) -> ConfigFreshness {
         let follower_reads_after = FOLLOWER_READS_AFTER.mul_f64(1.0 + jitter.clamp(0.0, 1.0) / 2.0);
-        ConfigFreshness { confirmed_at: None, follower_reads_after }
+        ConfigFreshness { confirmed_at: None, outdated_since: None, follower_reads_after }
     }
 
     /// Records an answer of the store, or the report of an instance of the same version whose own
@@ -72,6 +78,16 @@
         self.confirmed_at = self.confirmed_at.max(now.checked_sub(age));
     }
 
+    /// Records that another instance has a newer version.
+    pub fn on_newer_version(&mut self, now: Instant) {
+        self.outdated_since.get_or_insert(now);
+    }
+
+    /// Records that a newer version was installed, or that the store has none.
+    pub fn on_up_to_date(&mut self) {
+        self.outdated_since = None;
+    }
+
     /// Returns the age of the last confirmation, or `None` without one.
     pub fn age(&self, now: Instant) -> Option<Duration> {
         self.confirmed_at.map(|at| now.saturating_duration_since(at))
@@ -79,6 +95,9 @@
 
     /// Returns whether an instance with this role must read the store now.
     pub fn must_read(&self, now: Instant, role: ConfigRole) -> bool {
+        let is_outdated = self
+            .outdated_since
+            .is_some_and(|since| now.saturating_duration_since(since) > NEWER_VERSION_READS_AFTER);
         let max_age = match role {
             ConfigRole::Reader => return true,
             ConfigRole::Standby(rank) => {
@@ -86,6 +105,6 @@
             }
             ConfigRole::Follower => self.follower_reads_after,
         };
-        self.age(now).is_none_or(|age| age > max_age)
+        is_outdated || self.age(now).is_none_or(|age| age > max_age)
     }
 }
--- a/crates/fescuemux-core/tests/placement/config_spread.rs
+++ b/crates/fescuemux-core/tests/placement/config_spread.rs
@@ -243,3 +243,36 @@
         }
     }
 }
+
+/// An instance that hears of a newer version over a link that is cut the other way cannot pull it.
+/// It must read the store soon instead of trying until others reach it.
+#[test]
+fn an_outdated_instance_reads_the_store() {
+    struct Case {
+        name: &'static str,
+        newer_for_ms: Option<u64>,
+        installed: bool,
+        must_read: bool,
+    }
+    let cases = [
+        Case { name: "current", newer_for_ms: None, installed: false, must_read: false },
+        Case { name: "pulls first", newer_for_ms: Some(300), installed: false, must_read: false },
+        Case { name: "pulls fail", newer_for_ms: Some(500), installed: false, must_read: true },
+        Case { name: "installed", newer_for_ms: Some(500), installed: true, must_read: false },
+    ];
+    for case in cases {
+        let now = Instant::now() + APPLY;
+        let mut freshness = ConfigFreshness::new(0.5);
+        freshness.confirm(now, Duration::ZERO);
+        if let Some(age) = case.newer_for_ms {
+            freshness.on_newer_version(now - Duration::from_millis(age));
+            freshness.on_newer_version(now);
+        }
+        if case.installed {
+            freshness.on_up_to_date();
+        }
+        for role in [ConfigRole::Standby(1), ConfigRole::Follower] {
+            assert_eq!(freshness.must_read(now, role), case.must_read, "{}", case.name);
+        }
+    }
+}
--- a/crates/fescuemux-sidecar/src/node.rs
+++ b/crates/fescuemux-sidecar/src/node.rs
@@ -199,6 +199,7 @@
         // Drop the state of removed routes, as hundreds may be added and removed in a day.
         self.traffic_splitter.borrow_mut().retain(|id| config.routes.contains(id));
         *self.config.borrow_mut() = Some(Rc::new(config));
+        self.config_freshness.borrow_mut().on_up_to_date();
         self.config_notify.notify_one();
     }
 
@@ -207,6 +208,7 @@
     pub(crate) fn on_peer_config(&self, addr: SocketAddr, version: Generation, age: Duration) {
         let installed_version = self.config_version();
         if version > installed_version {
+            self.config_freshness.borrow_mut().on_newer_version(self.now());
             self.request_pull(addr);
         } else if version == installed_version {
             self.config_freshness.borrow_mut().confirm(self.now(), age);
--- a/crates/fescuemux-sidecar/src/sync/configuration.rs
+++ b/crates/fescuemux-sidecar/src/sync/configuration.rs
@@ -117,7 +117,9 @@
 }
 
 fn confirm(node: &Node) {
-    node.config_freshness.borrow_mut().confirm(node.now(), Duration::ZERO);
+    let mut freshness = node.config_freshness.borrow_mut();
+    freshness.confirm(node.now(), Duration::ZERO);
+    freshness.on_up_to_date();
 }
 
 fn apply_entry(node: &Node, entry: &Entry) {
