Log the role in reading the configuration and late confirmations

With the metric fescuemux_config_age_milliseconds, this tells a wrong age from a wrong role or a task that is stuck.

--- a/crates/fescuemux-sidecar/src/control.rs
+++ b/crates/fescuemux-sidecar/src/control.rs
@@ -84,6 +84,8 @@
 
 /// Responds with all metrics.
 pub(crate) fn handle_metrics(node: &Node, _: &Request<()>, _: &[u8]) -> SimpleResponse {
+    let age_ms = node.config_age().map_or(i64::MAX, |age| age.as_millis() as i64);
+    node.metrics.config_age_ms.set(age_ms);
     match node.metrics.encode_text() {
         Ok(buf) => Response::new(Full::new(Bytes::from(buf))),
         Err(e) => {
--- a/crates/fescuemux-sidecar/src/load_query.rs
+++ b/crates/fescuemux-sidecar/src/load_query.rs
@@ -269,8 +269,7 @@
 
 /// Returns the age of the confirmation of the own configuration, in milliseconds.
 fn config_age_ms(node: &Node) -> u32 {
-    let age = node.config_freshness.borrow().age(node.now());
-    age.map_or(u32::MAX, |age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX))
+    node.config_age().map_or(u32::MAX, |age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX))
 }
 
 fn from_millis(ms: u32) -> Duration {
--- a/crates/fescuemux-sidecar/src/metrics.rs
+++ b/crates/fescuemux-sidecar/src/metrics.rs
@@ -22,6 +22,8 @@
     store_calls: IntCounterVec,
     /// Version of the current configuration.
     pub(crate) config_version: IntGauge,
+    /// Age of the confirmation that the configuration is the latest, in milliseconds.
+    pub(crate) config_age_ms: IntGauge,
     /// Number of known instances.
     pub(crate) peers: IntGauge,
     /// Number of requests from callers in flight.
@@ -77,6 +79,10 @@
                 &["call", "result"],
             )?,
             config_version: register_gauge("fescuemux_config_version", "Configuration in force")?,
+            config_age_ms: register_gauge(
+                "fescuemux_config_age_milliseconds",
+                "Age of the confirmation that the configuration is the latest",
+            )?,
             peers: register_gauge("fescuemux_peers", "Instances known")?,
             in_flight: register_gauge(
                 "fescuemux_requests_in_flight",
--- a/crates/fescuemux-sidecar/src/node.rs
+++ b/crates/fescuemux-sidecar/src/node.rs
@@ -215,6 +215,12 @@
         }
     }
 
+    /// Returns the age of the confirmation that the configuration is the latest, or `None` without
+    /// one.
+    pub(crate) fn config_age(&self) -> Option<Duration> {
+        self.config_freshness.borrow().age(self.now())
+    }
+
     /// Returns the role of this instance in reading the configuration for its failure domain.
     pub(crate) fn config_role(&self) -> ConfigRole {
         let settings = self.settings.borrow();
--- a/crates/fescuemux-sidecar/src/sync/configuration.rs
+++ b/crates/fescuemux-sidecar/src/sync/configuration.rs
@@ -25,11 +25,17 @@
 /// and standbys retry sooner, and pass on what they read.
 const FOLLOWER_RETRY_PAUSE: Duration = Duration::from_secs(4);
 
+/// Age of the confirmation from which it is logged as late. The reader's watch and a standby's
+/// queries confirm the configuration more often.
+const LATE_AGE: Duration = Duration::from_millis(1_100);
+
 /// Reads the configuration, and keeps it current from the store while this instance is a reader or
 /// no instance has confirmed it for a while. Runs until the process ends.
 pub(crate) async fn watch_config<S: MetadataStore>(node: Rc<Node>, store: Rc<S>) {
     let key = node.dialect.config_key();
+    let mut observer = RoleObserver::default();
     loop {
+        observer.observe(&node);
         let read = store.get(key).await;
         node.metrics.record_store_call("get", read.is_ok());
         match read {
@@ -52,7 +58,31 @@
         while !must_read(&node) {
             tokio::time::sleep(ROLE_CHECK_INTERVAL).await;
             query_reader(&node).await;
+            observer.observe(&node);
+        }
+    }
+}
+
+/// Logs changes of this instance's role, and confirmations that become late.
+#[derive(Debug, Default)]
+struct RoleObserver {
+    role: Option<ConfigRole>,
+    is_late: bool,
+}
+
+impl RoleObserver {
+    fn observe(&mut self, node: &Node) {
+        let role = node.config_role();
+        let age = node.config_age().unwrap_or(Duration::MAX);
+        let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+        if self.role.replace(role) != Some(role) {
+            info!(event = "config_role", role = ?role, age_ms);
+        }
+        let is_late = age > LATE_AGE;
+        if is_late && !self.is_late {
+            info!(event = "confirmation_late", role = ?role, age_ms);
         }
+        self.is_late = is_late;
     }
 }
 
