Count the time in transit in the age of a configuration

Version 10 was acknowledged at 13.04 s, and no instance read it before 20.7 s.

Cause: a confirmation that looks younger each time it is passed on. Load queries and replies carry the age of the last confirmation in whole milliseconds, rounded down, and the receiver counted it from the arrival. Neither the time in transit nor the time in the queue of a slow or frozen process was counted, the youngest age won, and the fleet exchanges thousands of such messages a second. While the store did not answer the readers, the age grew by 1.1 s in 7.7 s, so that no standby (1.2 s) and no follower (5 s) turned to the store. The class: a relative time that is passed on without the delay of the message.

An age now counts from before the question: a reply from when its query was sent, a read of the store from the call, an empty watch from the end of its wait. Queries do not carry it any more, because their receiver cannot bound their delay. Ages are rounded up. So no instance can believe an age below the time since the store's answer. After a change the reader's next watch is short, so that the standbys need not read the new version too.

Test: placement::confirmation_age. The virtual-time test of the spread passed before because its messages took no time.

--- a/crates/fescuemux-core/src/placement.rs
+++ b/crates/fescuemux-core/src/placement.rs
@@ -30,7 +30,7 @@
 mod waiting;
 
 pub use admission_controller::{AdmissionController, Ticket};
-pub use config_readers::{ConfigFreshness, ConfigRole, config_role};
+pub use config_readers::{ConfigFreshness, ConfigRole, ReportedAge, config_role};
 pub use failed_requests::{FailedRequests, is_nested_request_of};
 pub use fault_estimator::{Evidence, FaultEstimator, InFlightRequest};
 pub use load_report::{LoadReport, Readiness};
--- a/crates/fescuemux-core/src/placement/config_readers.rs
+++ b/crates/fescuemux-core/src/placement/config_readers.rs
@@ -22,6 +22,15 @@
 /// get from the instance that has it, for example because a link is cut one way.
 const NEWER_VERSION_READS_AFTER: Duration = Duration::from_millis(400);
 
+/// Age of a confirmation, as an instance reports it to others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReportedAge {
+    /// Milliseconds, rounded up.
+    Millis(u32),
+    /// There was no confirmation.
+    Unconfirmed,
+}
+
 /// Part of an instance in reading the configuration for its failure domain.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConfigRole {
@@ -55,7 +64,9 @@
 /// Age of the knowledge that the configuration of this instance is the latest.
 ///
 /// Readers confirm it at each answer of the store, and instances pass the age on with their version.
-/// When the readers fail, the age grows until other instances read the store themselves.
+/// When the readers fail, the age grows until other instances read the store themselves. No age is
+/// ever below the time since the store's answer, however often and slowly it is passed on: each
+/// receiver counts it from before it asked.
 #[derive(Clone, Copy, Debug)]
 pub struct ConfigFreshness {
     confirmed_at: Option<Instant>,
@@ -72,10 +83,17 @@
         ConfigFreshness { confirmed_at: None, outdated_since: None, follower_reads_after }
     }
 
-    /// Records an answer of the store, or the report of an instance of the same version whose own
-    /// confirmation has this age.
-    pub fn confirm(&mut self, now: Instant, age: Duration) {
-        self.confirmed_at = self.confirmed_at.max(now.checked_sub(age));
+    /// Records an answer of the store that shows its state at the time `as_of` or later.
+    pub fn confirm(&mut self, as_of: Instant) {
+        self.confirmed_at = self.confirmed_at.max(Some(as_of));
+    }
+
+    /// Records that an instance replied to a query sent at `query_sent_at`: it has the same version,
+    /// and its own confirmation has the age `reported`.
+    pub fn confirm_by_reply(&mut self, query_sent_at: Instant, reported: ReportedAge) {
+        let ReportedAge::Millis(ms) = reported else { return };
+        let as_of = query_sent_at.checked_sub(Duration::from_millis(u64::from(ms)));
+        self.confirmed_at = self.confirmed_at.max(as_of);
     }
 
     /// Records that another instance has a newer version.
@@ -93,6 +111,15 @@
         self.confirmed_at.map(|at| now.saturating_duration_since(at))
     }
 
+    /// Returns the age of the last confirmation as other instances are told.
+    pub fn reported_age(&self, now: Instant) -> ReportedAge {
+        let millis = self.age(now).map(|age| age.as_nanos().div_ceil(1_000_000));
+        match millis.map(u32::try_from) {
+            Some(Ok(ms)) => ReportedAge::Millis(ms),
+            Some(Err(_)) | None => ReportedAge::Unconfirmed,
+        }
+    }
+
     /// Returns whether an instance with this role must read the store now.
     pub fn must_read(&self, now: Instant, role: ConfigRole) -> bool {
         let is_outdated = self
--- a/crates/fescuemux-core/tests/placement/config_spread.rs
+++ b/crates/fescuemux-core/tests/placement/config_spread.rs
@@ -20,6 +20,8 @@
 const GOSSIP_STEPS: u32 = 70;
 /// Steps from a message to the installation of the version that it announced.
 const PULL_STEPS: u32 = 5;
+/// Time between a query and the arrival of its reply.
+const TRANSIT: Duration = Duration::from_millis(4);
 /// Random instances that are told of a new version at once.
 const ANNOUNCED_PEERS: usize = 4;
 
@@ -74,7 +76,7 @@
                 }
             }
             let mut freshness = ConfigFreshness::new(cx.rng.random());
-            freshness.confirm(start, Duration::ZERO);
+            freshness.confirm(start);
             Node {
                 id: own.id.to_string(),
                 domain: own.domain.to_string(),
@@ -97,7 +99,8 @@
         node.directory.config_role(&node.id, &node.domain)
     }
 
-    /// A query and its reply: both sides learn the version and the age of the other.
+    /// A query and its reply: both sides learn the version of the other, and the sender the age. The
+    /// time in transit counts as age.
     fn contact(&mut self, step: u32, from: usize, to: usize) {
         let now = self.start + STEP * step;
         if self.nodes[to].dead {
@@ -108,14 +111,12 @@
         self.nodes[from].directory.on_response(now, &to_id);
         for (learner, other) in [(from, to), (to, from)] {
             let (other_has, age) =
-                (self.nodes[other].has_change, self.nodes[other].freshness.age(now));
+                (self.nodes[other].has_change, self.nodes[other].freshness.reported_age(now));
             let node = &mut self.nodes[learner];
             if other_has && !node.has_change {
                 node.installs_at.get_or_insert(step + PULL_STEPS);
-            } else if other_has == node.has_change
-                && let Some(age) = age
-            {
-                node.freshness.confirm(now, age);
+            } else if other_has == node.has_change && learner == from {
+                node.freshness.confirm_by_reply(now - TRANSIT, age);
             }
         }
     }
@@ -147,7 +148,7 @@
             };
             if reads && !node.refused {
                 node.reads += 1;
-                node.freshness.confirm(now, Duration::ZERO);
+                node.freshness.confirm(now);
                 if self.changed && !node.has_change {
                     node.installs_at.get_or_insert(step);
                 }
@@ -263,7 +264,7 @@
     for case in cases {
         let now = Instant::now() + APPLY;
         let mut freshness = ConfigFreshness::new(0.5);
-        freshness.confirm(now, Duration::ZERO);
+        freshness.confirm(now);
         if let Some(age) = case.newer_for_ms {
             freshness.on_newer_version(now - Duration::from_millis(age));
             freshness.on_newer_version(now);
--- a/crates/fescuemux-core/tests/placement/main.rs
+++ b/crates/fescuemux-core/tests/placement/main.rs
@@ -3,6 +3,7 @@
 mod admission_controller;
 mod budget;
 mod config_spread;
+mod confirmation_age;
 mod directory;
 mod exhaustive;
 mod fault_estimator;
--- a/crates/fescuemux-sidecar/src/load_query.rs
+++ b/crates/fescuemux-sidecar/src/load_query.rs
@@ -5,7 +5,7 @@
 
 use crate::node::Node;
 use fescuemux_core::base::HashMap;
-use fescuemux_core::placement::{LoadReport, Peer, Precedence, Readiness};
+use fescuemux_core::placement::{LoadReport, Peer, Precedence, Readiness, ReportedAge};
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -37,7 +37,6 @@
         /// Id of the instance that sent the query.
         from: String,
         config_version: u64,
-        config_age_ms: u32,
         precedence: PrecedenceRecord,
         #[serde(rename = "route")]
         route_hash: u64,
@@ -50,12 +49,37 @@
         /// Id of the instance that replies.
         from: String,
         config_version: u64,
-        config_age_ms: u32,
+        config_age: ReportedAgeRecord,
         #[serde(rename = "quote")]
         load_report: LoadReportRecord,
     },
 }
 
+/// Encoded [`ReportedAge`].
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+enum ReportedAgeRecord {
+    Millis(u32),
+    Unconfirmed,
+}
+
+impl From<ReportedAge> for ReportedAgeRecord {
+    fn from(age: ReportedAge) -> ReportedAgeRecord {
+        match age {
+            ReportedAge::Millis(ms) => ReportedAgeRecord::Millis(ms),
+            ReportedAge::Unconfirmed => ReportedAgeRecord::Unconfirmed,
+        }
+    }
+}
+
+impl From<ReportedAgeRecord> for ReportedAge {
+    fn from(record: ReportedAgeRecord) -> ReportedAge {
+        match record {
+            ReportedAgeRecord::Millis(ms) => ReportedAge::Millis(ms),
+            ReportedAgeRecord::Unconfirmed => ReportedAge::Unconfirmed,
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 struct PrecedenceRecord {
     #[serde(rename = "of_caller")]
@@ -173,7 +197,14 @@
 pub(crate) struct LoadQueries {
     socket: UdpSocket,
     next_seq: Cell<u64>,
-    pending: RefCell<HashMap<u64, flume::Sender<(u64, LoadReport)>>>,
+    pending: RefCell<HashMap<u64, PendingQuery>>,
+}
+
+/// Query whose reply has not arrived.
+#[derive(Debug)]
+struct PendingQuery {
+    sent_at: std::time::Instant,
+    reply_tx: flume::Sender<(u64, LoadReport)>,
 }
 
 impl LoadQueries {
@@ -201,7 +232,8 @@
         .map(|peer| {
             let seq = node.load_queries.next_seq.get() + 1;
             node.load_queries.next_seq.set(seq);
-            node.load_queries.pending.borrow_mut().insert(seq, tx.clone());
+            let pending = PendingQuery { sent_at: node.now(), reply_tx: tx.clone() };
+            node.load_queries.pending.borrow_mut().insert(seq, pending);
             send_query(node, &peer, seq, query);
             (seq, peer)
         })
@@ -251,7 +283,6 @@
         to: peer.id.to_string(),
         from: node.settings.borrow().instance.to_string(),
         config_version: node.config_version(),
-        config_age_ms: config_age_ms(node),
         precedence: query.precedence.into(),
         route_hash: query.route_hash,
         expected_running_ms: query.expected_running_time.as_millis() as u32,
@@ -267,15 +298,6 @@
     }
 }
 
-/// Returns the age of the confirmation of the own configuration, in milliseconds.
-fn config_age_ms(node: &Node) -> u32 {
-    node.config_age().map_or(u32::MAX, |age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX))
-}
-
-fn from_millis(ms: u32) -> Duration {
-    Duration::from_millis(u64::from(ms))
-}
-
 /// Responds to load queries, and passes replies to the tasks that wait for them. Runs until the
 /// process ends.
 pub(crate) async fn serve(node: Rc<Node>) {
@@ -303,7 +325,6 @@
             to,
             from,
             config_version,
-            config_age_ms,
             precedence,
             route_hash,
             expected_running_ms,
@@ -324,23 +345,27 @@
                 seq,
                 from: own_id.to_string(),
                 config_version: node.config_version(),
-                config_age_ms: self::config_age_ms(node),
+                config_age: node.config_freshness.borrow().reported_age(node.now()).into(),
                 load_report: load_report.into(),
             };
             send(node, addr, &reply);
-            node.on_peer_config(addr, config_version, from_millis(config_age_ms));
+            node.on_peer_version(addr, config_version);
             let sender_unknown = node.directory.borrow().get(&from).is_none();
             if sender_unknown {
                 node.request_pull(addr);
             }
         }
-        Datagram::Offer { seq, from, config_version, config_age_ms, load_report } => {
+        Datagram::Offer { seq, from, config_version, config_age, load_report } => {
             node.directory.borrow_mut().on_response(node.now(), &from);
-            node.on_peer_config(addr, config_version, from_millis(config_age_ms));
-            let reply_tx = node.load_queries.pending.borrow_mut().remove(&seq);
-            if let Some(reply_tx) = reply_tx {
+            node.on_peer_version(addr, config_version);
+            let query = node.load_queries.pending.borrow_mut().remove(&seq);
+            if let Some(query) = query {
+                if config_version == node.config_version() {
+                    let mut freshness = node.config_freshness.borrow_mut();
+                    freshness.confirm_by_reply(query.sent_at, config_age.into());
+                }
                 // The send fails if the task that sent the query no longer waits.
-                let _ = reply_tx.try_send((seq, load_report.into()));
+                let _ = query.reply_tx.try_send((seq, load_report.into()));
             }
         }
     }
--- a/crates/fescuemux-sidecar/src/node.rs
+++ b/crates/fescuemux-sidecar/src/node.rs
@@ -203,15 +203,12 @@
         self.config_notify.notify_one();
     }
 
-    /// Records that another instance has the configuration `version`, confirmed `age` ago, and
-    /// requests a pull from `addr` if that version is newer.
-    pub(crate) fn on_peer_config(&self, addr: SocketAddr, version: Generation, age: Duration) {
-        let installed_version = self.config_version();
-        if version > installed_version {
+    /// Records that another instance has the configuration `version`, and requests a pull from `addr`
+    /// if that version is newer.
+    pub(crate) fn on_peer_version(&self, addr: SocketAddr, version: Generation) {
+        if version > self.config_version() {
             self.config_freshness.borrow_mut().on_newer_version(self.now());
             self.request_pull(addr);
-        } else if version == installed_version {
-            self.config_freshness.borrow_mut().confirm(self.now(), age);
         }
     }
 
--- a/crates/fescuemux-sidecar/src/sync/configuration.rs
+++ b/crates/fescuemux-sidecar/src/sync/configuration.rs
@@ -6,13 +6,17 @@
 use crate::{Change, Entry, MetadataStore, Revision};
 use fescuemux_core::placement::ConfigRole;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tracing::{info, warn};
 
 /// Time for which a reader's watch waits for a change. Each answer confirms that the configuration
 /// is the latest; without confirmations, the other instances turn to the store themselves.
 const WATCH_WAIT: Duration = Duration::from_millis(750);
 
+/// Time for which a reader's watch waits after a change, so that the new version is soon confirmed
+/// and standbys need not read it too.
+const WATCH_WAIT_AFTER_CHANGE: Duration = Duration::from_millis(100);
+
 /// Interval at which an instance checks whether it must read, and at which a standby queries its
 /// reader.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
@@ -36,6 +40,7 @@
     let mut observer = RoleObserver::default();
     loop {
         observer.observe(&node);
+        let called_at = node.now();
         let read = store.get(key).await;
         node.metrics.record_store_call("get", read.is_ok());
         match read {
@@ -43,7 +48,7 @@
                 if let Some(entry) = entry {
                     apply_entry(&node, &entry);
                 }
-                confirm(&node);
+                confirm(&node, called_at);
                 watch_while_reader(&node, &*store, key, revision).await;
             }
             Err(e) => {
@@ -98,19 +103,28 @@
     {
         tokio::time::sleep(ROLE_CHECK_INTERVAL).await;
     }
+    let mut wait = WATCH_WAIT;
     while node.config_role() == ConfigRole::Reader {
-        let watched = store.watch(key, after, WATCH_WAIT).await;
+        let called_at = node.now();
+        let watched = store.watch(key, after, wait).await;
         node.metrics.record_store_call("watch", watched.is_ok());
         match watched {
             Ok(response) => {
                 after = response.revision;
+                // The store holds an answer without a change back for the whole wait. An answer with
+                // a change may have been on its way for as long as the call took.
+                let held_until = called_at + wait;
+                let is_held = response.changes.is_empty() && held_until <= node.now();
+                let as_of = if is_held { held_until } else { called_at };
+                wait =
+                    if response.changes.is_empty() { WATCH_WAIT } else { WATCH_WAIT_AFTER_CHANGE };
                 for change in response.changes {
                     match change {
                         Change::Put(entry) => apply_entry(node, &entry),
                         Change::Removed(_) => warn!(event = "configuration_removed", key),
                     }
                 }
-                confirm(node);
+                confirm(node, as_of);
             }
             Err(e) => {
                 warn!(event = "watch_failed", prefix = key, error = %e);
@@ -146,9 +160,9 @@
     }
 }
 
-fn confirm(node: &Node) {
+fn confirm(node: &Node, as_of: Instant) {
     let mut freshness = node.config_freshness.borrow_mut();
-    freshness.confirm(node.now(), Duration::ZERO);
+    freshness.confirm(as_of);
     freshness.on_up_to_date();
 }
 
