Count suspensions of the machine in the clock of the sidecar

The same class as the age of a configuration: time that is not counted. Instant does not advance while a machine is suspended, so after the resume a confirmation, a grant or a listed peer looked as young as before. The sidecar now reads CLOCK_BOOTTIME (crate fescuemux-clock); timers get the time left, as those of tokio keep to the monotonic clock. Before the first confirmation no age is logged.

The reason is the users' page on clocks, and that grants must end over a suspension. fescuemuxd mixes its clock with Instant::now in deadlines, and stays on the monotonic clock.

--- a/crates/fescuemux-sidecar/src/ingress.rs
+++ b/crates/fescuemux-sidecar/src/ingress.rs
@@ -39,9 +39,9 @@
     let disconnect_recorder = DisconnectRecorder { node: &node, request: &request };
     let limits = node.config.borrow().as_ref().map(|config| config.limits);
     let max_body_bytes = limits.map_or(u64::MAX, |limits| limits.body_bytes);
+    let time_left = request.time_left(node.now());
     let read_result =
-        tokio::time::timeout_at(request.deadline.into(), RequestBody::read(body, max_body_bytes))
-            .await;
+        tokio::time::timeout(time_left, RequestBody::read(body, max_body_bytes)).await;
     let response = match read_result {
         Ok(Ok(body)) => retry_loop::run(&node, &request, body).await,
         Ok(Err(response)) => response,
--- a/crates/fescuemux-sidecar/src/ingress/caller_connection.rs
+++ b/crates/fescuemux-sidecar/src/ingress/caller_connection.rs
@@ -72,7 +72,7 @@
                 node_stopping = true;
             }
             () = activity.request_started.notified() => {}
-            () = tokio::time::sleep_until(idle_at.max(node.now()).into()), if !closing => {
+            () = tokio::time::sleep(idle_at.saturating_duration_since(node.now())), if !closing => {
                 if activity.active_requests.get() > 0 {
                     activity.last_activity.set(node.now());
                 } else {
--- a/crates/fescuemux-sidecar/src/ingress/retry_loop.rs
+++ b/crates/fescuemux-sidecar/src/ingress/retry_loop.rs
@@ -34,7 +34,7 @@
         placements: 0,
         retried_after_no_slot: false,
     };
-    match tokio::time::timeout_at(request.deadline.into(), retry_loop.run()).await {
+    match tokio::time::timeout(request.time_left(node.now()), retry_loop.run()).await {
         Ok(response) => response,
         Err(_) if request.may_have_run.get() => {
             CallerResponse::outcome_unknown(StatusCode::GATEWAY_TIMEOUT, "deadline")
@@ -67,11 +67,13 @@
         running_attempts.push(run_attempt(self.node, self.request, self.body, true));
         self.placements += 1;
         loop {
-            let hedge_at = self.hedge_at(running_attempts.len());
+            let time_to_hedge = self
+                .hedge_at(running_attempts.len())
+                .map(|at| at.saturating_duration_since(self.node.now()));
             let outcome = tokio::select! {
                 outcome = running_attempts.next() => outcome,
                 () = self.request.sent_notify.notified() => continue,
-                () = sleep_until(hedge_at) => {
+                () = sleep_for(time_to_hedge) => {
                     self.request.hedge_at.set(None);
                     if self.request.try_start_attempt() {
                         running_attempts
@@ -194,9 +196,9 @@
     }
 }
 
-async fn sleep_until(at: Option<Instant>) {
-    match at {
-        Some(at) => tokio::time::sleep_until(at.into()).await,
+async fn sleep_for(duration: Option<Duration>) {
+    match duration {
+        Some(duration) => tokio::time::sleep(duration).await,
         None => futures::future::pending().await,
     }
 }
--- a/crates/fescuemux-sidecar/src/run.rs
+++ b/crates/fescuemux-sidecar/src/run.rs
@@ -5,11 +5,11 @@
 use crate::{Dialect, MetadataStore, NodeSettings, SettingsSource, supervise};
 use crate::{control, guard, hop, ingress, load_query, sync};
 use anyhow::Result;
-use fescuemux_core::base::Clock;
+use fescuemux_clock::BootClock;
 use fescuemux_core::placement::ShutdownDeadlines;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant, SystemTime};
+use std::time::Duration;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::spawn_local;
 use tracing::{info, warn};
@@ -24,20 +24,6 @@
 /// Interval between reads of the settings, which may change without a SIGHUP.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Operating system clock.
-#[derive(Debug)]
-struct SystemClock;
-
-impl Clock for SystemClock {
-    fn now(&self) -> Instant {
-        Instant::now()
-    }
-
-    fn wall(&self) -> SystemTime {
-        SystemTime::now()
-    }
-}
-
 /// Runs the process until shutdown after SIGTERM. Must be called within a
 /// [`tokio::task::LocalSet`].
 ///
@@ -54,7 +40,7 @@
     let hangup = signal(SignalKind::hangup())?;
     let settings = source.read()?;
     let addresses = settings.listen;
-    let node = Rc::new(Node::new(settings, dialect, Arc::new(SystemClock))?);
+    let node = Rc::new(Node::new(settings, dialect, Arc::new(BootClock::new()))?);
     node.add_peer(node.own_peer(), "own");
     info!(event = "started", instance = %node.own_peer().id, incarnation = node.incarnation);
 
--- a/crates/fescuemux-sidecar/src/sync/configuration.rs
+++ b/crates/fescuemux-sidecar/src/sync/configuration.rs
@@ -78,12 +78,12 @@
 impl RoleObserver {
     fn observe(&mut self, node: &Node) {
         let role = node.config_role();
-        let age = node.config_age().unwrap_or(Duration::MAX);
-        let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+        let age = node.config_age();
+        let age_ms = age.map(|age| age.as_millis() as u64);
         if self.role.replace(role) != Some(role) {
             info!(event = "config_role", role = ?role, age_ms);
         }
-        let is_late = age > LATE_AGE;
+        let is_late = age.is_some_and(|age| age > LATE_AGE);
         if is_late && !self.is_late {
             info!(event = "confirmation_late", role = ?role, age_ms);
         }
