Read the configuration at once after a failed watch

A change that the store's watches do not see, because the store loses its history, was in force 2.2 s after it at the earliest: the watch fails up to a second after the change, and the reader then paused for 1.2 s before it read. The users allow 2 s on their smallest sites. Class: a pause for an unavailable store, taken also when the store answers that history is gone.

The reader now reads at once after a failed watch, and pauses only if the first watch after a read fails too. The stand-in store can keep changes from its watches (KvFault::DeafWatches).

--- a/crates/fescuemux-sidecar/src/sync/configuration.rs
+++ b/crates/fescuemux-sidecar/src/sync/configuration.rs
@@ -104,12 +104,14 @@
         tokio::time::sleep(ROLE_CHECK_INTERVAL).await;
     }
     let mut wait = WATCH_WAIT;
+    let mut has_watched = false;
     while node.config_role() == ConfigRole::Reader {
         let called_at = node.now();
         let watched = store.watch(key, after, wait).await;
         node.metrics.record_store_call("watch", watched.is_ok());
         match watched {
             Ok(response) => {
+                has_watched = true;
                 after = response.revision;
                 // The store holds an answer without a change back for the whole wait. An answer with
                 // a change may have been on its way for as long as the call took.
@@ -128,7 +130,11 @@
             }
             Err(e) => {
                 warn!(event = "watch_failed", prefix = key, error = %e);
-                tokio::time::sleep(RETRY_PAUSE).await;
+                // The configuration may have changed unseen, so it is read at once, unless watches
+                // fail again and again.
+                if !has_watched {
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                }
                 return;
             }
         }
--- a/crates/fescuemux-standins/src/platform/kv_http.rs
+++ b/crates/fescuemux-standins/src/platform/kv_http.rs
@@ -19,7 +19,7 @@
         let fault = shared.fault();
         shared.count_call();
         match fault {
-            KvFault::None => {}
+            KvFault::None | KvFault::DeafWatches => {}
             KvFault::Slow => std::thread::sleep(SLOW_DELAY),
             KvFault::Busy => {
                 http::write_json(&mut stream, 503, &json!({"error": "busy"}))?;
@@ -107,7 +107,11 @@
         let Some(events) = state.changes_after(prefix, after) else {
             return (410, json!({"error": "forgotten"}));
         };
-        if !events.is_empty() || Instant::now() >= deadline {
+        let is_deaf = shared.fault() == KvFault::DeafWatches;
+        if is_deaf && Instant::now() >= deadline {
+            return (200, json!({"events": [], "as_of": after}));
+        }
+        if !is_deaf && (!events.is_empty() || Instant::now() >= deadline) {
             return (200, json!({"events": events, "as_of": state.rev()}));
         }
         let wait_result = shared.changed.wait_timeout(state, LEASE_CHECK_INTERVAL);
--- a/crates/fescuemux-standins/src/platform/kv_store.rs
+++ b/crates/fescuemux-standins/src/platform/kv_store.rs
@@ -22,6 +22,8 @@
     NoResponse,
     /// Executes the call and closes the connection without a response.
     LoseResponses,
+    /// Watches see no change.
+    DeafWatches,
 }
 
 /// State that all connections share.
