Decode and log the limits that servers name

No admission depends on it yet. What cannot be read (no number, negative, not finite) neither begins nor ends a limit.

--- a/crates/fescuemux-core/src/placement/admission_controller.rs
+++ b/crates/fescuemux-core/src/placement/admission_controller.rs
@@ -1,13 +1,13 @@
 //! Admission control of one instance: the slots of its backend server, and the requests that wait
 //! for them.
 
-use crate::base::{HashMap, ServerId};
+use crate::base::{HashMap, Incarnation, ServerId};
 use crate::placement::slot_holder::{SlotHolder, expected_running_time, running_ratio};
 use crate::placement::waiting::{TOP_LEVEL_SLOT_SHARE, WaitQueue, WaitingRequest};
 use crate::placement::{
     Admission, AttemptKind, Evidence, FaultEstimator, InFlightRequest, LoadReport, LocalServer,
-    Precedence, Readiness, Refusal, RequestOutcome, RetryLimits, RunningTimes, ServerReport,
-    ServiceRetryBudget, ShedRate, ShutdownDeadlines, SlotRefusalReason, SlotRequest,
+    Precedence, Readiness, Refusal, RequestOutcome, RetryLimits, RunningTimes, ServerNotice,
+    ServerReport, ServiceRetryBudget, ShedRate, ShutdownDeadlines, SlotRefusalReason, SlotRequest,
 };
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -117,6 +117,13 @@
         changed
     }
 
+    /// Applies what the server said in a response to a request that was sent to this incarnation,
+    /// and returns whether its limit changed.
+    pub fn on_notice(&mut self, id: &str, incarnation: Incarnation, notice: ServerNotice) -> bool {
+        let server = self.server.as_mut().filter(|server| server.is(id, incarnation));
+        server.is_some_and(|server| server.on_named_limit(notice.limit))
+    }
+
     /// Marks the server `id` as gone and returns whether it is the current server. The departure of
     /// any other server is remembered with the wall-clock time `left_at_ms`, in milliseconds since
     /// 1970 like a server's incarnation: a process that has just started may learn that a server
--- a/crates/fescuemux-core/src/placement/local_server.rs
+++ b/crates/fescuemux-core/src/placement/local_server.rs
@@ -1,6 +1,7 @@
 //! State of the backend server of this instance, from the server's own reports.
 
 use crate::base::{Incarnation, ServerId, ServiceId};
+use crate::placement::NamedLimit;
 use std::time::{Duration, Instant};
 
 /// Phase that a backend server reports.
@@ -42,12 +43,19 @@
     pub cold_until: Instant,
     /// Whether the server has left; only a new incarnation resets this.
     pub gone: bool,
+    /// Requests per second that the server takes, as long as its responses name a limit.
+    pub limit: Option<f64>,
 }
 
 impl LocalServer {
     /// Returns the state after a first report.
     pub fn new(now: Instant, report: ServerReport) -> LocalServer {
-        LocalServer { cold_until: now + report.cold_left, report, gone: false }
+        LocalServer { cold_until: now + report.cold_left, report, gone: false, limit: None }
+    }
+
+    /// Returns whether this is the server `id` in this incarnation.
+    pub fn is(&self, id: &str, incarnation: Incarnation) -> bool {
+        self.report.id == id && self.report.incarnation == incarnation
     }
 
     /// Returns whether new requests may be sent to the server.
@@ -55,6 +63,16 @@
         !self.gone && self.report.phase == ServerPhase::Ready
     }
 
+    /// Applies the limit that a response names, and returns whether the limit changed.
+    pub(super) fn on_named_limit(&mut self, named: NamedLimit) -> bool {
+        let limit = match named {
+            NamedLimit::None => None,
+            NamedLimit::PerSecond(limit) => Some(limit),
+            NamedLimit::Unreadable => self.limit,
+        };
+        std::mem::replace(&mut self.limit, limit) != limit
+    }
+
     /// Applies a newer report of the same or of a later incarnation, and returns whether the
     /// incarnation, the phase or the number of slots changed. Reports that arrive out of order are
     /// ignored, and a server that has announced that it is leaving does not become ready again in
--- /dev/null
+++ b/crates/fescuemux-core/src/placement/server_notice.rs
@@ -0,0 +1,23 @@
+//! What a backend server says about itself in its responses.
+
+/// Limit of requests that a backend server names in a response.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum NamedLimit {
+    /// The response names no limit, which ends an earlier one.
+    #[default]
+    None,
+    /// Requests per second that the server takes from all instances together; finite and not
+    /// negative.
+    PerSecond(f64),
+    /// The response names a limit that cannot be read. An earlier one holds on.
+    Unreadable,
+}
+
+/// What a backend server says about itself in a response, beside the response to the request.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ServerNotice {
+    /// Limit of requests.
+    pub limit: NamedLimit,
+    /// Whether the server leaves and must get no more requests.
+    pub leaving: bool,
+}
--- a/crates/fescuemux-sidecar/src/dialect.rs
+++ b/crates/fescuemux-sidecar/src/dialect.rs
@@ -2,8 +2,9 @@
 //! operators.
 
 use crate::FleetConfig;
+use crate::h1::ResponseHead;
 use fescuemux_core::base::ServerId;
-use fescuemux_core::placement::ServerReport;
+use fescuemux_core::placement::{ServerNotice, ServerReport};
 use std::fmt;
 
 /// Header names, in lower case.
@@ -63,6 +64,9 @@
     fn decode_control(&self, path_and_query: &str, body: &[u8])
     -> Result<ControlCall, DecodeError>;
 
+    /// Decodes what a backend server says about itself in the head of a response.
+    fn decode_notice(&self, head: &ResponseHead) -> ServerNotice;
+
     /// Returns the response body that acknowledges a server's call.
     fn control_ack(&self) -> &'static str;
 
--- a/crates/fescuemux-sidecar/src/guard/relay.rs
+++ b/crates/fescuemux-sidecar/src/guard/relay.rs
@@ -10,7 +10,7 @@
     Commit, Failure, Frame, HopCodec, HopConnection, HopError, HopResponseHead, Message, Reserve,
 };
 use crate::node::{Node, RunningRequest};
-use fescuemux_core::placement::RequestOutcome;
+use fescuemux_core::placement::{RequestOutcome, ServerReport};
 use futures::stream::{SplitSink, SplitStream};
 use futures::{SinkExt, StreamExt};
 use std::cell::Cell;
@@ -68,13 +68,13 @@
     let started_at = node.now();
     let deadline = started_at + Duration::from_millis(u64::from(commit.time_left_ms));
     let admitted = node.admission.borrow_mut().start(started_at, entry.ticket);
-    let server = node.admission.borrow().server().map(|s| (s.report.addr, s.report.id.clone()));
-    let Some((addr, server_id)) = server.filter(|_| admitted) else {
+    let server = node.admission.borrow().server().map(|server| server.report.clone());
+    let Some(server) = server.filter(|_| admitted) else {
         return fail_before_send(node, hop, &commit, Failure::Expired).await;
     };
     let header_names = node.dialect.headers();
-    let head = request_head(&header_names, &commit, &server_id, deadline, node.now());
-    let opened = server_connections::take(node, addr, reserve.idempotent).await;
+    let head = request_head(&header_names, &commit, &server.id, deadline, node.now());
+    let opened = server_connections::take(node, server.addr, reserve.idempotent).await;
     let mut connection = match opened {
         Ok(connection) => connection,
         Err(e) => {
@@ -93,7 +93,7 @@
         let Connection { reader, writer, .. } = &mut connection;
         let chunked = commit.body_len.is_none();
         let upload = upload(&mut stream, writer, &head, chunked, &body_complete);
-        let download = download(&sink, reader, &header_names, &commit);
+        let download = download(node, &server, &sink, reader, &commit);
         let time_left = deadline.saturating_duration_since(node.now());
         tokio::select! {
             () = upload => {
@@ -121,7 +121,7 @@
     finish_admission(node, entry, &commit, attribute_failure(node, &commit, result.outcome));
     if let Some(idle_timeout) = result.reuse_idle_timeout.filter(|_| body_complete.get()) {
         connection.idle_timeout = idle_timeout;
-        server_connections::put(node, addr, connection);
+        server_connections::put(node, server.addr, connection);
     }
     match result.failure {
         Some(failure) => {
@@ -180,9 +180,10 @@
     started_at: Instant,
     result: &RelayResult,
 ) {
-    let (used_slots, queued) = {
+    let (used_slots, queued, limit) = {
         let admission = node.admission.borrow();
-        (admission.used_slots(), admission.queued())
+        let limit = admission.server().and_then(|server| server.limit);
+        (admission.used_slots(), admission.queued(), limit)
     };
     info!(
         event = "work",
@@ -193,6 +194,7 @@
         ms = node.now().saturating_duration_since(started_at).as_millis() as u64,
         busy = used_slots,
         queued,
+        limit,
         failure_probability = node.admission.borrow().failure_probability(node.now())
     );
 }
@@ -299,18 +301,21 @@
 
 /// Receives the response to the request and forwards it to the ingress if it is valid.
 async fn download(
+    node: &Node,
+    server: &ServerReport,
     sink: &Mutex<HopSink<'_>>,
     reader: &mut ResponseReader,
-    header_names: &HeaderNames,
     commit: &Commit,
 ) -> RelayResult {
-    let head = match read_matching_head(reader, header_names, &commit.request_id).await {
+    let header_names = node.dialect.headers();
+    let head = match read_matching_head(reader, &header_names, &commit.request_id).await {
         Ok(head) => head,
         Err(e) => {
             info!(event = "answer_missing", request = commit.request_id, error = %e);
             return RelayResult::failed(RequestOutcome::Failed, Failure::Broken);
         }
     };
+    node.on_server_notice(server, node.dialect.decode_notice(&head));
     let Ok(framing) = framing(&head, commit) else {
         return RelayResult::failed(RequestOutcome::Failed, Failure::Broken);
     };
--- a/crates/fescuemux-sidecar/src/h1/head.rs
+++ b/crates/fescuemux-sidecar/src/h1/head.rs
@@ -73,6 +73,11 @@
         found.and_then(|(_, value)| std::str::from_utf8(value).ok()).map(str::trim)
     }
 
+    /// Returns the values of all headers with this name, given in lower case.
+    pub fn header_values(&self, name: &str) -> impl Iterator<Item = &[u8]> {
+        self.headers.iter().filter(move |(other, _)| other == name).map(|(_, value)| &**value)
+    }
+
     /// Returns whether the server closes the connection after this response.
     pub fn closes_connection(&self) -> bool {
         self.header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"))
--- a/crates/fescuemux-sidecar/src/node.rs
+++ b/crates/fescuemux-sidecar/src/node.rs
@@ -10,7 +10,8 @@
 use fescuemux_core::base::{Clock, Cx, Generation, HashMap, Incarnation};
 use fescuemux_core::placement::{
     Admission, AdmissionController, ConfigFreshness, ConfigRole, FailedRequests, Peer,
-    PeerDirectory, RunningTimes, ServerReport, ShutdownDeadlines, Ticket, TrafficSplitter,
+    PeerDirectory, RunningTimes, ServerNotice, ServerReport, ShutdownDeadlines, Ticket,
+    TrafficSplitter,
 };
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -234,6 +235,16 @@
         self.metrics.peers.set(directory.len() as i64);
     }
 
+    /// Applies what the local backend server said about itself in a response to a request that was
+    /// sent to it when `report` was its latest report.
+    pub(crate) fn on_server_notice(&self, report: &ServerReport, notice: ServerNotice) {
+        let mut admission = self.admission.borrow_mut();
+        if admission.on_notice(&report.id, report.incarnation, notice) {
+            let limit = admission.server().and_then(|server| server.limit);
+            info!(event = "server_limit", server = %report.id, limit);
+        }
+    }
+
     /// Records in the store that the current server announces its departure.
     pub(crate) fn record_departure(&self) {
         let departure = self.admission.borrow().server().map(|server| Departure {
