Keep the limit of requests that a backend server names

Cause: no process read the limit. A guard's slots were the only bound on what its server gets. The class: a capacity that a server states, ignored by the one place that could keep it.

All requests to a server go through its guard, nested ones, retries and hedged attempts too, so the guard counts exactly, without messages between instances: a token bucket at the limit itself, with half a second of burst. A grant takes a token and gives it back when it is not used; what was granted before the limit was named is counted when it starts. A limited server offers no slot that its limit does not leave, so requests go elsewhere while others have room; otherwise they wait by the usual order, nested ones first, or are refused at once with the time at which there is room. A limit is no evidence of a fault. It ends with a response without it, and with the server's life; below a request in four seconds it would never end, so that is the lowest rate. What cannot be read changes nothing.

A guard that restarts forgets the limit, but the ingresses that relayed it are bound. Each of them repeats it in its reservations, and a guard believes it until its server has responded.

--- a/crates/fescuemux-core/src/placement/admission_controller.rs
+++ b/crates/fescuemux-core/src/placement/admission_controller.rs
@@ -2,12 +2,14 @@
 //! for them.
 
 use crate::base::{HashMap, Incarnation, ServerId};
+use crate::placement::rate_limiter::RateLimiter;
 use crate::placement::slot_holder::{SlotHolder, expected_running_time, running_ratio};
 use crate::placement::waiting::{TOP_LEVEL_SLOT_SHARE, WaitQueue, WaitingRequest};
 use crate::placement::{
     Admission, AttemptKind, Evidence, FaultEstimator, InFlightRequest, LoadReport, LocalServer,
-    Precedence, Readiness, Refusal, RequestOutcome, RetryLimits, RunningTimes, ServerNotice,
-    ServerReport, ServiceRetryBudget, ShedRate, ShutdownDeadlines, SlotRefusalReason, SlotRequest,
+    Precedence, Readiness, Refusal, RelayedNotice, RequestOutcome, RetryLimits, RunningTimes,
+    ServerNotice, ServerReport, ServiceRetryBudget, ShedRate, ShutdownDeadlines, SlotRefusalReason,
+    SlotRequest,
 };
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -23,6 +25,10 @@
 /// Maximum number of waiting requests of each kind, nested and top-level, for each slot.
 const MAX_QUEUED_PER_SLOT: usize = 8;
 
+/// Time within which all waiting requests of a kind must get a slot by the limit that the server
+/// names. Few objectives leave more time.
+const LIMITED_QUEUE_TIME: Duration = Duration::from_secs(2);
+
 /// Multiple of the expected running time after which a running request counts as hanging: the
 /// expected wait assumes that its slot does not become free. Eviction has its own limits.
 const HANGING_RATIO: f64 = 5.0;
@@ -119,9 +125,23 @@
 
     /// Applies what the server said in a response to a request that was sent to this incarnation,
     /// and returns whether its limit changed.
-    pub fn on_notice(&mut self, id: &str, incarnation: Incarnation, notice: ServerNotice) -> bool {
+    pub fn on_notice(
+        &mut self,
+        now: Instant,
+        id: &str,
+        incarnation: Incarnation,
+        notice: ServerNotice,
+    ) -> bool {
         let server = self.server.as_mut().filter(|server| server.is(id, incarnation));
-        server.is_some_and(|server| server.on_named_limit(notice.limit))
+        server.is_some_and(|server| server.on_named_limit(now, notice.limit))
+    }
+
+    /// Applies what an ingress has relayed of the server, and returns whether its limit changed. A
+    /// process that has just started learns from it what an earlier process knew.
+    pub fn on_relayed_notice(&mut self, now: Instant, notice: &RelayedNotice) -> bool {
+        let server =
+            self.server.as_mut().filter(|server| server.is(&notice.server, notice.incarnation));
+        server.is_some_and(|server| server.on_relayed_limit(now, notice.limit))
     }
 
     /// Marks the server `id` as gone and returns whether it is the current server. The departure of
@@ -192,14 +212,20 @@
             let reason = SlotRefusalReason::RetryBudget;
             return Admission::Refused(Refusal { reason, retry_in: self.running_times.mean() });
         }
-        if self.queue.is_empty() && self.holders.len() < self.slots() {
+        if self.queue.is_empty() && self.can_grant(now) {
             self.grant(now, ticket, request);
             return Admission::Granted;
         }
         let expected_wait = self.expected_wait(now, request.precedence(), running_time);
         let refuse = |reason| Admission::Refused(Refusal { reason, retry_in: expected_wait });
-        if !request.may_queue || !self.queue.has_room(now, &request, self.max_waiting_per_kind()) {
-            return refuse(SlotRefusalReason::Full);
+        if !request.may_queue || !self.queue.has_room(now, &request, self.max_waiting_per_kind(now))
+        {
+            let has_free_slot = self.holders.len() < self.slots();
+            let limited = has_free_slot && self.limiter().is_some();
+            return refuse(match limited {
+                true => SlotRefusalReason::Limited,
+                false => SlotRefusalReason::Full,
+            });
         }
         if self.failure_probability(now) > NO_QUEUE_PROBABILITY {
             return refuse(SlotRefusalReason::LikelyFaulty);
@@ -219,10 +245,17 @@
         let accepts_requests = self.server.as_ref().is_some_and(LocalServer::accepts_requests);
         let Some(holder) = self.holders.get_mut(&ticket) else { return false };
         if !accepts_requests || now.saturating_duration_since(holder.granted_at) > GRANT_TTL {
-            self.holders.remove(&ticket);
+            self.release(now, ticket);
             return false;
         }
         holder.started_at = Some(now);
+        // The server may have named the limit after the grant.
+        if !holder.is_counted
+            && let Some(limiter) = self.server.as_mut().and_then(|server| server.limiter.as_mut())
+        {
+            limiter.take(now);
+            holder.is_counted = true;
+        }
         match holder.request.attempt {
             AttemptKind::First => self.retry_budget.on_first_attempt(now),
             AttemptKind::NestedInRetry | AttemptKind::Retry => self.retry_budget.on_retry(now),
@@ -231,14 +264,14 @@
     }
 
     /// Removes a request that waits or holds a slot.
-    pub fn cancel(&mut self, ticket: Ticket) {
+    pub fn cancel(&mut self, now: Instant, ticket: Ticket) {
         self.queue.cancel(ticket);
-        self.holders.remove(&ticket);
+        self.release(now, ticket);
     }
 
     /// Releases the slot of a request and records its outcome.
     pub fn finish(&mut self, now: Instant, ticket: Ticket, outcome: RequestOutcome) {
-        let Some(holder) = self.holders.remove(&ticket) else { return };
+        let Some(holder) = self.release(now, ticket) else { return };
         let Some(started) = holder.started_at else { return };
         let elapsed = now.saturating_duration_since(started);
         if outcome != RequestOutcome::Abandoned {
@@ -264,12 +297,17 @@
 
     /// Drops expired grants and returns the waiting requests that get a slot now or are refused.
     pub fn advance(&mut self, now: Instant) -> Vec<(Ticket, Admission)> {
-        self.holders.retain(|_, holder| {
-            holder.started_at.is_some()
-                || now.saturating_duration_since(holder.granted_at) <= GRANT_TTL
-        });
+        let is_expired = |holder: &SlotHolder| {
+            holder.started_at.is_none()
+                && now.saturating_duration_since(holder.granted_at) > GRANT_TTL
+        };
+        let expired = self.holders.iter().filter(|(_, holder)| is_expired(holder));
+        let expired: Vec<Ticket> = expired.map(|(ticket, _)| *ticket).collect();
+        for ticket in expired {
+            self.release(now, ticket);
+        }
         let mut decisions = self.refuse_waiting(now);
-        while self.holders.len() < self.slots() {
+        while self.can_grant(now) {
             let running_times = &self.running_times;
             let next =
                 self.queue.pop_next(now, |request| expected_running_time(running_times, request));
@@ -330,7 +368,8 @@
         let running_time =
             self.running_times.route_mean(route_hash).unwrap_or(expected_running_time)
                 * if is_cold { 2 } else { 1 };
-        let is_idle = now.saturating_duration_since(self.last_grant) >= IDLE_AFTER;
+        let is_idle = now.saturating_duration_since(self.last_grant) >= IDLE_AFTER
+            && self.limiter().is_none_or(|limiter| limiter.available(now) > 0);
         let readiness = match self.closed_reason(now, running_time) {
             Some(_) => Readiness::Closed,
             None if is_idle => Readiness::Idle,
@@ -338,7 +377,7 @@
         };
         LoadReport {
             readiness,
-            slots: self.slots() as u32,
+            slots: self.available_slots(now) as u32,
             used_slots: self.holders.len() as u32,
             queued: self.queue.len() as u32,
             expected_wait: self.expected_wait(now, precedence, running_time),
@@ -374,19 +413,56 @@
         self.server.as_ref().map_or(0, |server| server.report.slots)
     }
 
+    fn limiter(&self) -> Option<&RateLimiter> {
+        self.server.as_ref().and_then(|server| server.limiter.as_ref())
+    }
+
+    /// Returns the number of slots in use and of those that the server's limit leaves usable.
+    fn available_slots(&self, now: Instant) -> usize {
+        let usable =
+            self.limiter().map_or(usize::MAX, |limiter| self.used_slots() + limiter.available(now));
+        self.slots().min(usable)
+    }
+
+    fn can_grant(&self, now: Instant) -> bool {
+        self.used_slots() < self.available_slots(now)
+    }
+
     /// Returns the maximum number of waiting nested requests, and likewise of waiting top-level
     /// requests.
-    fn max_waiting_per_kind(&self) -> usize {
-        self.slots() * MAX_QUEUED_PER_SLOT
+    fn max_waiting_per_kind(&self, now: Instant) -> usize {
+        let within_limit = self
+            .limiter()
+            .map_or(usize::MAX, |limiter| limiter.count_within(now, LIMITED_QUEUE_TIME) + 1);
+        (self.slots() * MAX_QUEUED_PER_SLOT).min(within_limit)
     }
 
     fn grant(&mut self, now: Instant, ticket: Ticket, request: SlotRequest) {
         self.last_grant = now;
-        self.holders.insert(ticket, SlotHolder::new(now, request));
+        let mut holder = SlotHolder::new(now, request);
+        if let Some(limiter) = self.server.as_mut().and_then(|server| server.limiter.as_mut()) {
+            limiter.take(now);
+            holder.is_counted = true;
+        }
+        self.holders.insert(ticket, holder);
+    }
+
+    /// Removes a request that holds a slot. One that has not started does not count in the server's
+    /// limit.
+    fn release(&mut self, now: Instant, ticket: Ticket) -> Option<SlotHolder> {
+        let holder = self.holders.remove(&ticket)?;
+        if holder.is_counted
+            && holder.started_at.is_none()
+            && let Some(limiter) = self.server.as_mut().and_then(|server| server.limiter.as_mut())
+        {
+            limiter.give_back(now);
+        }
+        Some(holder)
     }
 
     /// Returns the expected wait of a new request, at the rate at which slots become free for the
-    /// requests ahead of it. Slots of hanging requests do not count.
+    /// requests ahead of it, and at the rate of the limit that the server names. Slots of hanging
+    /// requests do not count.
     ///
     /// For a top-level request, the wait is limited to the time in which [`TOP_LEVEL_SLOT_SHARE`]
     /// of the slots serves the top-level requests ahead, and then raised to
@@ -397,10 +473,12 @@
         precedence: Precedence,
         running_time: Duration,
     ) -> Duration {
+        let ahead = self.queue.ahead_of(precedence);
+        let limit_wait =
+            self.limiter().map_or(Duration::ZERO, |limiter| limiter.time_until(now, ahead + 1));
         if self.queue.is_empty() && self.holders.len() < self.slots() {
-            return Duration::ZERO;
+            return limit_wait;
         }
-        let ahead = self.queue.ahead_of(precedence);
         let hanging = self
             .holders
             .values()
@@ -409,20 +487,24 @@
             (self.slots().saturating_sub(hanging.count()) as f64).max(MIN_AVAILABLE_SLOTS);
         let expected_wait = self.running_times.mean().mul_f64((ahead as f64 + 1.0) / available);
         if !precedence.top_level {
-            return expected_wait;
+            return expected_wait.max(limit_wait);
         }
         let ahead = self.queue.top_level_ahead_of(precedence);
         let wait_in_running_times = (ahead as f64 + 1.0) / (available * TOP_LEVEL_SLOT_SHARE);
         expected_wait
             .min(running_time.mul_f64(wait_in_running_times))
             .max(self.queue.estimated_wait(now, precedence.priority))
+            .max(limit_wait)
     }
 
     /// Refuses waiting requests that cannot end in time, exceed the queue limit or would not be
     /// accepted any more, and all waiting requests while the server is probably faulty.
     fn refuse_waiting(&mut self, now: Instant) -> Vec<(Ticket, Admission)> {
         let likely_faulty = self.failure_probability(now) > NO_QUEUE_PROBABILITY;
-        let retry_in = self.running_times.mean();
+        let limit_wait = self
+            .limiter()
+            .map_or(Duration::ZERO, |limiter| limiter.time_until(now, self.queue.len() + 1));
+        let retry_in = self.running_times.mean().max(limit_wait);
         let mut refused = Vec::new();
         let mut queue = std::mem::take(&mut self.queue);
         queue.retain(|waiting| {
@@ -439,7 +521,7 @@
             reason.is_none()
         });
         self.queue = queue;
-        let limit = self.max_waiting_per_kind();
+        let limit = self.max_waiting_per_kind(now);
         while let Some(excess) = self.queue.pop_excess(now, limit) {
             let refusal = Refusal { reason: SlotRefusalReason::Full, retry_in };
             refused.push((excess.ticket, Admission::Refused(refusal)));
--- a/crates/fescuemux-core/src/placement/local_server.rs
+++ b/crates/fescuemux-core/src/placement/local_server.rs
@@ -1,7 +1,8 @@
 //! State of the backend server of this instance, from the server's own reports.
 
 use crate::base::{Incarnation, ServerId, ServiceId};
-use crate::placement::NamedLimit;
+use crate::placement::rate_limiter::RateLimiter;
+use crate::placement::{NamedLimit, RelayedNotice};
 use std::time::{Duration, Instant};
 
 /// Phase that a backend server reports.
@@ -43,14 +44,22 @@
     pub cold_until: Instant,
     /// Whether the server has left; only a new incarnation resets this.
     pub gone: bool,
-    /// Requests per second that the server takes, as long as its responses name a limit.
-    pub limit: Option<f64>,
+    /// Set as long as the server's responses name a limit of requests.
+    pub(super) limiter: Option<RateLimiter>,
+    /// Whether this process has seen a response of the server.
+    has_responded: bool,
 }
 
 impl LocalServer {
     /// Returns the state after a first report.
     pub fn new(now: Instant, report: ServerReport) -> LocalServer {
-        LocalServer { cold_until: now + report.cold_left, report, gone: false, limit: None }
+        LocalServer {
+            cold_until: now + report.cold_left,
+            report,
+            gone: false,
+            limiter: None,
+            has_responded: false,
+        }
     }
 
     /// Returns whether this is the server `id` in this incarnation.
@@ -63,14 +72,45 @@
         !self.gone && self.report.phase == ServerPhase::Ready
     }
 
+    /// Returns the limit that the server names, in requests per second.
+    pub fn limit(&self) -> Option<f64> {
+        self.limiter.map(|limiter| limiter.limit())
+    }
+
+    /// Returns what the server says about itself, or `None` if it says nothing.
+    pub fn relayed_notice(&self) -> Option<RelayedNotice> {
+        let limit = self.limit();
+        limit.is_some().then(|| RelayedNotice {
+            server: self.report.id.clone(),
+            incarnation: self.report.incarnation,
+            limit,
+        })
+    }
+
     /// Applies the limit that a response names, and returns whether the limit changed.
-    pub(super) fn on_named_limit(&mut self, named: NamedLimit) -> bool {
-        let limit = match named {
-            NamedLimit::None => None,
-            NamedLimit::PerSecond(limit) => Some(limit),
-            NamedLimit::Unreadable => self.limit,
-        };
-        std::mem::replace(&mut self.limit, limit) != limit
+    pub(super) fn on_named_limit(&mut self, now: Instant, named: NamedLimit) -> bool {
+        self.has_responded = true;
+        match named {
+            NamedLimit::None => self.limiter.take().is_some(),
+            NamedLimit::PerSecond(limit) => self.set_limit(now, limit),
+            NamedLimit::Unreadable => false,
+        }
+    }
+
+    /// Applies the limit that an ingress has relayed, and returns whether the limit changed. Once
+    /// the server has responded to this process, only its responses count.
+    pub(super) fn on_relayed_limit(&mut self, now: Instant, limit: Option<f64>) -> bool {
+        !self.has_responded && limit.is_some_and(|limit| self.set_limit(now, limit))
+    }
+
+    fn set_limit(&mut self, now: Instant, limit: f64) -> bool {
+        match &mut self.limiter {
+            Some(limiter) => limiter.set_limit(now, limit),
+            None => {
+                self.limiter = Some(RateLimiter::new(now, limit));
+                true
+            }
+        }
     }
 
     /// Applies a newer report of the same or of a later incarnation, and returns whether the
--- a/crates/fescuemux-core/src/placement/slot_holder.rs
+++ b/crates/fescuemux-core/src/placement/slot_holder.rs
@@ -22,11 +22,19 @@
     pub(super) started_at: Option<Instant>,
     /// Time at which the request was evicted, if it has not released its slot since.
     pub(super) evicted_at: Option<Instant>,
+    /// Whether the request counts in the limit that the server names.
+    pub(super) is_counted: bool,
 }
 
 impl SlotHolder {
     pub(super) fn new(now: Instant, request: SlotRequest) -> SlotHolder {
-        SlotHolder { request, granted_at: now, started_at: None, evicted_at: None }
+        SlotHolder {
+            request,
+            granted_at: now,
+            started_at: None,
+            evicted_at: None,
+            is_counted: false,
+        }
     }
 
     /// Returns the time for which the request has run, as a multiple of the expected running time.
--- a/crates/fescuemux-core/src/placement/slot_request.rs
+++ b/crates/fescuemux-core/src/placement/slot_request.rs
@@ -115,6 +115,9 @@
     Stopping,
     /// No slot is free, and the request may not wait or the queue is full.
     Full,
+    /// A slot is free, but the server takes no more requests now by the limit that it names, and the
+    /// request may not wait or the queue is full.
+    Limited,
     /// No slot is free and the server probably has a fault.
     LikelyFaulty,
     /// The retry budget of the service is exhausted.
@@ -131,6 +134,7 @@
             SlotRefusalReason::Draining => "draining",
             SlotRefusalReason::Stopping => "stopping",
             SlotRefusalReason::Full => "full",
+            SlotRefusalReason::Limited => "limited",
             SlotRefusalReason::LikelyFaulty => "doubted",
             SlotRefusalReason::RetryBudget => "repeat_budget",
             SlotRefusalReason::TooLate => "too_late",
--- a/crates/fescuemux-core/src/placement/unplaced_request.rs
+++ b/crates/fescuemux-core/src/placement/unplaced_request.rs
@@ -47,6 +47,7 @@
             | SlotRefusalReason::Stopping
             | SlotRefusalReason::LikelyFaulty => self.nested,
             SlotRefusalReason::Full
+            | SlotRefusalReason::Limited
             | SlotRefusalReason::TooLate
             | SlotRefusalReason::RetryBudget => false,
         };
@@ -59,8 +60,11 @@
 
 impl Refusal {
     /// Returns whether `retry_in` estimates the wait for a slot, because all slots of the server
-    /// are in use.
+    /// are in use or its limit is reached.
     pub fn estimates_wait(&self) -> bool {
-        matches!(self.reason, SlotRefusalReason::Full | SlotRefusalReason::TooLate)
+        matches!(
+            self.reason,
+            SlotRefusalReason::Full | SlotRefusalReason::Limited | SlotRefusalReason::TooLate
+        )
     }
 }
--- a/crates/fescuemux-core/tests/placement/exhaustive.rs
+++ b/crates/fescuemux-core/tests/placement/exhaustive.rs
@@ -121,7 +121,7 @@
                 self.states[index] = RequestState::Ended;
             }
             Step::Cancel(index) => {
-                self.controller.cancel(index as Ticket);
+                self.controller.cancel(self.now, index as Ticket);
                 self.states[index] = RequestState::Ended;
             }
             Step::Wait => self.now += WAIT,
--- a/crates/fescuemux-core/tests/placement/fleet_retries.rs
+++ b/crates/fescuemux-core/tests/placement/fleet_retries.rs
@@ -131,7 +131,7 @@
                     });
                     break;
                 }
-                controller.cancel(next_ticket);
+                controller.cancel(now, next_ticket);
             }
         }
     }
--- a/crates/fescuemux-sidecar/src/guard.rs
+++ b/crates/fescuemux-sidecar/src/guard.rs
@@ -91,6 +91,9 @@
     let is_addressee = *node.settings.borrow().instance == reserve.addressee;
     let serves_service =
         admission.server().is_some_and(|server| server.report.service == reserve.service);
+    if is_addressee && let Some(notice) = &reserve.server_notice {
+        node.on_relayed_notice(&mut admission, &notice.into());
+    }
     if !is_addressee || !serves_service {
         let refusal = Refusal { reason: SlotRefusalReason::NoServer, retry_in: Duration::ZERO };
         return Admission::Refused(refusal);
@@ -148,7 +151,7 @@
     fn drop(&mut self) {
         self.node.admission_senders.borrow_mut().remove(&self.ticket);
         self.node.eviction_senders.borrow_mut().remove(&self.ticket);
-        self.node.admission.borrow_mut().cancel(self.ticket);
+        self.node.admission.borrow_mut().cancel(self.node.now(), self.ticket);
         self.node.advance_admission();
     }
 }
--- a/crates/fescuemux-sidecar/src/guard/relay.rs
+++ b/crates/fescuemux-sidecar/src/guard/relay.rs
@@ -182,7 +182,7 @@
 ) {
     let (used_slots, queued, limit) = {
         let admission = node.admission.borrow();
-        let limit = admission.server().and_then(|server| server.limit);
+        let limit = admission.server().and_then(|server| server.limit());
         (admission.used_slots(), admission.queued(), limit)
     };
     info!(
@@ -328,7 +328,7 @@
         info!(event = "answer_unproved", request = commit.request_id, status = head.status);
         return RelayResult::failed(RequestOutcome::Failed, Failure::Broken);
     }
-    match relay_response(sink, reader, &head, framing).await {
+    match relay_response(node, sink, reader, &head, framing).await {
         Ok(()) => RelayResult {
             outcome: if head.status >= 500 {
                 RequestOutcome::Failed
@@ -384,6 +384,7 @@
 }
 
 async fn relay_response(
+    node: &Node,
     sink: &Mutex<HopSink<'_>>,
     reader: &mut ResponseReader,
     head: &ResponseHead,
@@ -395,7 +396,9 @@
     };
     let headers = head.headers.iter().filter(|(name, _)| !server_connections::is_hop_by_hop(name));
     let headers = headers.map(|(name, value)| (name.clone(), value.to_vec())).collect();
-    let head = HopResponseHead { status: head.status, headers, body_len };
+    let server_notice = node.admission.borrow().server().and_then(|server| server.relayed_notice());
+    let server_notice = server_notice.map(Into::into);
+    let head = HopResponseHead { status: head.status, headers, body_len, server_notice };
     let ingress_error = |_: io::Error| RelayError::Ingress;
     let mut sink = sink.lock().await;
     sink.feed(Frame::Message(Message::Head(head))).await.map_err(ingress_error)?;
--- a/crates/fescuemux-sidecar/src/hop/message.rs
+++ b/crates/fescuemux-sidecar/src/hop/message.rs
@@ -1,7 +1,7 @@
 //! Messages between instances.
 
 use fescuemux_core::base::Verdict;
-use fescuemux_core::placement::{Peer, Refusal, SlotRefusalReason};
+use fescuemux_core::placement::{Peer, Refusal, RelayedNotice, SlotRefusalReason};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -46,6 +46,34 @@
     pub(crate) expected_running_ms: u32,
     /// Whether the request may be queued if no slot is free.
     pub(crate) may_wait: bool,
+    /// What the server said about itself in the responses that the ingress has relayed.
+    pub(crate) server_notice: Option<RelayedNoticeRecord>,
+}
+
+/// Encoded [`RelayedNotice`].
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct RelayedNoticeRecord {
+    server: String,
+    incarnation: u64,
+    limit: Option<f64>,
+}
+
+impl From<RelayedNotice> for RelayedNoticeRecord {
+    fn from(notice: RelayedNotice) -> RelayedNoticeRecord {
+        let RelayedNotice { server, incarnation, limit } = notice;
+        RelayedNoticeRecord { server: server.to_string(), incarnation, limit }
+    }
+}
+
+impl From<&RelayedNoticeRecord> for RelayedNotice {
+    fn from(record: &RelayedNoticeRecord) -> RelayedNotice {
+        RelayedNotice {
+            server: record.server.as_str().into(),
+            incarnation: record.incarnation,
+            // A limit that no guard sends is dropped, as it would spoil all later computations.
+            limit: record.limit.filter(|limit| limit.is_finite() && *limit >= 0.0),
+        }
+    }
 }
 
 /// Request for which a slot was granted.
@@ -81,6 +109,7 @@
     Draining,
     Stopping,
     Full,
+    Limited,
     #[serde(rename = "Doubted")]
     LikelyFaulty,
     #[serde(rename = "RepeatBudget")]
@@ -95,6 +124,7 @@
             SlotRefusalReason::Draining => Reason::Draining,
             SlotRefusalReason::Stopping => Reason::Stopping,
             SlotRefusalReason::Full => Reason::Full,
+            SlotRefusalReason::Limited => Reason::Limited,
             SlotRefusalReason::LikelyFaulty => Reason::LikelyFaulty,
             SlotRefusalReason::RetryBudget => Reason::RetryBudget,
             SlotRefusalReason::TooLate => Reason::TooLate,
@@ -110,6 +140,7 @@
             Reason::Draining => SlotRefusalReason::Draining,
             Reason::Stopping => SlotRefusalReason::Stopping,
             Reason::Full => SlotRefusalReason::Full,
+            Reason::Limited => SlotRefusalReason::Limited,
             Reason::LikelyFaulty => SlotRefusalReason::LikelyFaulty,
             Reason::RetryBudget => SlotRefusalReason::RetryBudget,
             Reason::TooLate => SlotRefusalReason::TooLate,
@@ -127,6 +158,8 @@
     pub(crate) headers: Vec<(String, Vec<u8>)>,
     /// Length of the body in bytes, if known.
     pub(crate) body_len: Option<u64>,
+    /// What the server says about itself.
+    pub(crate) server_notice: Option<RelayedNoticeRecord>,
 }
 
 /// Reason why a committed request has no response or an incomplete one.
--- a/crates/fescuemux-sidecar/src/ingress/attempt.rs
+++ b/crates/fescuemux-sidecar/src/ingress/attempt.rs
@@ -67,6 +67,8 @@
     request.sent_notify.notify_one();
     let outcome = match send_and_receive_head(node, request, body, &mut reservation).await {
         Ok(GuardReply::Head(head)) => {
+            let notice = head.server_notice.as_ref().map(Into::into);
+            node.relayed_notices.borrow_mut().on_response(&reservation.peer.id, notice);
             let elapsed = node.now().saturating_duration_since(sent_at);
             node.running_times.borrow_mut().record(
                 request.route_hash,
--- a/crates/fescuemux-sidecar/src/ingress/reservation.rs
+++ b/crates/fescuemux-sidecar/src/ingress/reservation.rs
@@ -284,6 +284,7 @@
         time_to_objective_ms: objective.saturating_duration_since(now).as_millis() as u32,
         expected_running_ms: expected_running_time(node, request, load_reply).as_millis() as u32,
         may_wait,
+        server_notice: node.relayed_notices.borrow().get(&peer.id).cloned().map(Into::into),
     });
     hop.send(message).await?;
     let response = hop.next_message().await?;
--- a/crates/fescuemux-sidecar/src/node.rs
+++ b/crates/fescuemux-sidecar/src/node.rs
@@ -10,8 +10,8 @@
 use fescuemux_core::base::{Clock, Cx, Generation, HashMap, Incarnation};
 use fescuemux_core::placement::{
     Admission, AdmissionController, ConfigFreshness, ConfigRole, FailedRequests, Peer,
-    PeerDirectory, RunningTimes, ServerNotice, ServerReport, ShutdownDeadlines, Ticket,
-    TrafficSplitter,
+    PeerDirectory, RelayedNotice, RelayedNotices, RunningTimes, ServerNotice, ServerReport,
+    ShutdownDeadlines, Ticket, TrafficSplitter,
 };
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -68,6 +68,8 @@
     pub(crate) mean_response_kb: RefCell<HashMap<u64, f64>>,
     /// Running times, by route, of attempts that got a response.
     pub(crate) running_times: RefCell<RunningTimes>,
+    /// What servers said about themselves in the responses relayed to callers.
+    pub(crate) relayed_notices: RefCell<RelayedNotices>,
     /// Whether this process knows which server announced its departure to an earlier process.
     pub(crate) departures_known: Cell<bool>,
     /// Last report that came before [`Node::departures_known`].
@@ -127,6 +129,7 @@
             traffic_splitter: RefCell::default(),
             mean_response_kb: RefCell::default(),
             running_times: RefCell::default(),
+            relayed_notices: RefCell::default(),
             departures_known: Cell::new(settings.first_start),
             deferred_report: RefCell::default(),
             departure: RefCell::default(),
@@ -239,9 +242,21 @@
     /// sent to it when `report` was its latest report.
     pub(crate) fn on_server_notice(&self, report: &ServerReport, notice: ServerNotice) {
         let mut admission = self.admission.borrow_mut();
-        if admission.on_notice(&report.id, report.incarnation, notice) {
-            let limit = admission.server().and_then(|server| server.limit);
-            info!(event = "server_limit", server = %report.id, limit);
+        if admission.on_notice(self.now(), &report.id, report.incarnation, notice) {
+            let limit = admission.server().and_then(|server| server.limit());
+            info!(event = "server_limit", server = %report.id, limit, source = "server");
+        }
+    }
+
+    /// Applies what an ingress has relayed of the local backend server.
+    pub(crate) fn on_relayed_notice(
+        &self,
+        admission: &mut AdmissionController,
+        notice: &RelayedNotice,
+    ) {
+        if admission.on_relayed_notice(self.now(), notice) {
+            let (server, limit) = (&notice.server, notice.limit);
+            info!(event = "server_limit", %server, limit, source = "instance");
         }
     }
 
@@ -284,7 +299,7 @@
             let sender = self.admission_senders.borrow_mut().remove(&ticket);
             let delivered = sender.is_some_and(|tx| tx.send(admission).is_ok());
             if !delivered {
-                self.admission.borrow_mut().cancel(ticket);
+                self.admission.borrow_mut().cancel(self.now(), ticket);
             }
         }
     }
--- a/crates/fescuemux-standins/src/platform/app_server.rs
+++ b/crates/fescuemux-standins/src/platform/app_server.rs
@@ -39,6 +39,8 @@
 struct Shared {
     options: AppOptions,
     fault: Mutex<AppFault>,
+    /// Headers added to each complete response, each with its line end.
+    notice: Mutex<String>,
     draining: AtomicBool,
     drain_acknowledged: AtomicBool,
     stopped: AtomicBool,
@@ -67,6 +69,7 @@
         let shared = Arc::new(Shared {
             options,
             fault: Mutex::default(),
+            notice: Mutex::default(),
             draining: AtomicBool::new(false),
             drain_acknowledged: AtomicBool::new(false),
             stopped: AtomicBool::new(false),
@@ -87,6 +90,12 @@
         *self.shared.fault.lock().unwrap_or_else(PoisonError::into_inner) = fault;
     }
 
+    /// Replaces the header lines, each with its line end, that are added to each response.
+    pub fn set_notice(&self, header_lines: &str) {
+        let mut notice = self.shared.notice.lock().unwrap_or_else(PoisonError::into_inner);
+        header_lines.clone_into(&mut notice);
+    }
+
     /// Returns the number of hanging requests whose connections are open.
     pub fn hanging_requests(&self) -> u64 {
         self.shared.hanging_requests.load(Ordering::SeqCst)
@@ -200,15 +209,15 @@
                 return Ok(());
             }
             AppFault::Reset => return stream.shutdown(Shutdown::Both),
-            AppFault::Error => write_response(&mut stream, 500, &id, b"failed", 6)?,
+            AppFault::Error => write_response(shared, &mut stream, 500, &id, b"failed", 6)?,
             AppFault::TruncatedResponse => {
-                write_response(&mut stream, 200, &id, b"par", 60)?;
+                write_response(shared, &mut stream, 200, &id, b"par", 60)?;
                 return stream.shutdown(Shutdown::Both);
             }
             AppFault::MismatchedResponse => {
-                write_response(&mut stream, 200, "another-request", b"foreign", 7)?;
+                write_response(shared, &mut stream, 200, "another-request", b"foreign", 7)?;
                 let body = response_body(&id);
-                write_response(&mut stream, 200, &id, &body, body.len())?;
+                write_response(shared, &mut stream, 200, &id, &body, body.len())?;
             }
             AppFault::EndlessHead => {
                 return write_without_end(&mut stream, b"HTTP/1.1 200 OK\r\n", b"X-A: b\r\n");
@@ -226,7 +235,7 @@
             | AppFault::EndlessAfterResponse
             | AppFault::Shed => {
                 let body = response_body(&id);
-                write_response(&mut stream, 200, &id, &body, body.len())?;
+                write_response(shared, &mut stream, 200, &id, &body, body.len())?;
                 if fault == AppFault::EndlessAfterResponse {
                     return write_without_end(&mut stream, b"", b"\0\x01\x02\x03");
                 }
@@ -265,15 +274,17 @@
 }
 
 fn write_response(
+    shared: &Shared,
     stream: &mut TcpStream,
     status: u16,
     id: &str,
     body: &[u8],
     content_length: usize,
 ) -> io::Result<()> {
+    let notice = shared.notice.lock().unwrap_or_else(PoisonError::into_inner).clone();
     let head = format!(
         "HTTP/1.1 {status} X\r\nRequest-Id: {id}\r\nReply-Stamp: stamp-{id}\r\n\
-         Content-Length: {content_length}\r\n\r\n"
+         {notice}Content-Length: {content_length}\r\n\r\n"
     );
     stream.write_all(&[head.as_bytes(), body].concat())
 }
