Leave out odd entries of the instance list instead of following them

Reported by operators of similar systems; it can happen here in two ways. A value that is no base64 ended the whole list, so that a process never listed the others again. And an entry under any key was believed: one with another instance's name and the largest incarnation hid that instance for good, and its server got no request from whoever had read it. Deep nesting, numbers too large and ports out of range were already left out one by one.

--- a/crates/fescuemux-sidecar/src/store.rs
+++ b/crates/fescuemux-sidecar/src/store.rs
@@ -78,7 +78,7 @@
     -> impl Future<Output = Result<(Option<Entry>, Revision), StoreError>>;
 
     /// Returns the entries under `prefix` in the order of their keys, from a state that may be some
-    /// seconds old.
+    /// seconds old. Entries that cannot be decoded are left out, as another writer may have left them.
     ///
     /// # Errors
     /// Fails without a valid response.
--- a/crates/fescuemux-sidecar/src/sync/list_peers.rs
+++ b/crates/fescuemux-sidecar/src/sync/list_peers.rs
@@ -5,6 +5,7 @@
 use crate::node::Node;
 use crate::{Entry, MetadataStore};
 use fescuemux_core::base::HashSet;
+use fescuemux_core::placement::Peer;
 use std::rc::Rc;
 use std::time::Duration;
 use tracing::warn;
@@ -20,6 +21,10 @@
 /// lists use at most 8 KB/s.
 const LIST_INTERVAL_PER_ENTRY: Duration = Duration::from_millis(25);
 
+/// Maximum difference of the wall clocks of two machines, by which the incarnation of an instance may
+/// lie in the future.
+const MAX_CLOCK_DIFFERENCE: Duration = Duration::from_secs(24 * 3_600);
+
 /// Lists the entries of other instances. Runs until the process ends.
 ///
 /// Lists cost a tenth of a watch, as the store may answer them from an old state, and their cost
@@ -33,7 +38,8 @@
         node.metrics.record_store_call("list", listed.is_ok());
         match listed {
             Ok(entries) => {
-                let peers: Vec<_> = entries.iter().filter_map(decode_peer).collect();
+                let peers: Vec<_> =
+                    entries.iter().filter_map(|entry| decode_peer(&node, entry)).collect();
                 interval = MIN_LIST_INTERVAL.max(LIST_INTERVAL_PER_ENTRY * peers.len() as u32);
                 let ids: HashSet<_> = peers.iter().map(|peer| peer.id.clone()).collect();
                 peers.into_iter().for_each(|peer| node.add_peer(peer, "list"));
@@ -45,12 +51,22 @@
     }
 }
 
-fn decode_peer(entry: &Entry) -> Option<fescuemux_core::placement::Peer> {
-    match serde_json::from_slice::<PeerRecord>(&entry.value) {
-        Ok(record) => Some(record.into()),
+/// Returns the instance of an entry, or `None` if the instance did not write the entry or a field is
+/// invalid. An incarnation of the far future would hide the instance's own entries for good.
+fn decode_peer(node: &Node, entry: &Entry) -> Option<Peer> {
+    let peer: Peer = match serde_json::from_slice::<PeerRecord>(&entry.value) {
+        Ok(record) => record.into(),
         Err(e) => {
             warn!(event = "entry_invalid", key = entry.key, error = %e);
-            None
+            return None;
         }
+    };
+    let is_own_entry = entry.key.strip_prefix(PEER_PREFIX) == Some(&peer.id);
+    let latest_incarnation = node.unix_millis() + MAX_CLOCK_DIFFERENCE.as_millis() as u64;
+    if !is_own_entry || peer.incarnation > latest_incarnation {
+        let incarnation = peer.incarnation;
+        warn!(event = "entry_implausible", key = entry.key, peer = %peer.id, incarnation);
+        return None;
     }
+    Some(peer)
 }
--- a/crates/fescuemux-standins/src/platform/kv_state.rs
+++ b/crates/fescuemux-standins/src/platform/kv_state.rs
@@ -62,7 +62,7 @@
         self.put_encoded(key, STANDARD.encode(value), lease)
     }
 
-    fn put_encoded(&mut self, key: &str, value: String, lease: u64) -> u64 {
+    pub(super) fn put_encoded(&mut self, key: &str, value: String, lease: u64) -> u64 {
         self.rev += 1;
         let created = self.items.get(key).map_or(self.rev, |item| item.created);
         self.items.insert(key.to_owned(), Item { value, rev: self.rev, created, lease });
--- a/crates/fescuemux-standins/src/platform/kv_store.rs
+++ b/crates/fescuemux-standins/src/platform/kv_store.rs
@@ -84,6 +84,14 @@
         self.shared.changed.notify_all();
     }
 
+    /// Writes an item whose encoded value is given, which may be invalid.
+    pub fn put_encoded(&self, key: &str, value: &str) {
+        let mut state = self.shared.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.put_encoded(key, value.to_owned(), 0);
+        drop(state);
+        self.shared.changed.notify_all();
+    }
+
     /// Returns the number of items whose keys have a prefix.
     pub fn count(&self, prefix: &str) -> usize {
         let mut state = self.shared.state.lock().unwrap_or_else(PoisonError::into_inner);
