Close the connection of a refused request in fescuemuxd

Reported by operators of similar systems: a faulty server writes an earlier refusal once more on a kept connection, and a request that it has run is reported as not run. It can happen in fescuemuxd for idempotent requests, which may reuse a connection: a refusal without a body returned its connection to the pool, and the next request took the copy for its answer. The caller got 503 with the verdict not-run for a request that had run.

A refusal now closes its connection. The end of an empty body no longer returns the connection before the guard has looked at the head.

--- a/crates/fescuemux-daemon/src/guard/forward.rs
+++ b/crates/fescuemux-daemon/src/guard/forward.rs
@@ -126,6 +126,8 @@
     ) -> Result<(Response<OutgoingBody>, Verdict), GuardError> {
         let (mut parts, body) = response.into_parts();
         if is_load_shed(&parts) {
+            // A faulty server may send the refusal once more, as a response to the next request.
+            body.close_connection();
             in_flight.finish(Outcome::Canceled, std::time::Duration::ZERO);
             return Err(GuardError::not_run("the server sheds load"));
         }
--- a/crates/fescuemux-daemon/src/http/pool.rs
+++ b/crates/fescuemux-daemon/src/http/pool.rs
@@ -205,7 +205,8 @@
 }
 
 /// Response body. Dropping it before its end closes the connection, so that the rest of the
-/// response cannot be mistaken for the response to another request.
+/// response cannot be mistaken for the response to another request. The connection is returned to
+/// the pool at the end of the body, or when an empty body is dropped.
 #[derive(Debug)]
 pub(crate) struct PooledBody {
     body: Incoming,
@@ -214,11 +215,12 @@
 
 impl PooledBody {
     fn new(body: Incoming, lease: ConnectionLease) -> PooledBody {
-        let mut this = PooledBody { body, lease: Some(lease) };
-        if this.body.is_end_stream() {
-            this.release();
-        }
-        this
+        PooledBody { body, lease: Some(lease) }
+    }
+
+    /// Closes the connection, so that it carries no other request.
+    pub(crate) fn close_connection(mut self) {
+        self.lease = None;
     }
 
     fn release(&mut self) {
@@ -228,6 +230,14 @@
     }
 }
 
+impl Drop for PooledBody {
+    fn drop(&mut self) {
+        if self.body.is_end_stream() {
+            self.release();
+        }
+    }
+}
+
 impl Body for PooledBody {
     type Data = Bytes;
     type Error = hyper::Error;
--- a/crates/fescuemux-daemon/tests/refusals.rs
+++ b/crates/fescuemux-daemon/tests/refusals.rs
@@ -3,6 +3,9 @@
 mod support;
 
 use fescuemux_standins::server::ServerFault;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
 use support::{Fleet, get, intent, send_raw};
 
 /// Fails if a 503 response lacks `Retry-After`: callers would then resend at once.
@@ -48,3 +51,79 @@
     );
     assert!(response.text.contains("the queue is full"), "{response:?}");
 }
+
+/// Paths of the requests that a server has run.
+type Runs = Arc<Mutex<Vec<String>>>;
+
+/// Starts a server that refuses the first request on each connection, and writes the refusal once
+/// more before the answer to each later request, which it runs.
+fn start_repeating_server(runs: Runs) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let runs = runs.clone();
+            // An error means that the daemon closed the connection.
+            std::thread::spawn(move || drop(serve_repeating(stream, &runs)));
+        }
+    });
+    addr
+}
+
+fn serve_repeating(mut stream: TcpStream, runs: &Runs) -> std::io::Result<()> {
+    const REFUSAL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\n\
+        fescuemux-verdict: not-run\r\ncontent-length: 0\r\n\r\n";
+    let mut reader = BufReader::new(stream.try_clone()?);
+    for request in 0.. {
+        let mut request_line = String::new();
+        if reader.read_line(&mut request_line)? == 0 {
+            break;
+        }
+        let mut line = String::new();
+        while reader.read_line(&mut line)? > 2 {
+            line.clear();
+        }
+        let path = request_line.split(' ').nth(1).unwrap_or_default().to_owned();
+        // The daemon checks the health of its servers; those requests do not count.
+        if request > 0 && path.starts_with("/slots") {
+            runs.lock().unwrap().push(path);
+        }
+        stream.write_all(REFUSAL)?;
+        if request > 0 {
+            stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok")?;
+        }
+    }
+    Ok(())
+}
+
+/// A faulty server may write an earlier refusal once more on a kept connection. A request that it
+/// has run must not be reported as not run.
+#[test]
+fn a_repeated_refusal_is_not_believed() {
+    let mut fleet = Fleet::start(1);
+    let runs = Runs::default();
+    let server = start_repeating_server(runs.clone());
+    let local = fleet.daemons[0].as_ref().unwrap().addresses().local;
+    let announcement = format!(
+        r#"{{"server":"repeating","service":"orders","address":"{server}","slots":4,"incarnation":1,"phase":"ready"}}"#
+    );
+    let announce = || {
+        let head = format!("content-length: {}\r\nconnection: close", announcement.len());
+        let request = format!("POST /announce HTTP/1.1\r\nhost: a\r\n{head}\r\n\r\n{announcement}");
+        assert_eq!(send_raw(local, request.as_bytes()).status, Some(200));
+    };
+    fleet.servers.clear();
+    for round in 0..30 {
+        announce();
+        let path = format!("/slots/{round}");
+        let request = format!(
+            "GET {path} HTTP/1.1\r\nhost: a\r\nconnection: close\r\nfescuemux-deadline-ms: 500\r\n\r\n"
+        );
+        let response = send_raw(fleet.callers_addr(0), request.as_bytes());
+        let has_run = runs.lock().unwrap().contains(&path);
+        assert!(
+            !has_run || response.verdict.as_deref() != Some("not-run"),
+            "{path} has run: {response:?}"
+        );
+    }
+}
