--- a/crates/fescuemux-daemon/tests/refusals.rs
+++ b/crates/fescuemux-daemon/tests/refusals.rs
@@ -55,6 +55,16 @@
 /// Paths of the requests that a server has run.
 type Runs = Arc<Mutex<Vec<String>>>;
 
+/// Announces a server of the service `orders` to a daemon.
+fn announce(local: SocketAddr, name: &str, server: SocketAddr) {
+    let announcement = format!(
+        r#"{{"server":"{name}","service":"orders","address":"{server}","slots":4,"incarnation":1,"phase":"ready"}}"#
+    );
+    let head = format!("content-length: {}\r\nconnection: close", announcement.len());
+    let request = format!("POST /announce HTTP/1.1\r\nhost: a\r\n{head}\r\n\r\n{announcement}");
+    assert_eq!(send_raw(local, request.as_bytes()).status, Some(200));
+}
+
 /// Starts a server that refuses the first request on each connection, and writes the refusal once
 /// more before the answer to each later request, which it runs.
 fn start_repeating_server(runs: Runs) -> SocketAddr {
@@ -104,17 +114,9 @@
     let runs = Runs::default();
     let server = start_repeating_server(runs.clone());
     let local = fleet.daemons[0].as_ref().unwrap().addresses().local;
-    let announcement = format!(
-        r#"{{"server":"repeating","service":"orders","address":"{server}","slots":4,"incarnation":1,"phase":"ready"}}"#
-    );
-    let announce = || {
-        let head = format!("content-length: {}\r\nconnection: close", announcement.len());
-        let request = format!("POST /announce HTTP/1.1\r\nhost: a\r\n{head}\r\n\r\n{announcement}");
-        assert_eq!(send_raw(local, request.as_bytes()).status, Some(200));
-    };
     fleet.servers.clear();
     for round in 0..30 {
-        announce();
+        announce(local, "repeating", server);
         let path = format!("/slots/{round}");
         let request = format!(
             "GET {path} HTTP/1.1\r\nhost: a\r\nconnection: close\r\nfescuemux-deadline-ms: 500\r\n\r\n"
@@ -127,3 +129,36 @@
         );
     }
 }
+
+/// A server may stop in the middle of the head of its answer and close. The caller must not get an
+/// answer that looks whole, whatever part of the head arrived.
+#[test]
+fn a_head_that_breaks_off_is_no_answer() {
+    const HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nx-tag: a\r\ncontent-length: 4\r\n\r\n";
+    let mut fleet = Fleet::start(1);
+    let cut_at = Arc::new(Mutex::new(0));
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let server = listener.local_addr().unwrap();
+    let server_cut_at = cut_at.clone();
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let mut reader = BufReader::new(stream.try_clone().unwrap());
+            let mut line = String::new();
+            while reader.read_line(&mut line).is_ok_and(|len| len > 2) {
+                line.clear();
+            }
+            // An error means that the daemon closed the connection.
+            let _ = stream.write_all(&HEAD[..*server_cut_at.lock().unwrap()]);
+        }
+    });
+    let local = fleet.daemons[0].as_ref().unwrap().addresses().local;
+    fleet.servers.clear();
+    for len in 0..HEAD.len() {
+        *cut_at.lock().unwrap() = len;
+        announce(local, "cut", server);
+        let request = "GET /slots HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\
+                       fescuemux-deadline-ms: 500\r\n\r\n";
+        let response = send_raw(fleet.callers_addr(0), request.as_bytes());
+        assert!(matches!(response.status, Some(502..=504)), "{len} bytes: {response:?}");
+    }
+}
--- a/crates/fescuemux-standins/src/platform/app_fault.rs
+++ b/crates/fescuemux-standins/src/platform/app_fault.rs
@@ -18,6 +18,11 @@
     TruncatedResponse,
     /// Sends a response with another request's id before the right response.
     MismatchedResponse,
+    /// Rejects every other request, keeps the connection, and writes the rejection once more before
+    /// the response to the next request, which it runs.
+    RepeatedRejection,
+    /// Runs the request, writes a part of the response head and closes the connection.
+    TruncatedHead,
     /// Closes the connection after each response without announcing it, so that the client's idle
     /// connection goes stale.
     CloseAfterResponse,
--- a/crates/fescuemux-standins/src/platform/app_server.rs
+++ b/crates/fescuemux-standins/src/platform/app_server.rs
@@ -41,6 +41,8 @@
     fault: Mutex<AppFault>,
     /// Headers added to each complete response, each with its line end.
     notice: Mutex<String>,
+    /// Id of the request that [`AppFault::RepeatedRejection`] rejected last.
+    rejected: Mutex<Option<String>>,
     draining: AtomicBool,
     drain_acknowledged: AtomicBool,
     stopped: AtomicBool,
@@ -70,6 +72,7 @@
             options,
             fault: Mutex::default(),
             notice: Mutex::default(),
+            rejected: Mutex::default(),
             draining: AtomicBool::new(false),
             drain_acknowledged: AtomicBool::new(false),
             stopped: AtomicBool::new(false),
@@ -192,10 +195,21 @@
         }
         let fault = *shared.fault.lock().unwrap_or_else(PoisonError::into_inner);
         if fault == AppFault::Shed {
-            let head = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n";
-            stream.write_all(format!("{head}Request-Id: {id}\r\nNot-Run: 1\r\n\r\n").as_bytes())?;
+            stream.write_all(&rejection(&id))?;
             continue;
         }
+        if fault == AppFault::RepeatedRejection {
+            let mut rejected = shared.rejected.lock().unwrap_or_else(PoisonError::into_inner);
+            let earlier = rejected.take();
+            if earlier.is_none() {
+                *rejected = Some(id.clone());
+            }
+            drop(rejected);
+            stream.write_all(&rejection(earlier.as_ref().unwrap_or(&id)))?;
+            if earlier.is_none() {
+                continue;
+            }
+        }
         record_execution(shared, &request, &id);
         std::thread::sleep(shared.options.service_time);
         match fault {
@@ -230,7 +244,14 @@
                              Transfer-Encoding: chunked\r\n\r\n";
                 return write_without_end(&mut stream, head, b"4\r\nabcd\r\n");
             }
+            AppFault::TruncatedHead => {
+                let head =
+                    format!("HTTP/1.1 200 X\r\nRequest-Id: {id}\r\nReply-Stamp: s\r\nContent-Le");
+                stream.write_all(head.as_bytes())?;
+                return stream.shutdown(Shutdown::Both);
+            }
             AppFault::None
+            | AppFault::RepeatedRejection
             | AppFault::CloseAfterResponse
             | AppFault::EndlessAfterResponse
             | AppFault::Shed => {
@@ -269,6 +290,12 @@
     });
 }
 
+/// Returns the response that rejects a request without running it.
+fn rejection(id: &str) -> Vec<u8> {
+    let head = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n";
+    format!("{head}Request-Id: {id}\r\nNot-Run: 1\r\n\r\n").into_bytes()
+}
+
 fn response_body(id: &str) -> Vec<u8> {
     format!("answer to {id}").into_bytes()
 }
