--- a/crates/fescuemux-core/src/placement/admission_controller.rs
+++ b/crates/fescuemux-core/src/placement/admission_controller.rs
@@ -1,15 +1,17 @@
 //! Admission control of one instance: the slots of its backend server, and the requests that wait
 //! for them.
 
+mod eviction;
+mod limits;
+mod load;
+
 use crate::base::{HashMap, Incarnation, ServerId};
-use crate::placement::rate_limiter::RateLimiter;
 use crate::placement::slot_holder::{SlotHolder, expected_running_time, running_ratio};
-use crate::placement::waiting::{TOP_LEVEL_SLOT_SHARE, WaitQueue, WaitingRequest};
+use crate::placement::waiting::{WaitQueue, WaitingRequest};
 use crate::placement::{
-    Admission, AttemptKind, Evidence, FaultEstimator, InFlightRequest, LoadReport, LocalServer,
-    NoticeChange, Precedence, Readiness, Refusal, RelayedNotice, RequestOutcome, RetryLimits,
-    RunningTimes, ServerNotice, ServerReport, ServiceRetryBudget, ShedRate, ShutdownDeadlines,
-    SlotRefusalReason, SlotRequest,
+    Admission, AttemptKind, Evidence, FaultEstimator, InFlightRequest, LocalServer, NoticeChange,
+    Refusal, RelayedNotice, RequestOutcome, RetryLimits, RunningTimes, ServerNotice, ServerReport,
+    ServiceRetryBudget, ShedRate, ShutdownDeadlines, SlotRefusalReason, SlotRequest,
 };
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -22,37 +24,13 @@
 /// time.
 const GRANT_TTL: Duration = Duration::from_millis(250);
 
-/// Maximum number of waiting requests of each kind, nested and top-level, for each slot.
-const MAX_QUEUED_PER_SLOT: usize = 8;
-
-/// Time within which all waiting requests of a kind must get a slot by the limit that the server
-/// names. Few objectives leave more time.
-const LIMITED_QUEUE_TIME: Duration = Duration::from_secs(2);
-
-/// Multiple of the expected running time after which a running request counts as hanging: the
-/// expected wait assumes that its slot does not become free. Eviction has its own limits.
-const HANGING_RATIO: f64 = 5.0;
-
 /// Maximum number of remembered servers that left before their first report arrived.
 const MAX_DEPARTED: usize = 8;
 
-/// Time in which an evicted request is expected to release its slot; after it, another request may
-/// be evicted. The ingress of the request reacts at once, unless the ingress is shutting down or
-/// partitioned.
-const EVICTION_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// Failure probability above which no request may wait for a server: its slots stay in use until
 /// its fault ends, and other servers of its service answer sooner.
 const NO_QUEUE_PROBABILITY: f64 = 0.75;
 
-/// Number of usable slots that the expected wait assumes when the requests in all slots hang.
-const MIN_AVAILABLE_SLOTS: f64 = 0.25;
-
-/// Time without a granted slot after which a server is reported as idle. Idempotent requests go to
-/// idle servers first, so a healthy server that is wrongly considered faulty gets a request at
-/// least every two seconds.
-const IDLE_AFTER: Duration = Duration::from_millis(1_600);
-
 /// Admission state of one instance.
 #[derive(Clone, Debug)]
 pub struct AdmissionController {
@@ -318,75 +296,6 @@
         decisions
     }
 
-    /// Evicts hanging requests for waiting ones and returns the tickets of the evicted requests,
-    /// the longest running first.
-    ///
-    /// For each waiting request, one hanging request is evicted. No request may wait for a server
-    /// that is probably faulty, so one is also evicted when all requests on such a server hang:
-    /// without a free slot, the server could not show that its fault has ended. A hanging request
-    /// that must not run twice is lost in any case. As deadlines are many times the running time, a
-    /// few such requests would hold all slots of a service.
-    pub fn evict(&mut self, now: Instant) -> Vec<Ticket> {
-        if self.shutdown_deadlines.is_some() || self.holders.len() < self.slots() {
-            return Vec::new();
-        }
-        let likely_faulty = self.failure_probability(now) > NO_QUEUE_PROBABILITY;
-        let (evicted, others): (Vec<_>, Vec<_>) =
-            self.holders.iter().partition(|(_, holder)| holder.evicted_at.is_some());
-        let pending_release = evicted.iter().filter(|(_, holder)| {
-            holder.evicted_at.is_some_and(|evicted_at| {
-                now.saturating_duration_since(evicted_at) < EVICTION_TIMEOUT
-            })
-        });
-        let evictable =
-            others.iter().filter(|(_, holder)| holder.may_be_evicted(now, &self.running_times));
-        let mut evictable: Vec<_> =
-            evictable.map(|(ticket, holder)| (holder.started_at, **ticket)).collect();
-        let is_blocked = likely_faulty && evictable.len() == others.len();
-        let needed_evictions = self.queue.len().max(usize::from(is_blocked));
-        evictable.sort_unstable();
-        evictable.truncate(needed_evictions.saturating_sub(pending_release.count()));
-        for (_, ticket) in &evictable {
-            if let Some(holder) = self.holders.get_mut(ticket) {
-                holder.evicted_at = Some(now);
-            }
-        }
-        evictable.into_iter().map(|(_, ticket)| ticket).collect()
-    }
-
-    /// Returns the load as seen by a request of the given precedence and route.
-    /// `expected_running_time` is the ingress's estimate, used until this server has answered a
-    /// request of the route.
-    pub fn load_report(
-        &mut self,
-        now: Instant,
-        precedence: Precedence,
-        route_hash: u64,
-        expected_running_time: Duration,
-    ) -> LoadReport {
-        let is_cold = self.server.as_ref().is_some_and(|server| server.cold_until > now);
-        let running_time =
-            self.running_times.route_mean(route_hash).unwrap_or(expected_running_time)
-                * if is_cold { 2 } else { 1 };
-        let is_idle = now.saturating_duration_since(self.last_grant) >= IDLE_AFTER
-            && self.limiter().is_none_or(|limiter| limiter.available(now) > 0);
-        let readiness = match self.closed_reason(now, running_time) {
-            Some(_) => Readiness::Closed,
-            None if is_idle => Readiness::Idle,
-            None => Readiness::Open,
-        };
-        LoadReport {
-            readiness,
-            slots: self.available_slots(now) as u32,
-            used_slots: self.holders.len() as u32,
-            queued: self.queue.len() as u32,
-            expected_wait: self.expected_wait(now, precedence, running_time),
-            expected_running_time: running_time,
-            failure_probability: self.failure_probability(now),
-            shed_probability: self.shed_rate.probability(now),
-        }
-    }
-
     /// Returns why a new request of this expected running time is refused, or `None` if it is
     /// accepted.
     fn closed_reason(&self, now: Instant, running_time: Duration) -> Option<SlotRefusalReason> {
@@ -413,90 +322,6 @@
         self.server.as_ref().map_or(0, |server| server.report.slots)
     }
 
-    fn limiter(&self) -> Option<&RateLimiter> {
-        self.server.as_ref().and_then(|server| server.limiter.as_ref())
-    }
-
-    /// Returns the number of slots in use and of those that the server's limit leaves usable.
-    fn available_slots(&self, now: Instant) -> usize {
-        let usable =
-            self.limiter().map_or(usize::MAX, |limiter| self.used_slots() + limiter.available(now));
-        self.slots().min(usable)
-    }
-
-    fn can_grant(&self, now: Instant) -> bool {
-        self.used_slots() < self.available_slots(now)
-    }
-
-    /// Returns the maximum number of waiting nested requests, and likewise of waiting top-level
-    /// requests.
-    fn max_waiting_per_kind(&self, now: Instant) -> usize {
-        let within_limit = self
-            .limiter()
-            .map_or(usize::MAX, |limiter| limiter.count_within(now, LIMITED_QUEUE_TIME) + 1);
-        (self.slots() * MAX_QUEUED_PER_SLOT).min(within_limit)
-    }
-
-    fn grant(&mut self, now: Instant, ticket: Ticket, request: SlotRequest) {
-        self.last_grant = now;
-        let mut holder = SlotHolder::new(now, request);
-        if let Some(limiter) = self.server.as_mut().and_then(|server| server.limiter.as_mut()) {
-            limiter.take(now);
-            holder.is_counted = true;
-        }
-        self.holders.insert(ticket, holder);
-    }
-
-    /// Removes a request that holds a slot. One that has not started does not count in the server's
-    /// limit.
-    fn release(&mut self, now: Instant, ticket: Ticket) -> Option<SlotHolder> {
-        let holder = self.holders.remove(&ticket)?;
-        if holder.is_counted
-            && holder.started_at.is_none()
-            && let Some(limiter) = self.server.as_mut().and_then(|server| server.limiter.as_mut())
-        {
-            limiter.give_back(now);
-        }
-        Some(holder)
-    }
-
-    /// Returns the expected wait of a new request, at the rate at which slots become free for the
-    /// requests ahead of it, and at the rate of the limit that the server names. Slots of hanging
-    /// requests do not count.
-    ///
-    /// For a top-level request, the wait is limited to the time in which [`TOP_LEVEL_SLOT_SHARE`]
-    /// of the slots serves the top-level requests ahead, and then raised to
-    /// [`WaitQueue::estimated_wait`] if requests of its priority got slots more slowly than that.
-    fn expected_wait(
-        &self,
-        now: Instant,
-        precedence: Precedence,
-        running_time: Duration,
-    ) -> Duration {
-        let ahead = self.queue.ahead_of(precedence);
-        let limit_wait =
-            self.limiter().map_or(Duration::ZERO, |limiter| limiter.time_until(now, ahead + 1));
-        if self.queue.is_empty() && self.holders.len() < self.slots() {
-            return limit_wait;
-        }
-        let hanging = self
-            .holders
-            .values()
-            .filter(|holder| holder.running_ratio(now, &self.running_times) > HANGING_RATIO);
-        let available =
-            (self.slots().saturating_sub(hanging.count()) as f64).max(MIN_AVAILABLE_SLOTS);
-        let expected_wait = self.running_times.mean().mul_f64((ahead as f64 + 1.0) / available);
-        if !precedence.top_level {
-            return expected_wait.max(limit_wait);
-        }
-        let ahead = self.queue.top_level_ahead_of(precedence);
-        let wait_in_running_times = (ahead as f64 + 1.0) / (available * TOP_LEVEL_SLOT_SHARE);
-        expected_wait
-            .min(running_time.mul_f64(wait_in_running_times))
-            .max(self.queue.estimated_wait(now, precedence.priority))
-            .max(limit_wait)
-    }
-
     /// Refuses waiting requests that cannot end in time, exceed the queue limit or would not be
     /// accepted any more, and all waiting requests while the server is probably faulty.
     fn refuse_waiting(&mut self, now: Instant) -> Vec<(Ticket, Admission)> {
--- /dev/null
+++ b/crates/fescuemux-sidecar/src/guard/relay/download.rs
@@ -0,0 +1,134 @@
+//! Receipt of the server's response, and forwarding to the ingress.
+
+use super::{HopSink, RelayResult};
+use crate::HeaderNames;
+use crate::guard::server_connections;
+use crate::h1::{BodyReader, Framing, H1Error, ResponseHead, ResponseReader};
+use crate::hop::{Commit, Failure, Frame, HopResponseHead, Message};
+use crate::node::Node;
+use fescuemux_core::placement::{RequestOutcome, ServerReport};
+use futures::SinkExt;
+use std::io;
+use tokio::sync::Mutex;
+use tracing::info;
+
+/// Maximum number of body bytes of a response. A server in trouble may send bytes until its caller
+/// closes the connection; the deadline limits the time, and this the bytes.
+const MAX_RESPONSE_BYTES: u64 = 1 << 30;
+
+/// Maximum number of body bytes of a response to an earlier request that are read to find the one
+/// that matches.
+const MAX_SKIPPED_BODY_BYTES: u64 = 1 << 20;
+
+/// Maximum number of response heads read to find the one that matches the request.
+const MAX_RESPONSE_HEADS: usize = 4;
+
+/// Receives the response to the request and forwards it to the ingress if it is valid.
+pub(super) async fn download(
+    node: &Node,
+    server: &ServerReport,
+    sink: &Mutex<HopSink<'_>>,
+    reader: &mut ResponseReader,
+    commit: &Commit,
+) -> RelayResult {
+    let header_names = node.dialect.headers();
+    let head = match read_matching_head(reader, &header_names, &commit.request_id).await {
+        Ok(head) => head,
+        Err(e) => {
+            info!(event = "answer_missing", request = commit.request_id, error = %e);
+            return RelayResult::failed(RequestOutcome::Failed, Failure::Broken);
+        }
+    };
+    node.on_server_notice(server, node.dialect.decode_notice(&head));
+    let Ok(framing) = framing(&head, commit) else {
+        return RelayResult::failed(RequestOutcome::Failed, Failure::Broken);
+    };
+    if head.header(header_names.not_run).is_some() || head.status == 421 {
+        return RelayResult::failed(RequestOutcome::Shed, Failure::Shed);
+    }
+    let success = (200..300).contains(&head.status);
+    let encoded = head.header("content-encoding").is_some();
+    if success && (head.header(header_names.response_stamp).is_none() || encoded) {
+        info!(event = "answer_unproved", request = commit.request_id, status = head.status);
+        return RelayResult::failed(RequestOutcome::Failed, Failure::Broken);
+    }
+    match relay_response(node, sink, reader, &head, framing).await {
+        Ok(()) => RelayResult {
+            outcome: if head.status >= 500 {
+                RequestOutcome::Failed
+            } else {
+                RequestOutcome::Answered
+            },
+            failure: None,
+            reuse_idle_timeout: (!head.closes_connection() && framing != Framing::UntilClose)
+                .then(|| head.idle_timeout()),
+        },
+        Err(RelayError::Server(e)) => {
+            info!(event = "answer_cut", request = commit.request_id, error = %e);
+            RelayResult::failed(RequestOutcome::Failed, Failure::Broken)
+        }
+        Err(RelayError::Ingress) => RelayResult {
+            outcome: RequestOutcome::Abandoned,
+            failure: None,
+            reuse_idle_timeout: None,
+        },
+    }
+}
+
+fn framing(head: &ResponseHead, commit: &Commit) -> Result<Framing, H1Error> {
+    if commit.method == "HEAD" { Ok(Framing::Length(0)) } else { head.framing() }
+}
+
+/// Returns the response head that carries the request's id. Responses with another id are skipped;
+/// they may be late responses to earlier requests on the connection.
+async fn read_matching_head(
+    reader: &mut ResponseReader,
+    header_names: &HeaderNames,
+    request_id: &str,
+) -> Result<ResponseHead, H1Error> {
+    for _ in 0..MAX_RESPONSE_HEADS {
+        let head = reader.next_head().await?;
+        if head.header(header_names.request_id) == Some(request_id) {
+            return Ok(head);
+        }
+        let framing = head.framing()?;
+        if framing == Framing::UntilClose {
+            return Err(H1Error::Malformed);
+        }
+        let mut body = BodyReader::new(framing, MAX_SKIPPED_BODY_BYTES);
+        while body.next_chunk(reader).await?.is_some() {}
+    }
+    Err(H1Error::Malformed)
+}
+
+/// Side that failed while a response was relayed.
+enum RelayError {
+    Server(H1Error),
+    Ingress,
+}
+
+async fn relay_response(
+    node: &Node,
+    sink: &Mutex<HopSink<'_>>,
+    reader: &mut ResponseReader,
+    head: &ResponseHead,
+    framing: Framing,
+) -> Result<(), RelayError> {
+    let body_len = match framing {
+        Framing::Length(len) => Some(len),
+        Framing::Chunked | Framing::UntilClose => None,
+    };
+    let headers = head.headers.iter().filter(|(name, _)| !server_connections::is_hop_by_hop(name));
+    let headers = headers.map(|(name, value)| (name.clone(), value.to_vec())).collect();
+    let server_notice = node.admission.borrow().server().and_then(|server| server.relayed_notice());
+    let server_notice = server_notice.map(Into::into);
+    let head = HopResponseHead { status: head.status, headers, body_len, server_notice };
+    let ingress_error = |_: io::Error| RelayError::Ingress;
+    let mut sink = sink.lock().await;
+    sink.feed(Frame::Message(Message::Head(head))).await.map_err(ingress_error)?;
+    let mut body = BodyReader::new(framing, MAX_RESPONSE_BYTES);
+    while let Some(chunk) = body.next_chunk(reader).await.map_err(RelayError::Server)? {
+        sink.feed(Frame::Body(chunk)).await.map_err(ingress_error)?;
+    }
+    sink.send(Frame::Message(Message::End)).await.map_err(ingress_error)
+}
