--- a/review/standins/src/bin/early_answer.rs
+++ b/review/standins/src/bin/early_answer.rs
@@ -46,7 +46,11 @@
                 let mut reader = BufReader::new(stream);
                 while let Some((first, headers)) = head(&mut reader) {
                     let get = |n: &str| {
-                        headers.iter().find(|(h, _)| h == n).map(|(_, v)| v.clone()).unwrap_or_default()
+                        headers
+                            .iter()
+                            .find(|(h, _)| h == n)
+                            .map(|(_, v)| v.clone())
+                            .unwrap_or_default()
                     };
                     let id = get("request-id");
                     let len: usize = get("content-length").parse().unwrap_or(0);
--- a/review/standins/src/bin/leave_outage.rs
+++ b/review/standins/src/bin/leave_outage.rs
@@ -157,7 +157,9 @@
         sleep_ms(50);
     }
     let busy_since = Instant::now();
-    while leaver.runs().iter().all(|run| run.answered_at.is_some()) && busy_since.elapsed() < Duration::from_secs(1) {
+    while leaver.runs().iter().all(|run| run.answered_at.is_some())
+        && busy_since.elapsed() < Duration::from_secs(1)
+    {
         sleep_ms(5);
     }
     leaver.end();
--- a/review/standins/src/bin/odd_beats.rs
+++ b/review/standins/src/bin/odd_beats.rs
@@ -74,7 +74,8 @@
         let bytes = request("POST", "/order/x", &id, 3_000, b"bag");
         let outcome = exchange(&fleet.outbound(0), &bytes, ms(3_500));
         if outcome.status != 200 || acked {
-            record.line(&format!("{what}: acknowledged {acked}; the next order: {}", outcome.status));
+            record
+                .line(&format!("{what}: acknowledged {acked}; the next order: {}", outcome.status));
         }
         if outcome.status != 200 {
             // A new start of the process forgets it.
--- a/review/standins/src/bin/stream_stop.rs
+++ b/review/standins/src/bin/stream_stop.rs
@@ -53,7 +53,8 @@
     // Traffic starts 8 s after the machines.
     sleep_ms(8_000);
 
-    let requests = [("GET", "/slots/1"), ("POST", "/book/1"), ("GET", "/slots/2"), ("POST", "/book/2")];
+    let requests =
+        [("GET", "/slots/1"), ("POST", "/book/1"), ("GET", "/slots/2"), ("POST", "/book/2")];
     let sent_at = Instant::now();
     let requesters: Vec<_> = requests
         .iter()
--- a/review/standins/src/bin/stress.rs
+++ b/review/standins/src/bin/stress.rs
@@ -28,7 +28,9 @@
 }
 
 fn hash(bytes: &[u8]) -> u64 {
-    bytes.iter().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(*b)).wrapping_mul(0x100_0000_01b3))
+    bytes
+        .iter()
+        .fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(*b)).wrapping_mul(0x100_0000_01b3))
 }
 
 fn content(id: &str, len: usize) -> Vec<u8> {
@@ -90,7 +92,13 @@
     Some(body)
 }
 
-fn serve(stream: TcpStream, server: &str, log: &Mutex<Log>, mut rng: Rng, faults: &AtomicBool) -> Option<()> {
+fn serve(
+    stream: TcpStream,
+    server: &str,
+    log: &Mutex<Log>,
+    mut rng: Rng,
+    faults: &AtomicBool,
+) -> Option<()> {
     let _ = stream.set_nodelay(true);
     let mut w = stream.try_clone().ok()?;
     let mut reader = BufReader::new(stream);
@@ -100,7 +108,11 @@
         let id = headers.get("request-id").cloned().unwrap_or_default();
         if headers.get("target-instance").is_some_and(|t| t != server) {
             let _ = read_body(&mut reader, &headers)?;
-            w.write_all(format!("HTTP/1.1 421 X\r\nRequest-Id: {id}\r\nContent-Length: 0\r\n\r\n").as_bytes()).ok()?;
+            w.write_all(
+                format!("HTTP/1.1 421 X\r\nRequest-Id: {id}\r\nContent-Length: 0\r\n\r\n")
+                    .as_bytes(),
+            )
+            .ok()?;
             continue;
         }
         let fault = if faults.load(Ordering::SeqCst) { rng.below(24) } else { 99 };
@@ -111,7 +123,13 @@
         }
         if fault == 0 {
             // Rejects before the body is in.
-            w.write_all(format!("HTTP/1.1 503 X\r\nRequest-Id: {id}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n").as_bytes()).ok()?;
+            w.write_all(
+                format!(
+                    "HTTP/1.1 503 X\r\nRequest-Id: {id}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+                )
+                .as_bytes(),
+            )
+            .ok()?;
             let _ = read_body(&mut reader, &headers)?;
             continue;
         }
@@ -119,7 +137,13 @@
         let sent = headers.get("x-sent-hash").and_then(|h| h.parse::<u64>().ok());
         let Some(body) = body else { return None };
         if fault == 1 {
-            w.write_all(format!("HTTP/1.1 503 X\r\nRequest-Id: {id}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n").as_bytes()).ok()?;
+            w.write_all(
+                format!(
+                    "HTTP/1.1 503 X\r\nRequest-Id: {id}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+                )
+                .as_bytes(),
+            )
+            .ok()?;
             continue;
         }
         let same = Some(hash(&body)) == sent && first.contains(&id);
@@ -143,7 +167,10 @@
             }
             6 => {
                 // Chunks, broken off.
-                w.write_all(format!("{start}Transfer-Encoding: chunked\r\n\r\n{len:x}\r\n").as_bytes()).ok()?;
+                w.write_all(
+                    format!("{start}Transfer-Encoding: chunked\r\n\r\n{len:x}\r\n").as_bytes(),
+                )
+                .ok()?;
                 w.write_all(&answer).ok()?;
                 w.write_all(b"\r\n").ok()?;
                 return None;
@@ -246,7 +273,8 @@
     sleep_ms(4_000);
     let stops = std::env::var_os("STOPS").is_some();
     faults.store(!stops, Ordering::SeqCst);
-    let usable: Arc<Vec<AtomicBool>> = Arc::new((0..count).map(|_| AtomicBool::new(true)).collect());
+    let usable: Arc<Vec<AtomicBool>> =
+        Arc::new((0..count).map(|_| AtomicBool::new(true)).collect());
     let done = Arc::new(AtomicBool::new(false));
     let next_id = Arc::new(AtomicU64::new(0));
     let problems: Arc<Mutex<Vec<String>>> = Arc::default();
--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -157,7 +157,8 @@
     /// Returns whether the process has ended, and forgets it then.
     pub fn has_ended(&mut self, index: usize) -> bool {
         let node = &mut self.nodes[index];
-        let ended = node.child.as_mut().is_none_or(|c| matches!(c.try_wait(), Ok(Some(_)) | Err(_)));
+        let ended =
+            node.child.as_mut().is_none_or(|c| matches!(c.try_wait(), Ok(Some(_)) | Err(_)));
         if ended {
             node.child = None;
         }
