--- a/review/standins/src/bin/leave_outage.rs
+++ b/review/standins/src/bin/leave_outage.rs
@@ -48,7 +48,7 @@
     };
     let start_server = |index: usize, id: &str| {
         let (service, zone) = machines[index];
-        Server::start(&record, &fleet.nodes[index].ip, zone, service, id, work)
+        Server::start(&record, &fleet.app(index), zone, service, id, work)
     };
     let leaver = start_server(1, "i-leaver");
     let stayer = start_server(2, "i-stayer");
--- a/review/standins/src/bin/stream_freeze.rs
+++ b/review/standins/src/bin/stream_freeze.rs
@@ -40,7 +40,7 @@
         .map(|&index| {
             let (service, zone) = machines[index];
             let id = format!("i-{index}");
-            Server::start(&record, &fleet.nodes[index].ip, zone, service, &id, work)
+            Server::start(&record, &fleet.app(index), zone, service, &id, work)
         })
         .collect();
     for (server, index) in servers.iter().zip([8, 9]) {
