--- a/review/standins/src/bin/same_id.rs
+++ b/review/standins/src/bin/same_id.rs
@@ -29,7 +29,8 @@
         }
         false
     };
-    let mut servers = vec![Server::start(&record, &fleet.app(1), "leitrim-a", "orderdesk", "i-1", work)];
+    let mut servers =
+        vec![Server::start(&record, &fleet.app(1), "leitrim-a", "orderdesk", "i-1", work)];
     call_control(&fleet.control(1), &servers[0].beat("ready"));
     record.line(&format!("first start served: {}", served(&fleet, "first", 6_000)));
     for round in 0..8 {
@@ -68,7 +69,10 @@
         call_control(&control, &late_beat);
         sleep_ms(100);
         call_control(&control, &new.beat("ready"));
-        record.line(&format!("round {round}: served {}", served(&fleet, &format!("r{round}"), 5_000)));
+        record.line(&format!(
+            "round {round}: served {}",
+            served(&fleet, &format!("r{round}"), 5_000)
+        ));
         servers.push(new);
     }
 }
