--- a/crates/fescuemux-core/src/placement.rs
+++ b/crates/fescuemux-core/src/placement.rs
@@ -11,6 +11,7 @@
 mod admission_controller;
 mod config_readers;
 mod departures;
+mod eviction_response;
 mod failed_requests;
 mod fault_estimator;
 mod load_report;
@@ -40,6 +41,7 @@
 pub use departures::{
     DEPARTURE_TTL, Departure, DepartureVersion, HeldDepartures, MAX_DEPARTURES, OwnDepartures,
 };
+pub use eviction_response::{EvictedAttempt, EvictionResponse};
 pub use failed_requests::{FailedRequests, is_nested_request_of};
 pub use fault_estimator::{Evidence, FaultEstimator, InFlightRequest};
 pub use load_report::{LoadReport, Readiness};
--- a/crates/fescuemux-core/src/placement/slot_holder.rs
+++ b/crates/fescuemux-core/src/placement/slot_holder.rs
@@ -13,7 +13,7 @@
 const IDEMPOTENT_EVICTION_RATIO: f64 = 3.5;
 
 /// Minimum expected running time; below it, scheduling delays of the process dominate.
-const MIN_EXPECTED_RUNNING_TIME: Duration = Duration::from_millis(40);
+pub(super) const MIN_EXPECTED_RUNNING_TIME: Duration = Duration::from_millis(40);
 
 #[derive(Clone, Debug)]
 pub(super) struct SlotHolder {
--- a/crates/fescuemux-core/tests/placement/main.rs
+++ b/crates/fescuemux-core/tests/placement/main.rs
@@ -7,6 +7,7 @@
 mod departures;
 
 mod directory;
+mod evictions;
 mod exhaustive;
 mod fault_estimator;
 mod fleet_retries;
--- a/crates/fescuemux-sidecar/src/guard/relay.rs
+++ b/crates/fescuemux-sidecar/src/guard/relay.rs
@@ -90,7 +90,7 @@
                 }
             }
             result = download => result,
-            () = notify_evicted(evict_rx, &sink) => {
+            () = notify_evicted(evict_rx, &sink, &commit) => {
                 RelayResult {
                     outcome: RequestOutcome::Abandoned,
                     failure: None,
@@ -216,8 +216,13 @@
 
 /// Notifies the ingress when the request is evicted from its slot. Returns only if the notification
 /// cannot be sent.
-async fn notify_evicted(evict_rx: oneshot::Receiver<()>, sink: &Mutex<HopSink<'_>>) {
+async fn notify_evicted(
+    evict_rx: oneshot::Receiver<()>,
+    sink: &Mutex<HopSink<'_>>,
+    commit: &Commit,
+) {
     if evict_rx.await.is_ok() {
+        info!(event = "evicted", request = commit.request_id);
         let message = Frame::Message(Message::Evicted);
         if sink.lock().await.send(message).await.is_err() {
             return;
--- a/crates/fescuemux-sidecar/src/ingress/attempt.rs
+++ b/crates/fescuemux-sidecar/src/ingress/attempt.rs
@@ -8,11 +8,13 @@
 use crate::node::Node;
 use bytes::BytesMut;
 use fescuemux_core::base::Verdict;
-use fescuemux_core::placement::Refusal;
+use fescuemux_core::placement::{EvictedAttempt, Refusal};
 use futures::{SinkExt, StreamExt};
 use http::StatusCode;
 use http_body_util::BodyExt;
-use std::time::Duration;
+use std::cell::Cell;
+use std::time::{Duration, Instant};
+use tokio::sync::Notify;
 
 /// Number of response bytes buffered before any is sent to the caller. If the response breaks off
 /// within this size, another attempt can still replace it.
@@ -31,6 +33,18 @@
 /// Weight of a new response in the exponentially weighted mean response size of its route.
 const SIZE_EWMA_WEIGHT: f64 = 0.2;
 
+/// State of an attempt that the retry loop follows while the attempt runs.
+#[derive(Debug, Default)]
+pub(super) struct AttemptState {
+    /// Time from which the attempt is presumed lost if it is evicted; `None` until a guard has
+    /// granted a slot and the request was sent.
+    pub(super) presumed_lost_at: Cell<Option<Instant>>,
+    /// Whether the guard has evicted the attempt from its slot since.
+    pub(super) is_evicted: Cell<bool>,
+    /// Tells an evicted attempt to give up its slot.
+    pub(super) break_off: Notify,
+}
+
 /// Outcome of an attempt.
 pub(super) enum AttemptOutcome {
     /// The backend server responded, possibly with an error.
@@ -45,12 +59,13 @@
 }
 
 /// Reserves a slot, sends the request and returns the outcome. `may_wait` is whether a guard may
-/// queue the request if no slot is free.
+/// queue the request if no slot is free. An evicted attempt goes on until it is told to break off.
 pub(super) async fn run_attempt(
     node: &Node,
     request: &CallerRequest,
     body: &RequestBody,
     may_wait: bool,
+    state: &AttemptState,
 ) -> AttemptOutcome {
     let mut reservation = match reserve_slot(node, request, body.buffered.len(), may_wait).await {
         Ok(reservation) => reservation,
@@ -64,8 +79,11 @@
     request.hedge_at.set(Some(
         sent_at + reservation.expected_running_time.mul_f64(HEDGE_FACTOR).max(MIN_HEDGE_DELAY),
     ));
-    request.sent_notify.notify_one();
-    let outcome = match send_and_receive_head(node, request, body, &mut reservation).await {
+    let presumed_lost_after =
+        EvictedAttempt::presumed_lost_after(reservation.expected_running_time);
+    state.presumed_lost_at.set(Some(sent_at + presumed_lost_after));
+    request.attempt_notify.notify_one();
+    let outcome = match send_and_receive_head(node, request, body, &mut reservation, state).await {
         Ok(GuardReply::Head(head)) => {
             let notice = head.server_notice.as_ref().map(Into::into);
             node.relayed_notices.borrow_mut().on_response(&reservation.peer.id, notice);
@@ -120,6 +138,7 @@
     request: &CallerRequest,
     body: &RequestBody,
     reservation: &mut Reservation,
+    state: &AttemptState,
 ) -> Result<GuardReply, HopError> {
     let remaining = body.take_remaining();
     let commit = Commit {
@@ -156,9 +175,9 @@
                 Some(Ok(Frame::Message(Message::Failed(failure)))) => {
                     return Ok(GuardReply::Failed(failure));
                 }
-                Some(Ok(Frame::Message(Message::Evicted))) if node.is_near_planned_stop() => {}
                 Some(Ok(Frame::Message(Message::Evicted))) => {
-                    return Ok(GuardReply::Failed(Failure::Evicted));
+                    state.is_evicted.set(true);
+                    request.attempt_notify.notify_one();
                 }
                 Some(Ok(_)) => return Err(HopError::UnexpectedMessage),
                 Some(Err(e)) => return Err(e.into()),
@@ -166,15 +185,21 @@
             }
         }
     };
-    tokio::pin!(upload, receive);
+    let exchange = async {
+        tokio::pin!(upload, receive);
+        tokio::select! {
+            received = &mut receive => received,
+            sent = &mut upload => match sent {
+                Ok(()) => receive.await,
+                // A guard that cannot complete the request reports the failure and closes the
+                // connection. Sending may fail first, so look for the report before returning `e`.
+                Err(e) => receive.await.map_err(|_| e),
+            },
+        }
+    };
     tokio::select! {
-        received = &mut receive => received,
-        sent = &mut upload => match sent {
-            Ok(()) => receive.await,
-            // A guard that cannot complete the request reports the failure and closes the
-            // connection. Sending may fail first, so look for the report before returning `e`.
-            Err(e) => receive.await.map_err(|_| e),
-        },
+        reply = exchange => reply,
+        () = state.break_off.notified() => Ok(GuardReply::Failed(Failure::Evicted)),
     }
 }
 
--- a/crates/fescuemux-sidecar/src/ingress/request.rs
+++ b/crates/fescuemux-sidecar/src/ingress/request.rs
@@ -44,8 +44,8 @@
     pub(super) tried_instances: RefCell<Vec<InstanceId>>,
     /// Time at which a hedged attempt starts if there is no response yet.
     pub(super) hedge_at: Cell<Option<Instant>>,
-    /// Notifies the retry loop that an attempt was sent and `hedge_at` has changed.
-    pub(super) sent_notify: Notify,
+    /// Notifies the retry loop that an attempt was sent, so that `hedge_at` has changed, or evicted.
+    pub(super) attempt_notify: Notify,
 }
 
 impl CallerRequest {
@@ -124,7 +124,7 @@
             failure_probability: Cell::new(0.0),
             tried_instances: RefCell::default(),
             hedge_at: Cell::new(None),
-            sent_notify: Notify::new(),
+            attempt_notify: Notify::new(),
         })
     }
 
@@ -136,13 +136,18 @@
     /// Counts another attempt if the limit of the route allows one more, and returns whether the
     /// attempt may start.
     pub(super) fn try_start_attempt(&self) -> bool {
-        let allowed = self.counted_attempts.get() < self.policy.max_attempts;
+        let allowed = self.has_attempts_left();
         if allowed {
             self.counted_attempts.set(self.counted_attempts.get() + 1);
         }
         allowed
     }
 
+    /// Returns whether the limit of the route allows another attempt.
+    pub(super) fn has_attempts_left(&self) -> bool {
+        self.counted_attempts.get() < self.policy.max_attempts
+    }
+
     /// Reverts [`CallerRequest::try_start_attempt`] for an attempt that was not sent.
     pub(super) fn release_attempt(&self) {
         self.counted_attempts.set(self.counted_attempts.get() - 1);
--- a/crates/fescuemux-sidecar/src/ingress/retry_loop.rs
+++ b/crates/fescuemux-sidecar/src/ingress/retry_loop.rs
@@ -1,15 +1,17 @@
 //! Retries and hedging of one request until its final response.
 
-use super::attempt::{AttemptOutcome, run_attempt};
+use super::attempt::{AttemptOutcome, AttemptState, run_attempt};
 use super::request::CallerRequest;
 use super::request_body::RequestBody;
 use super::{CallerResponse, DEFAULT_RETRY_AFTER};
+use crate::hop::Failure;
 use crate::node::Node;
-use fescuemux_core::placement::Refusal;
+use fescuemux_core::placement::{EvictedAttempt, EvictionResponse, Refusal};
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use http::StatusCode;
 use rand::Rng;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 /// Maximum random factor between the expected wait and `Retry-After`. The jitter keeps callers
@@ -24,6 +26,10 @@
 /// had been granted.
 const MAX_PLACEMENTS: u32 = 6;
 
+/// Maximum number of searches for a slot, for a request of which no attempt may go on, that find
+/// none.
+const MAX_FAILED_SEARCHES: u32 = 2;
+
 /// Runs attempts and returns the final response, at the deadline at the latest.
 pub(super) async fn run(node: &Node, request: &CallerRequest, body: RequestBody) -> CallerResponse {
     let retry_loop = RetryLoop {
@@ -31,8 +37,9 @@
         request,
         body: &body,
         fallback: None,
+        attempts: Vec::new(),
         placements: 0,
-        retried_after_no_slot: false,
+        failed_searches: 0,
     };
     match tokio::time::timeout(request.time_left(node.now()), retry_loop.run()).await {
         Ok(response) => response,
@@ -54,34 +61,47 @@
     body: &'a RequestBody,
     /// Response to send if no further attempt succeeds, such as a server error.
     fallback: Option<CallerResponse>,
+    /// States of the attempts in progress.
+    attempts: Vec<Rc<AttemptState>>,
     /// Number of attempts started, without hedged attempts.
     placements: u32,
-    /// Whether the request was already placed once more after its last running attempt found no
-    /// slot.
-    retried_after_no_slot: bool,
+    /// Number of searches that found no slot while no attempt ran, or only evicted ones.
+    failed_searches: u32,
 }
 
 impl RetryLoop<'_> {
     async fn run(mut self) -> CallerResponse {
+        let (node, request, body) = (self.node, self.request, self.body);
+        let start_attempt = |state: Rc<AttemptState>, may_wait| async move {
+            let outcome = run_attempt(node, request, body, may_wait, &state).await;
+            (state, outcome)
+        };
         let mut running_attempts = FuturesUnordered::new();
-        running_attempts.push(run_attempt(self.node, self.request, self.body, true));
-        self.placements += 1;
+        running_attempts.push(start_attempt(self.add_placement(), true));
         loop {
+            if self.respond_to_evictions() {
+                running_attempts.push(start_attempt(self.add_placement(), true));
+            }
             let time_to_hedge = self
                 .hedge_at(running_attempts.len())
                 .map(|at| at.saturating_duration_since(self.node.now()));
+            let time_to_presumed_lost = self.time_to_presumed_lost();
             let outcome = tokio::select! {
                 outcome = running_attempts.next() => outcome,
-                () = self.request.sent_notify.notified() => continue,
+                () = self.request.attempt_notify.notified() => continue,
+                () = sleep_for(time_to_presumed_lost) => continue,
                 () = sleep_for(time_to_hedge) => {
                     self.request.hedge_at.set(None);
                     if self.request.try_start_attempt() {
-                        running_attempts
-                            .push(run_attempt(self.node, self.request, self.body, false));
+                        running_attempts.push(start_attempt(self.add_attempt(), false));
                     }
                     continue;
                 }
             };
+            let outcome = outcome.map(|(state, outcome)| {
+                self.attempts.retain(|other| !Rc::ptr_eq(other, &state));
+                outcome
+            });
             let retry = match outcome {
                 Some(AttemptOutcome::Responded(response)) if !response.is_server_error() => {
                     return response;
@@ -97,8 +117,7 @@
                 None => false,
             };
             if retry {
-                self.placements += 1;
-                running_attempts.push(run_attempt(self.node, self.request, self.body, true));
+                running_attempts.push(start_attempt(self.add_placement(), true));
             } else if running_attempts.is_empty() {
                 let no_response_fallback =
                     || CallerResponse::outcome_unknown(StatusCode::BAD_GATEWAY, "no_answer");
@@ -107,6 +126,51 @@
         }
     }
 
+    /// Adds an attempt and returns its state.
+    fn add_attempt(&mut self) -> Rc<AttemptState> {
+        let state = Rc::<AttemptState>::default();
+        self.attempts.push(state.clone());
+        state
+    }
+
+    /// Adds an attempt that is not hedged, and returns its state.
+    fn add_placement(&mut self) -> Rc<AttemptState> {
+        self.placements += 1;
+        self.add_attempt()
+    }
+
+    /// Returns the time until the first evicted attempt is presumed lost, or `None` if there is none.
+    fn time_to_presumed_lost(&self) -> Option<Duration> {
+        let now = self.node.now();
+        let evicted = self.attempts.iter().filter(|attempt| attempt.is_evicted.get());
+        let lost_at = evicted.filter_map(|attempt| attempt.presumed_lost_at.get());
+        lost_at.filter(|at| *at > now).min().map(|at| at.saturating_duration_since(now))
+    }
+
+    /// Breaks off evicted attempts that another attempt replaces or whose answers are presumed lost,
+    /// and returns whether to start an attempt in place of one.
+    fn respond_to_evictions(&self) -> bool {
+        let evicted = self.attempts.iter().filter(|attempt| attempt.is_evicted.get());
+        for attempt in evicted {
+            let others = || self.attempts.iter().filter(|other| !Rc::ptr_eq(other, attempt));
+            let has_slot = |other: &&Rc<AttemptState>| other.presumed_lost_at.get().is_some();
+            let presumed_lost_at = attempt.presumed_lost_at.get();
+            let evicted_attempt = EvictedAttempt {
+                near_planned_stop: self.node.is_near_planned_stop(),
+                presumed_lost: presumed_lost_at.is_some_and(|at| self.node.now() >= at),
+                other_has_slot: others().filter(has_slot).any(|other| !other.is_evicted.get()),
+                other_is_searching: !others().all(|other| has_slot(&other)),
+                may_replace: self.failed_searches < MAX_FAILED_SEARCHES && self.may_start_retry(),
+            };
+            match evicted_attempt.response() {
+                EvictionResponse::Keep => {}
+                EvictionResponse::Replace => return self.try_start_retry(),
+                EvictionResponse::BreakOff => attempt.break_off.notify_one(),
+            }
+        }
+        false
+    }
+
     /// Returns when to start a hedged attempt, or `None` if the request cannot be hedged. A
     /// request can be hedged if it is idempotent, its body can be sent again and exactly one
     /// attempt is running.
@@ -123,14 +187,16 @@
         self.try_start_retry()
     }
 
-    /// Returns whether to retry after an attempt that may have run.
+    /// Returns whether to retry after an attempt that may have run. An evicted attempt may have been
+    /// replaced already.
     fn on_may_have_run(&mut self, reason: &'static str) -> bool {
         let status = match reason {
             "deadline" | "stuck" => StatusCode::GATEWAY_TIMEOUT,
             _ => StatusCode::BAD_GATEWAY,
         };
         self.fallback.get_or_insert_with(|| CallerResponse::outcome_unknown(status, reason));
-        self.try_start_retry()
+        let is_replaced = reason == Failure::Evicted.as_str() && !self.attempts.is_empty();
+        !is_replaced && self.try_start_retry()
     }
 
     /// Returns whether to retry. The retry counts against the route's limit of attempts only if a
@@ -163,14 +229,16 @@
             self.request.release_attempt();
             self.request.hedge_at.set(Some(self.node.now() + HEDGE_RETRY_DELAY));
         }
+        if self.attempts.iter().all(|attempt| attempt.is_evicted.get()) {
+            self.failed_searches += 1;
+        }
         // A hedged attempt is not allowed to wait for a slot. Now that no other attempt is running,
         // place the request once more and let it wait.
         if none_running
             && self.fallback.is_some()
             && self.is_retryable()
-            && !self.retried_after_no_slot
+            && self.failed_searches < MAX_FAILED_SEARCHES
         {
-            self.retried_after_no_slot = true;
             return true;
         }
         if none_running && self.fallback.is_none() {
@@ -189,6 +257,11 @@
         self.is_retryable() && self.request.try_start_attempt()
     }
 
+    /// Returns whether [`RetryLoop::try_start_retry`] would return true.
+    fn may_start_retry(&self) -> bool {
+        self.is_retryable() && self.request.has_attempts_left()
+    }
+
     fn is_retryable(&self) -> bool {
         self.request.policy.class.is_idempotent()
             && self.body.is_replayable()
