Attempts have a phase; an overdue daemon reads the store at its former interval

fescuemuxd: the shorter interval at which followers check for their turn had also shortened that of a daemon without a configuration, from 500 to 200 ms. It is a constant of its own now.

--- a/crates/fescuemux-daemon/src/config_sync/watch.rs
+++ b/crates/fescuemux-daemon/src/config_sync/watch.rs
@@ -17,6 +17,8 @@
 /// Interval at which a daemon that is not a watcher checks its role again, and whether it is its turn
 /// to read the store.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// Interval at which a daemon without a configuration reads the store itself.
+const OVERDUE_READ_INTERVAL: Duration = Duration::from_millis(500);
 /// Time after which a daemon without a configuration reads the store itself. By then its
 /// peers would have announced their configuration.
 const STORE_FALLBACK_DELAY: Duration = Duration::from_secs(2);
@@ -55,7 +57,9 @@
                 version = seen_version;
                 retry_delay = MIN_RETRY_DELAY;
                 if !is_watcher {
-                    std::thread::sleep(ROLE_CHECK_INTERVAL);
+                    let delay =
+                        if config_overdue { OVERDUE_READ_INTERVAL } else { ROLE_CHECK_INTERVAL };
+                    std::thread::sleep(delay);
                 }
             }
             Err(e) => {
--- a/crates/fescuemux-sidecar/src/ingress/attempt.rs
+++ b/crates/fescuemux-sidecar/src/ingress/attempt.rs
@@ -33,14 +33,28 @@
 /// Weight of a new response in the exponentially weighted mean response size of its route.
 const SIZE_EWMA_WEIGHT: f64 = 0.2;
 
-/// State of an attempt that the retry loop follows while the attempt runs.
+/// Phase of an attempt in progress.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) enum AttemptPhase {
+    /// Looks for a slot.
+    #[default]
+    Searching,
+    /// Was sent to a guard that granted a slot.
+    Sent {
+        /// Time from which the attempt is presumed lost if it is evicted.
+        presumed_lost_at: Instant,
+    },
+    /// Still runs, but the guard wants its slot back.
+    Evicted {
+        /// As in [`AttemptPhase::Sent`].
+        presumed_lost_at: Instant,
+    },
+}
+
+/// State of an attempt in progress, shared with the retry loop.
 #[derive(Debug, Default)]
 pub(super) struct AttemptState {
-    /// Time from which the attempt is presumed lost if it is evicted; `None` until a guard has
-    /// granted a slot and the request was sent.
-    pub(super) presumed_lost_at: Cell<Option<Instant>>,
-    /// Whether the guard has evicted the attempt from its slot since.
-    pub(super) is_evicted: Cell<bool>,
+    pub(super) phase: Cell<AttemptPhase>,
     /// Tells an evicted attempt to give up its slot.
     pub(super) break_off: Notify,
 }
@@ -79,9 +93,9 @@
     request.hedge_at.set(Some(
         sent_at + reservation.expected_running_time.mul_f64(HEDGE_FACTOR).max(MIN_HEDGE_DELAY),
     ));
-    let presumed_lost_after =
-        EvictedAttempt::presumed_lost_after(reservation.expected_running_time);
-    state.presumed_lost_at.set(Some(sent_at + presumed_lost_after));
+    let presumed_lost_at =
+        sent_at + EvictedAttempt::presumed_lost_after(reservation.expected_running_time);
+    state.phase.set(AttemptPhase::Sent { presumed_lost_at });
     request.attempt_notify.notify_one();
     let outcome = match send_and_receive_head(node, request, body, &mut reservation, state).await {
         Ok(GuardReply::Head(head)) => {
@@ -176,8 +190,10 @@
                     return Ok(GuardReply::Failed(failure));
                 }
                 Some(Ok(Frame::Message(Message::Evicted))) => {
-                    state.is_evicted.set(true);
-                    request.attempt_notify.notify_one();
+                    if let AttemptPhase::Sent { presumed_lost_at } = state.phase.get() {
+                        state.phase.set(AttemptPhase::Evicted { presumed_lost_at });
+                        request.attempt_notify.notify_one();
+                    }
                 }
                 Some(Ok(_)) => return Err(HopError::UnexpectedMessage),
                 Some(Err(e)) => return Err(e.into()),
--- a/crates/fescuemux-sidecar/src/ingress/retry_loop.rs
+++ b/crates/fescuemux-sidecar/src/ingress/retry_loop.rs
@@ -1,6 +1,6 @@
 //! Retries and hedging of one request until its final response.
 
-use super::attempt::{AttemptOutcome, AttemptState, run_attempt};
+use super::attempt::{AttemptOutcome, AttemptPhase, AttemptState, run_attempt};
 use super::request::CallerRequest;
 use super::request_body::RequestBody;
 use super::{CallerResponse, DEFAULT_RETRY_AFTER};
@@ -26,8 +26,7 @@
 /// had been granted.
 const MAX_PLACEMENTS: u32 = 6;
 
-/// Maximum number of searches for a slot, for a request of which no attempt may go on, that find
-/// none.
+/// Maximum number of searches without success; see [`RetryLoop::failed_searches`].
 const MAX_FAILED_SEARCHES: u32 = 2;
 
 /// Runs attempts and returns the final response, at the deadline at the latest.
@@ -65,7 +64,8 @@
     attempts: Vec<Rc<AttemptState>>,
     /// Number of attempts started, without hedged attempts.
     placements: u32,
-    /// Number of searches that found no slot while no attempt ran, or only evicted ones.
+    /// Number of searches that found no slot while no attempt ran that may go on, that is, none or
+    /// only evicted ones.
     failed_searches: u32,
 }
 
@@ -142,24 +142,27 @@
     /// Returns the time until the first evicted attempt is presumed lost, or `None` if there is none.
     fn time_to_presumed_lost(&self) -> Option<Duration> {
         let now = self.node.now();
-        let evicted = self.attempts.iter().filter(|attempt| attempt.is_evicted.get());
-        let lost_at = evicted.filter_map(|attempt| attempt.presumed_lost_at.get());
-        lost_at.filter(|at| *at > now).min().map(|at| at.saturating_duration_since(now))
+        let presumed_lost_at =
+            self.attempts.iter().filter_map(|attempt| match attempt.phase.get() {
+                AttemptPhase::Evicted { presumed_lost_at } => Some(presumed_lost_at),
+                AttemptPhase::Searching | AttemptPhase::Sent { .. } => None,
+            });
+        presumed_lost_at.filter(|at| *at > now).min().map(|at| at.saturating_duration_since(now))
     }
 
     /// Breaks off evicted attempts that another attempt replaces or whose answers are presumed lost,
     /// and returns whether to start an attempt in place of one.
     fn respond_to_evictions(&self) -> bool {
-        let evicted = self.attempts.iter().filter(|attempt| attempt.is_evicted.get());
-        for attempt in evicted {
-            let others = || self.attempts.iter().filter(|other| !Rc::ptr_eq(other, attempt));
-            let has_slot = |other: &&Rc<AttemptState>| other.presumed_lost_at.get().is_some();
-            let presumed_lost_at = attempt.presumed_lost_at.get();
+        for attempt in &self.attempts {
+            let AttemptPhase::Evicted { presumed_lost_at } = attempt.phase.get() else { continue };
+            let others = self.attempts.iter().filter(|other| !Rc::ptr_eq(other, attempt));
+            let others: Vec<_> = others.map(|other| other.phase.get()).collect();
+            let any_other = |matches: fn(&AttemptPhase) -> bool| others.iter().any(matches);
             let evicted_attempt = EvictedAttempt {
                 near_planned_stop: self.node.is_near_planned_stop(),
-                presumed_lost: presumed_lost_at.is_some_and(|at| self.node.now() >= at),
-                other_has_slot: others().filter(has_slot).any(|other| !other.is_evicted.get()),
-                other_is_searching: !others().all(|other| has_slot(&other)),
+                presumed_lost: self.node.now() >= presumed_lost_at,
+                other_has_slot: any_other(|phase| matches!(phase, AttemptPhase::Sent { .. })),
+                other_is_searching: any_other(|phase| matches!(phase, AttemptPhase::Searching)),
                 may_replace: self.failed_searches < MAX_FAILED_SEARCHES && self.may_start_retry(),
             };
             match evicted_attempt.response() {
@@ -229,7 +232,10 @@
             self.request.release_attempt();
             self.request.hedge_at.set(Some(self.node.now() + HEDGE_RETRY_DELAY));
         }
-        if self.attempts.iter().all(|attempt| attempt.is_evicted.get()) {
+        let is_evicted = |attempt: &Rc<AttemptState>| {
+            matches!(attempt.phase.get(), AttemptPhase::Evicted { .. })
+        };
+        if self.attempts.iter().all(is_evicted) {
             self.failed_searches += 1;
         }
         // A hedged attempt is not allowed to wait for a slot. Now that no other attempt is running,
