Move the reader of responses to a crate of its own, with a table of broken answers

fescuemux-http holds the parser of response heads and the decoder of bodies of fescuemux-sidecar, as a decoder without input and output: ResponseDecoder reports the end of a response only when the framing tells it or the stream ends.

The stand-ins get raw answers: bytes that a server writes in place of its answer, and how it ends the connection. The table raw::broken has the ways in which a status line, a field line, a length, a coding or a chunk can be spoilt and an answer can end early; raw::sound has unusual answers that are sound. platform/tests/broken_answers plays them on real processes and judges what callers get.

Servers advertise themselves without the test's proxy there, since it passes a reset on as a clean end.

--- a/crates/fescuemux-sidecar/src/h1/head.rs
+++ b/crates/fescuemux-http/src/head.rs
@@ -1,42 +1,21 @@
-//! Heads of requests and responses.
+//! Heads of responses.
 
-use crate::h1::{Framing, H1Error};
-use bytes::{BufMut, Bytes, BytesMut};
+use crate::ResponseError;
+use bytes::Bytes;
 use std::time::Duration;
 
 /// Maximum number of headers in a response.
 const MAX_HEADERS: usize = 64;
 
-/// Builder of an encoded request head.
-#[derive(Debug)]
-pub struct RequestHead {
-    buf: BytesMut,
-}
-
-impl RequestHead {
-    /// Creates a head with its request line.
-    pub fn new(method: &str, path_and_query: &str) -> RequestHead {
-        let mut buf = BytesMut::with_capacity(512);
-        for part in [method, " ", path_and_query, " HTTP/1.1\r\n"] {
-            buf.put_slice(part.as_bytes());
-        }
-        RequestHead { buf }
-    }
-
-    /// Adds a header. The name and value must not contain line breaks; names and values from parsed
-    /// heads never do.
-    pub fn header(&mut self, name: &str, value: &[u8]) {
-        self.buf.put_slice(name.as_bytes());
-        self.buf.put_slice(b": ");
-        self.buf.put_slice(value);
-        self.buf.put_slice(b"\r\n");
-    }
-
-    /// Completes the head and returns its bytes.
-    pub fn finish(mut self) -> BytesMut {
-        self.buf.put_slice(b"\r\n");
-        self.buf
-    }
+/// Framing of a body, which determines its end (RFC 9112, section 6.3).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// Ends after this many bytes.
+    Length(u64),
+    /// Ends after the last chunk of the chunked coding and its trailers.
+    Chunked,
+    /// Ends with the connection.
+    UntilClose,
 }
 
 /// Head of a response.
@@ -46,6 +25,8 @@
     pub status: u16,
     /// Headers with names in lower case.
     pub headers: Vec<(String, Bytes)>,
+    /// Framing of the body, unless the request was `HEAD`.
+    pub framing: Framing,
 }
 
 impl ResponseHead {
@@ -53,18 +34,44 @@
     /// more bytes are needed.
     ///
     /// # Errors
-    /// Fails if the head is malformed.
-    pub(super) fn parse(buf: &[u8]) -> Result<Option<(ResponseHead, usize)>, H1Error> {
+    /// Fails if the head is malformed, its status is unknown, or its framing is invalid or
+    /// ambiguous.
+    pub(crate) fn parse(buf: &[u8]) -> Result<Option<(ResponseHead, usize)>, ResponseError> {
         let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
         let mut parsed = httparse::Response::new(&mut headers);
-        let status = parsed.parse(buf).map_err(|_| H1Error::Malformed)?;
-        let httparse::Status::Complete(len) = status else { return Ok(None) };
+        let parse_status = parsed.parse(buf).map_err(|_| ResponseError::Malformed)?;
+        let httparse::Status::Complete(len) = parse_status else { return Ok(None) };
+        let status = parsed.code.ok_or(ResponseError::Malformed)?;
         let headers = parsed.headers.iter();
         let headers = headers
             .map(|h| (h.name.to_ascii_lowercase(), Bytes::copy_from_slice(h.value)))
             .collect();
-        let status = parsed.code.ok_or(H1Error::Malformed)?;
-        Ok(Some((ResponseHead { status, headers }, len)))
+        let mut head = ResponseHead { status, headers, framing: Framing::UntilClose };
+        if !head.is_interim() {
+            head.framing = head.parse_framing()?;
+        }
+        Ok(Some((head, len)))
+    }
+
+    /// Returns whether this is an interim response (1xx), which another response follows.
+    pub(crate) fn is_interim(&self) -> bool {
+        self.status < 200
+    }
+
+    fn parse_framing(&self) -> Result<Framing, ResponseError> {
+        if matches!(self.status, 204 | 304) {
+            return Ok(Framing::Length(0));
+        }
+        let length_count = self.headers.iter().filter(|(name, _)| name == "content-length").count();
+        let transfer_encoding = self.header("transfer-encoding");
+        match (transfer_encoding, self.header("content-length")) {
+            (Some(coding), None) if coding.eq_ignore_ascii_case("chunked") => Ok(Framing::Chunked),
+            (None, Some(length)) if length_count == 1 => {
+                length.parse().map(Framing::Length).map_err(|_| ResponseError::Malformed)
+            }
+            (None, None) => Ok(Framing::UntilClose),
+            _ => Err(ResponseError::Malformed),
+        }
     }
 
     /// Returns the first value of a header, whose name is given in lower case.
@@ -89,24 +96,4 @@
         let seconds = parts.filter_map(|part| part.trim().strip_prefix("timeout=")).next()?;
         seconds.parse().ok().map(Duration::from_secs)
     }
-
-    /// Returns the framing of the body.
-    ///
-    /// # Errors
-    /// Fails if the framing headers are invalid or contradict each other.
-    pub fn framing(&self) -> Result<Framing, H1Error> {
-        if matches!(self.status, 204 | 304) {
-            return Ok(Framing::Length(0));
-        }
-        let length_count = self.headers.iter().filter(|(name, _)| name == "content-length").count();
-        let transfer_encoding = self.header("transfer-encoding");
-        match (transfer_encoding, self.header("content-length")) {
-            (Some(coding), None) if coding.eq_ignore_ascii_case("chunked") => Ok(Framing::Chunked),
-            (None, Some(length)) if length_count == 1 => {
-                length.parse().map(Framing::Length).map_err(|_| H1Error::Malformed)
-            }
-            (None, None) => Ok(Framing::UntilClose),
-            _ => Err(H1Error::Malformed),
-        }
-    }
 }
--- /dev/null
+++ b/crates/fescuemux-http/src/lib.rs
@@ -0,0 +1,20 @@
+//! Reader of HTTP/1.1 responses.
+//!
+//! Servers in trouble send malformed and truncated responses. [`ResponseDecoder`] never reports the
+//! end of a response unless the response told its end or, without a length, its stream was seen to
+//! end cleanly. What the decoder cannot understand is an error; nothing is skipped or repaired.
+//!
+//! The decoder does no input or output.
+//!
+//! Must not know what requests mean.
+
+mod body;
+mod decoder;
+mod error;
+mod head;
+mod request;
+
+pub use decoder::{Decoded, Part, RequestMethod, ResponseDecoder};
+pub use error::ResponseError;
+pub use head::{Framing, ResponseHead};
+pub use request::RequestHead;
--- a/crates/fescuemux-sidecar/src/guard/relay/download.rs
+++ b/crates/fescuemux-sidecar/src/guard/relay/download.rs
@@ -3,7 +3,9 @@
 use super::{HopSink, RelayResult};
 use crate::HeaderNames;
 use crate::guard::server_connections;
-use crate::h1::{BodyReader, Framing, H1Error, ResponseHead, ResponseReader};
+use crate::h1::{
+    Framing, RequestMethod, ResponseDecoder, ResponseError, ResponseHead, ResponseReader,
+};
 use crate::hop::{Commit, Failure, Frame, HopResponseHead, Message};
 use crate::node::Node;
 use fescuemux_core::placement::{RequestOutcome, ServerReport};
@@ -32,17 +34,14 @@
     commit: &Commit,
 ) -> RelayResult {
     let header_names = node.dialect.headers();
-    let head = match read_matching_head(reader, &header_names, &commit.request_id).await {
-        Ok(head) => head,
+    let (head, decoder) = match read_matching_head(reader, &header_names, commit).await {
+        Ok(matching) => matching,
         Err(e) => {
             info!(event = "answer_missing", request = commit.request_id, error = %e);
             return RelayResult::failed(RequestOutcome::Failed, Failure::Broken);
         }
     };
     node.on_server_notice(server, node.dialect.decode_notice(&head));
-    let Ok(framing) = framing(&head, commit) else {
-        return RelayResult::failed(RequestOutcome::Failed, Failure::Broken);
-    };
     if head.header(header_names.not_run).is_some() || head.status == 421 {
         return RelayResult::failed(RequestOutcome::Shed, Failure::Shed);
     }
@@ -52,7 +51,7 @@
         info!(event = "answer_unproved", request = commit.request_id, status = head.status);
         return RelayResult::failed(RequestOutcome::Failed, Failure::Broken);
     }
-    match relay_response(node, sink, reader, &head, framing).await {
+    match relay_response(node, sink, reader, &head, decoder).await {
         Ok(()) => RelayResult {
             outcome: if head.status >= 500 {
                 RequestOutcome::Failed
@@ -60,7 +59,7 @@
                 RequestOutcome::Answered
             },
             failure: None,
-            reuse_idle_timeout: (!head.closes_connection() && framing != Framing::UntilClose)
+            reuse_idle_timeout: (!head.closes_connection() && head.framing != Framing::UntilClose)
                 .then(|| head.idle_timeout()),
         },
         Err(RelayError::Server(e)) => {
@@ -75,35 +74,38 @@
     }
 }
 
-fn framing(head: &ResponseHead, commit: &Commit) -> Result<Framing, H1Error> {
-    if commit.method == "HEAD" { Ok(Framing::Length(0)) } else { head.framing() }
-}
-
-/// Returns the response head that carries the request's id. Responses with another id are skipped;
-/// they may be late responses to earlier requests on the connection.
+/// Returns the response head that carries the request's id, and the decoder of its body. Responses
+/// with another id are skipped; they may be late responses to earlier requests on the connection.
 async fn read_matching_head(
     reader: &mut ResponseReader,
     header_names: &HeaderNames,
-    request_id: &str,
-) -> Result<ResponseHead, H1Error> {
+    commit: &Commit,
+) -> Result<(ResponseHead, ResponseDecoder), ResponseError> {
+    let method = RequestMethod::from(commit.method.as_str());
     for _ in 0..MAX_RESPONSE_HEADS {
-        let head = reader.next_head().await?;
-        if head.header(header_names.request_id) == Some(request_id) {
-            return Ok(head);
+        let mut decoder = ResponseDecoder::new(method).with_max_body_len(MAX_RESPONSE_BYTES);
+        let head = reader.read_head(&mut decoder).await?;
+        if head.header(header_names.request_id) == Some(&*commit.request_id) {
+            return Ok((head, decoder));
+        }
+        // A skipped response need not be one to a `HEAD` request, so its end would be unknown.
+        if head.framing == Framing::UntilClose || method == RequestMethod::Head {
+            return Err(ResponseError::Malformed);
         }
-        let framing = head.framing()?;
-        if framing == Framing::UntilClose {
-            return Err(H1Error::Malformed);
+        let mut skipped_len = 0;
+        while let Some(chunk) = reader.read_chunk(&mut decoder).await? {
+            skipped_len += chunk.len() as u64;
+            if skipped_len > MAX_SKIPPED_BODY_BYTES {
+                return Err(ResponseError::TooLarge);
+            }
         }
-        let mut body = BodyReader::new(framing, MAX_SKIPPED_BODY_BYTES);
-        while body.next_chunk(reader).await?.is_some() {}
     }
-    Err(H1Error::Malformed)
+    Err(ResponseError::Malformed)
 }
 
 /// Side that failed while a response was relayed.
 enum RelayError {
-    Server(H1Error),
+    Server(ResponseError),
     Ingress,
 }
 
@@ -112,12 +114,9 @@
     sink: &Mutex<HopSink<'_>>,
     reader: &mut ResponseReader,
     head: &ResponseHead,
-    framing: Framing,
+    mut decoder: ResponseDecoder,
 ) -> Result<(), RelayError> {
-    let body_len = match framing {
-        Framing::Length(len) => Some(len),
-        Framing::Chunked | Framing::UntilClose => None,
-    };
+    let body_len = decoder.body_len();
     let headers = head.headers.iter().filter(|(name, _)| !server_connections::is_hop_by_hop(name));
     let headers = headers.map(|(name, value)| (name.clone(), value.to_vec())).collect();
     let server_notice = node.admission.borrow().server().and_then(|server| server.relayed_notice());
@@ -126,8 +125,7 @@
     let ingress_error = |_: io::Error| RelayError::Ingress;
     let mut sink = sink.lock().await;
     sink.feed(Frame::Message(Message::Head(head))).await.map_err(ingress_error)?;
-    let mut body = BodyReader::new(framing, MAX_RESPONSE_BYTES);
-    while let Some(chunk) = body.next_chunk(reader).await.map_err(RelayError::Server)? {
+    while let Some(chunk) = reader.read_chunk(&mut decoder).await.map_err(RelayError::Server)? {
         sink.feed(Frame::Body(chunk)).await.map_err(ingress_error)?;
     }
     sink.send(Frame::Message(Message::End)).await.map_err(ingress_error)
--- a/crates/fescuemux-sidecar/src/h1/connection.rs
+++ b/crates/fescuemux-sidecar/src/h1/connection.rs
@@ -1,7 +1,7 @@
 //! Connection to an HTTP/1.1 server.
 
-use crate::h1::{BodyReader, H1Error, ResponseHead};
 use bytes::{Bytes, BytesMut};
+use fescuemux_http::{Decoded, Part, RequestMethod, ResponseDecoder, ResponseError, ResponseHead};
 use std::io;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -12,17 +12,11 @@
 /// Buffer space reserved for each read.
 const READ_BUFFER_BYTES: usize = 16 * 1024;
 
-/// Maximum size of a response head.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
-
-/// Maximum number of interim (1xx) responses before a response.
-const MAX_INTERIM_RESPONSES: usize = 16;
-
 /// Read half of a connection, with its buffer.
 #[derive(Debug)]
 pub struct ResponseReader {
     tcp: OwnedReadHalf,
-    pub(super) buf: BytesMut,
+    buf: BytesMut,
 }
 
 /// Open connection.
@@ -61,7 +55,8 @@
         matches!(self.reader.tcp.try_read(&mut byte), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
 
-    /// Sends an encoded request with its body, and returns the head and body of the response.
+    /// Sends an encoded request with its body, and returns the head and body of the response. The
+    /// method of the request must not be `HEAD`.
     ///
     /// # Errors
     /// Fails if no complete response arrives or the response body is longer than `max_len` bytes. The
@@ -70,50 +65,66 @@
         &mut self,
         request: &[u8],
         max_len: usize,
-    ) -> Result<(ResponseHead, Bytes), H1Error> {
+    ) -> Result<(ResponseHead, Bytes), ResponseError> {
         self.writer.write_all(request).await?;
-        let head = self.reader.next_head().await?;
-        let mut body = BodyReader::new(head.framing()?, max_len as u64);
-        let mut body_bytes = BytesMut::new();
-        while let Some(chunk) = body.next_chunk(&mut self.reader).await? {
-            body_bytes.extend_from_slice(&chunk);
+        let mut decoder =
+            ResponseDecoder::new(RequestMethod::Other).with_max_body_len(max_len as u64);
+        let head = self.reader.read_head(&mut decoder).await?;
+        let mut body = BytesMut::new();
+        while let Some(chunk) = self.reader.read_chunk(&mut decoder).await? {
+            body.extend_from_slice(&chunk);
         }
-        Ok((head, body_bytes.freeze()))
+        Ok((head, body.freeze()))
     }
 }
 
 impl ResponseReader {
-    /// Returns the next response head, skipping interim (1xx) responses.
+    /// Returns the head of the response that `decoder` decodes, skipping interim (1xx) responses.
     ///
     /// # Errors
-    /// Fails if the connection ends first, the head is malformed or too long, or too many interim
-    /// responses come before it.
-    pub async fn next_head(&mut self) -> Result<ResponseHead, H1Error> {
-        let mut interim_count = 0;
+    /// Fails if the connection ends first, or the head is malformed or too long.
+    pub async fn read_head(
+        &mut self,
+        decoder: &mut ResponseDecoder,
+    ) -> Result<ResponseHead, ResponseError> {
+        match self.next_part(decoder).await? {
+            (Part::Head(head), _) => Ok(head),
+            (Part::Skipped | Part::Body | Part::End, _) => Err(ResponseError::Malformed),
+        }
+    }
+
+    /// Returns the next part of the body after the head, or `None` once the response is complete.
+    ///
+    /// # Errors
+    /// Fails if the body is truncated or too long, or its framing is invalid.
+    pub async fn read_chunk(
+        &mut self,
+        decoder: &mut ResponseDecoder,
+    ) -> Result<Option<Bytes>, ResponseError> {
+        match self.next_part(decoder).await? {
+            (Part::Body, chunk) => Ok(Some(chunk)),
+            (Part::End, _) => Ok(None),
+            (Part::Skipped | Part::Head(_), _) => Err(ResponseError::Malformed),
+        }
+    }
+
+    /// Returns the next part that is not skipped, with its bytes.
+    async fn next_part(
+        &mut self,
+        decoder: &mut ResponseDecoder,
+    ) -> Result<(Part, Bytes), ResponseError> {
         loop {
-            if let Some((head, len)) = ResponseHead::parse(&self.buf)? {
-                let _ = self.buf.split_to(len);
-                if head.status >= 200 {
-                    return Ok(head);
+            if let Some(Decoded { len, part }) = decoder.decode(&self.buf)? {
+                let bytes = self.buf.split_to(len).freeze();
+                match part {
+                    Part::Skipped => continue,
+                    part => return Ok((part, bytes)),
                 }
-                interim_count += 1;
-                if interim_count > MAX_INTERIM_RESPONSES {
-                    return Err(H1Error::Malformed);
-                }
-                continue;
-            }
-            if self.buf.len() > MAX_HEAD_BYTES {
-                return Err(H1Error::Malformed);
             }
-            if !self.read_more().await? {
-                return Err(if self.buf.is_empty() { H1Error::Closed } else { H1Error::Truncated });
+            self.buf.reserve(READ_BUFFER_BYTES);
+            if self.tcp.read_buf(&mut self.buf).await? == 0 {
+                decoder.on_stream_end(&self.buf)?;
             }
         }
     }
-
-    /// Reads more bytes into the buffer. Returns false at the end of the stream.
-    pub(super) async fn read_more(&mut self) -> Result<bool, H1Error> {
-        self.buf.reserve(READ_BUFFER_BYTES);
-        Ok(self.tcp.read_buf(&mut self.buf).await? > 0)
-    }
 }
--- a/crates/fescuemux-sidecar/tests/http_client.rs
+++ b/crates/fescuemux-sidecar/tests/http_client.rs
@@ -1,6 +1,6 @@
 //! Tests of the HTTP/1.1 client against servers that violate the protocol.
 
-use fescuemux_sidecar::h1::{BodyReader, Connection, H1Error};
+use fescuemux_sidecar::h1::{Connection, RequestMethod, ResponseDecoder, ResponseError};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -27,11 +27,11 @@
 }
 
 /// Returns the status and body of the next response.
-async fn read_response(connection: &mut Connection) -> Result<(u16, Vec<u8>), H1Error> {
-    let head = connection.reader.next_head().await?;
-    let mut body = BodyReader::new(head.framing()?, MAX_BODY_BYTES);
+async fn read_response(connection: &mut Connection) -> Result<(u16, Vec<u8>), ResponseError> {
+    let mut decoder = ResponseDecoder::new(RequestMethod::Other).with_max_body_len(MAX_BODY_BYTES);
+    let head = connection.reader.read_head(&mut decoder).await?;
     let mut body_bytes = Vec::new();
-    while let Some(chunk) = body.next_chunk(&mut connection.reader).await? {
+    while let Some(chunk) = connection.reader.read_chunk(&mut decoder).await? {
         body_bytes.extend_from_slice(&chunk);
     }
     Ok((head.status, body_bytes))
--- a/crates/fescuemux-standins/src/lib.rs
+++ b/crates/fescuemux-standins/src/lib.rs
@@ -4,5 +4,6 @@
 //! This crate must not depend on the core or the daemon.
 
 pub mod platform;
+pub mod raw;
 pub mod server;
 pub mod store;
--- a/crates/fescuemux-standins/src/platform/app_server.rs
+++ b/crates/fescuemux-standins/src/platform/app_server.rs
@@ -2,6 +2,7 @@
 
 use super::http::{self, Request};
 use super::{AppFault, Execution, ExecutionLog};
+use crate::raw::RawAnswer;
 use std::io::{self, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -50,6 +51,8 @@
 struct Shared {
     options: AppOptions,
     fault: Mutex<AppFault>,
+    /// Answer to each request in place of the usual one.
+    raw_answer: Mutex<Option<RawAnswer>>,
     variation: Mutex<Option<Variation>>,
     /// Headers added to each complete response, each with its line end.
     notice: Mutex<String>,
@@ -85,6 +88,7 @@
         let shared = Arc::new(Shared {
             options,
             fault: Mutex::default(),
+            raw_answer: Mutex::default(),
             variation: Mutex::default(),
             notice: Mutex::default(),
             rejected: Mutex::default(),
@@ -109,6 +113,11 @@
         *self.shared.fault.lock().unwrap_or_else(PoisonError::into_inner) = fault;
     }
 
+    /// Replaces the answer to each request, or goes back to the usual answers.
+    pub fn set_raw_answer(&self, answer: Option<RawAnswer>) {
+        *self.shared.raw_answer.lock().unwrap_or_else(PoisonError::into_inner) = answer;
+    }
+
     /// Replaces the fixed service time and response by random ones.
     pub fn set_variation(&self, variation: Variation) {
         *self.shared.variation.lock().unwrap_or_else(PoisonError::into_inner) = Some(variation);
@@ -225,10 +234,22 @@
 fn serve_connection(shared: &Shared, stream: TcpStream) -> io::Result<()> {
     let mut reader = BufReader::new(stream.try_clone()?);
     let mut stream = stream;
-    while let Some(request) = http::read_request(&mut reader)? {
+    while let Some(mut request) = http::read_head(&mut reader)? {
         if shared.stopped.load(Ordering::SeqCst) {
             return Ok(());
         }
+        let raw_answer = shared.raw_answer.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        if let Some(answer) = raw_answer {
+            let id = request.header("request-id").unwrap_or_default().to_owned();
+            record_execution(shared, &request, &id);
+            let body_len = request.content_length().unwrap_or_default() as u64;
+            let proof = format!("Request-Id: {id}\r\nReply-Stamp: stamp-{id}\r\n");
+            if answer.play(&mut stream, &mut reader, body_len, &proof)? {
+                continue;
+            }
+            return Ok(());
+        }
+        http::read_body(&mut reader, &mut request)?;
         let id = request.header("request-id").unwrap_or_default().to_owned();
         if request.header("target-instance").is_some_and(|target| target != shared.options.id) {
             let head = "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n";
--- a/crates/fescuemux-standins/src/platform/http.rs
+++ b/crates/fescuemux-standins/src/platform/http.rs
@@ -19,6 +19,11 @@
         found.map(|(_, value)| value.as_str())
     }
 
+    /// Returns the length of the body, if the head tells it.
+    pub(super) fn content_length(&self) -> Option<usize> {
+        self.header("content-length").and_then(|len| len.parse().ok())
+    }
+
     /// Returns the value of a query parameter.
     pub(super) fn query_parameter(&self, name: &str) -> Option<&str> {
         let (_, query) = self.target.split_once('?')?;
@@ -34,6 +39,13 @@
 
 /// Reads the next request. Returns `None` at the end of the connection.
 pub(super) fn read_request(reader: &mut BufReader<TcpStream>) -> io::Result<Option<Request>> {
+    let Some(mut request) = read_head(reader)? else { return Ok(None) };
+    read_body(reader, &mut request)?;
+    Ok(Some(request))
+}
+
+/// Reads the head of the next request. Returns `None` at the end of the connection.
+pub(super) fn read_head(reader: &mut BufReader<TcpStream>) -> io::Result<Option<Request>> {
     let mut line = String::new();
     if reader.read_line(&mut line)? == 0 {
         return Ok(None);
@@ -52,14 +64,21 @@
         let Some((name, value)) = line.trim_end().split_once(':') else { break };
         headers.push((name.to_ascii_lowercase(), value.trim().to_owned()));
     }
-    let mut request = Request { method, target, headers, body: Vec::new() };
+    Ok(Some(Request { method, target, headers, body: Vec::new() }))
+}
+
+/// Reads the body of a request after its head.
+pub(super) fn read_body(
+    reader: &mut BufReader<TcpStream>,
+    request: &mut Request,
+) -> io::Result<()> {
     if request.header("transfer-encoding").is_some() {
         request.body = read_chunked_body(reader)?;
-    } else if let Some(len) = request.header("content-length").and_then(|len| len.parse().ok()) {
+    } else if let Some(len) = request.content_length() {
         request.body = vec![0; len];
         reader.read_exact(&mut request.body)?;
     }
-    Ok(Some(request))
+    Ok(())
 }
 
 fn read_chunked_body(reader: &mut BufReader<TcpStream>) -> io::Result<Vec<u8>> {
