--- a/crates/fescuemux-http/src/body.rs
+++ b/crates/fescuemux-http/src/body.rs
@@ -8,6 +8,17 @@
 /// Maximum number of trailer lines.
 const MAX_TRAILERS: u32 = 64;
 
+/// How the stream of a connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StreamEnd {
+    /// The other side closed it, and nothing had failed before.
+    Clean,
+    /// The connection had failed. After a reset, the operating system reports the error to the
+    /// first call only, and a mere end of the stream to later reads: if a write gets the error, a
+    /// read alone cannot tell a reset from a close.
+    Failed,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
     Fixed(u64),
@@ -88,11 +99,11 @@
     ///
     /// # Errors
     /// Fails if the body is not complete. Only a body without a length is completed by the end of
-    /// its stream.
-    pub(crate) fn on_stream_end(&mut self) -> Result<(), ResponseError> {
-        match self.state {
-            State::Complete => Ok(()),
-            State::UntilClose => {
+    /// its stream, if that is clean.
+    pub(crate) fn on_stream_end(&mut self, end: StreamEnd) -> Result<(), ResponseError> {
+        match (self.state, end) {
+            (State::Complete, _) => Ok(()),
+            (State::UntilClose, StreamEnd::Clean) => {
                 self.state = State::Complete;
                 Ok(())
             }
--- a/crates/fescuemux-http/src/decoder.rs
+++ b/crates/fescuemux-http/src/decoder.rs
@@ -1,7 +1,7 @@
 //! Decoding of whole responses.
 
 use crate::body::{BodyDecoder, BodyPart};
-use crate::{Framing, ResponseError, ResponseHead};
+use crate::{Framing, ResponseError, ResponseHead, StreamEnd};
 
 /// Maximum size of a response head.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
@@ -126,11 +126,11 @@
     ///
     /// # Errors
     /// Fails if the response is not complete.
-    pub fn on_stream_end(&mut self, rest: &[u8]) -> Result<(), ResponseError> {
+    pub fn on_stream_end(&mut self, rest: &[u8], end: StreamEnd) -> Result<(), ResponseError> {
         match &mut self.state {
             State::Head(_) if rest.is_empty() => Err(ResponseError::Closed),
             State::Head(_) => Err(ResponseError::Truncated),
-            State::Body(body) => body.on_stream_end(),
+            State::Body(body) => body.on_stream_end(end),
         }
     }
 }
--- a/crates/fescuemux-http/src/lib.rs
+++ b/crates/fescuemux-http/src/lib.rs
@@ -14,6 +14,7 @@
 mod head;
 mod request;
 
+pub use body::StreamEnd;
 pub use decoder::{Decoded, Part, RequestMethod, ResponseDecoder};
 pub use error::ResponseError;
 pub use head::{Framing, ResponseHead};
--- a/crates/fescuemux-sidecar/src/guard/relay/upload.rs
+++ b/crates/fescuemux-sidecar/src/guard/relay/upload.rs
@@ -2,14 +2,12 @@
 
 use super::HopStream;
 use crate::HeaderNames;
-use crate::h1::RequestHead;
+use crate::h1::{RequestHead, RequestWriter};
 use crate::hop::{Commit, Frame, Message};
 use futures::StreamExt;
 use std::cell::Cell;
 use std::io;
 use std::time::Instant;
-use tokio::io::AsyncWriteExt;
-use tokio::net::tcp::OwnedWriteHalf;
 
 /// Returns the head of the request to the server.
 pub(super) fn request_head(
@@ -39,7 +37,7 @@
 /// respond.
 pub(super) async fn upload(
     stream: &mut HopStream<'_>,
-    writer: &mut OwnedWriteHalf,
+    writer: &mut RequestWriter,
     head: &[u8],
     chunked: bool,
     complete: &Cell<bool>,
@@ -62,7 +60,7 @@
     }
 }
 
-async fn write_body(writer: &mut OwnedWriteHalf, bytes: &[u8], chunked: bool) -> io::Result<()> {
+async fn write_body(writer: &mut RequestWriter, bytes: &[u8], chunked: bool) -> io::Result<()> {
     if !chunked {
         return writer.write_all(bytes).await;
     }
--- a/crates/fescuemux-sidecar/src/h1.rs
+++ b/crates/fescuemux-sidecar/src/h1.rs
@@ -9,7 +9,7 @@
 
 mod connection;
 
-pub use connection::{Connection, ResponseReader};
+pub use connection::{Connection, RequestWriter, ResponseReader};
 pub use fescuemux_http::{
     Framing, RequestHead, RequestMethod, ResponseDecoder, ResponseError, ResponseHead,
 };
--- a/crates/fescuemux-sidecar/src/h1/connection.rs
+++ b/crates/fescuemux-sidecar/src/h1/connection.rs
@@ -1,9 +1,13 @@
 //! Connection to an HTTP/1.1 server.
 
 use bytes::{Bytes, BytesMut};
-use fescuemux_http::{Decoded, Part, RequestMethod, ResponseDecoder, ResponseError, ResponseHead};
+use fescuemux_http::{
+    Decoded, Part, RequestMethod, ResponseDecoder, ResponseError, ResponseHead, StreamEnd,
+};
+use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -17,6 +21,15 @@
 pub struct ResponseReader {
     tcp: OwnedReadHalf,
     buf: BytesMut,
+    write_failed: Rc<Cell<bool>>,
+}
+
+/// Write half of a connection.
+#[derive(Debug)]
+pub struct RequestWriter {
+    tcp: OwnedWriteHalf,
+    /// Tells the reader of the connection that a write has failed.
+    write_failed: Rc<Cell<bool>>,
 }
 
 /// Open connection.
@@ -25,7 +38,7 @@
     /// Read half.
     pub reader: ResponseReader,
     /// Write half.
-    pub writer: OwnedWriteHalf,
+    pub writer: RequestWriter,
     /// End of the last exchange, or the time at which the connection was opened.
     pub idle_since: Instant,
     /// Idle timeout stated by the server.
@@ -40,8 +53,14 @@
     pub async fn open(addr: SocketAddr, now: Instant, timeout: Duration) -> io::Result<Connection> {
         let stream = tokio::time::timeout(timeout, TcpStream::connect(addr)).await??;
         stream.set_nodelay(true)?;
-        let (tcp, writer) = stream.into_split();
-        let reader = ResponseReader { tcp, buf: BytesMut::new() };
+        let (read_half, write_half) = stream.into_split();
+        let write_failed = Rc::<Cell<bool>>::default();
+        let reader = ResponseReader {
+            tcp: read_half,
+            buf: BytesMut::new(),
+            write_failed: write_failed.clone(),
+        };
+        let writer = RequestWriter { tcp: write_half, write_failed };
         Ok(Connection { reader, writer, idle_since: now, idle_timeout: None })
     }
 
@@ -78,6 +97,16 @@
     }
 }
 
+impl RequestWriter {
+    /// Writes all of `bytes`.
+    ///
+    /// # Errors
+    /// Fails if the connection has ended. The server may have responded before.
+    pub async fn write_all(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.tcp.write_all(bytes).await.inspect_err(|_| self.write_failed.set(true))
+    }
+}
+
 impl ResponseReader {
     /// Returns the head of the response that `decoder` decodes, skipping interim (1xx) responses.
     ///
@@ -123,7 +152,9 @@
             }
             self.buf.reserve(READ_BUFFER_BYTES);
             if self.tcp.read_buf(&mut self.buf).await? == 0 {
-                decoder.on_stream_end(&self.buf)?;
+                let failed = self.write_failed.get();
+                let end = if failed { StreamEnd::Failed } else { StreamEnd::Clean };
+                decoder.on_stream_end(&self.buf, end)?;
             }
         }
     }
