--- a/crates/fescuemux-http/src/head.rs
+++ b/crates/fescuemux-http/src/head.rs
@@ -34,23 +34,19 @@
     /// more bytes are needed.
     ///
     /// # Errors
-    /// Fails if the head is malformed, its status is unknown, or its framing is invalid or
-    /// ambiguous.
+    /// Fails if the head is malformed, or its framing is invalid or ambiguous.
     pub(crate) fn parse(buf: &[u8]) -> Result<Option<(ResponseHead, usize)>, ResponseError> {
         let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
         let mut parsed = httparse::Response::new(&mut headers);
         let parse_status = parsed.parse(buf).map_err(|_| ResponseError::Malformed)?;
         let httparse::Status::Complete(len) = parse_status else { return Ok(None) };
         let status = parsed.code.ok_or(ResponseError::Malformed)?;
+        let framing = parse_framing(status, parsed.version == Some(1), parsed.headers)?;
         let headers = parsed.headers.iter();
         let headers = headers
             .map(|h| (h.name.to_ascii_lowercase(), Bytes::copy_from_slice(h.value)))
             .collect();
-        let mut head = ResponseHead { status, headers, framing: Framing::UntilClose };
-        if !head.is_interim() {
-            head.framing = head.parse_framing()?;
-        }
-        Ok(Some((head, len)))
+        Ok(Some((ResponseHead { status, headers, framing }, len)))
     }
 
     /// Returns whether this is an interim response (1xx), which another response follows.
@@ -58,22 +54,6 @@
         self.status < 200
     }
 
-    fn parse_framing(&self) -> Result<Framing, ResponseError> {
-        if matches!(self.status, 204 | 304) {
-            return Ok(Framing::Length(0));
-        }
-        let length_count = self.headers.iter().filter(|(name, _)| name == "content-length").count();
-        let transfer_encoding = self.header("transfer-encoding");
-        match (transfer_encoding, self.header("content-length")) {
-            (Some(coding), None) if coding.eq_ignore_ascii_case("chunked") => Ok(Framing::Chunked),
-            (None, Some(length)) if length_count == 1 => {
-                length.parse().map(Framing::Length).map_err(|_| ResponseError::Malformed)
-            }
-            (None, None) => Ok(Framing::UntilClose),
-            _ => Err(ResponseError::Malformed),
-        }
-    }
-
     /// Returns the first value of a header, whose name is given in lower case.
     pub fn header(&self, name: &str) -> Option<&str> {
         let found = self.headers.iter().find(|(other, _)| other == name);
@@ -97,3 +77,53 @@
         seconds.parse().ok().map(Duration::from_secs)
     }
 }
+
+/// Returns the framing that a head tells. There is at most one header that tells it.
+fn parse_framing(
+    status: u16,
+    is_http_1_1: bool,
+    headers: &[httparse::Header<'_>],
+) -> Result<Framing, ResponseError> {
+    let mut told = None;
+    for header in headers {
+        let framing = if header.name.eq_ignore_ascii_case("content-length") {
+            parse_length(header.value)
+        } else if header.name.eq_ignore_ascii_case("transfer-encoding") {
+            // HTTP/1.0 has no codings (RFC 9112, section 6.1).
+            parse_coding(header.value).filter(|_| is_http_1_1)
+        } else {
+            continue;
+        };
+        if told.replace(framing.ok_or(ResponseError::Malformed)?).is_some() {
+            return Err(ResponseError::Malformed);
+        }
+    }
+    match (status, told) {
+        // These have no body, so a head that tells one is not understood.
+        (0..200 | 204, None | Some(Framing::Length(0))) => Ok(Framing::Length(0)),
+        (0..200 | 204, Some(_)) => Err(ResponseError::Malformed),
+        // The length is that of the body that a response with status 200 would have.
+        (304, _) => Ok(Framing::Length(0)),
+        (_, told) => Ok(told.unwrap_or(Framing::UntilClose)),
+    }
+}
+
+fn parse_length(value: &[u8]) -> Option<Framing> {
+    let digits = trim_blanks(value);
+    // An integer's parser would also accept a sign.
+    let is_number = !digits.is_empty() && digits.iter().all(u8::is_ascii_digit);
+    let digits = std::str::from_utf8(digits).ok().filter(|_| is_number)?;
+    digits.parse().ok().map(Framing::Length)
+}
+
+fn parse_coding(value: &[u8]) -> Option<Framing> {
+    trim_blanks(value).eq_ignore_ascii_case(b"chunked").then_some(Framing::Chunked)
+}
+
+/// Removes the blanks that may surround a field value: spaces and tabs (RFC 9110, section 5.6.3).
+pub(crate) fn trim_blanks(value: &[u8]) -> &[u8] {
+    let is_blank = |byte: &u8| matches!(byte, b' ' | b'\t');
+    let start = value.iter().position(|byte| !is_blank(byte)).unwrap_or(value.len());
+    let end = value.iter().rposition(|byte| !is_blank(byte)).map_or(start, |at| at + 1);
+    &value[start..end]
+}
