--- a/crates/fescuemux-http/src/head.rs
+++ b/crates/fescuemux-http/src/head.rs
@@ -21,7 +21,7 @@
 /// Head of a response.
 #[derive(Clone, Debug)]
 pub struct ResponseHead {
-    /// Status code.
+    /// Status code: 100, 102 to 199 of an interim response, otherwise 200 to 599.
     pub status: u16,
     /// Headers with names in lower case.
     pub headers: Vec<(String, Bytes)>,
@@ -34,13 +34,18 @@
     /// more bytes are needed.
     ///
     /// # Errors
-    /// Fails if the head is malformed, or its framing is invalid or ambiguous.
+    /// Fails if the head is malformed, its status is unknown, or its framing is invalid or
+    /// ambiguous.
     pub(crate) fn parse(buf: &[u8]) -> Result<Option<(ResponseHead, usize)>, ResponseError> {
         let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
         let mut parsed = httparse::Response::new(&mut headers);
         let parse_status = parsed.parse(buf).map_err(|_| ResponseError::Malformed)?;
         let httparse::Status::Complete(len) = parse_status else { return Ok(None) };
         let status = parsed.code.ok_or(ResponseError::Malformed)?;
+        // Nothing asks for another protocol, so 101 is as invalid as a status outside the classes.
+        if status == 101 || !(100..600).contains(&status) {
+            return Err(ResponseError::Malformed);
+        }
         let framing = parse_framing(status, parsed.version == Some(1), parsed.headers)?;
         let headers = parsed.headers.iter();
         let headers = headers
@@ -100,8 +105,8 @@
     }
     match (status, told) {
         // These have no body, so a head that tells one is not understood.
-        (0..200 | 204, None | Some(Framing::Length(0))) => Ok(Framing::Length(0)),
-        (0..200 | 204, Some(_)) => Err(ResponseError::Malformed),
+        (100..200 | 204, None | Some(Framing::Length(0))) => Ok(Framing::Length(0)),
+        (100..200 | 204, Some(_)) => Err(ResponseError::Malformed),
         // The length is that of the body that a response with status 200 would have.
         (304, _) => Ok(Framing::Length(0)),
         (_, told) => Ok(told.unwrap_or(Framing::UntilClose)),
--- a/crates/fescuemux-standins/src/raw/broken.rs
+++ b/crates/fescuemux-standins/src/raw/broken.rs
@@ -20,15 +20,22 @@
         let body = b"Content-Length: 4\r\n\r\nabcd";
         RawAnswer::new(name, [line, rest, OK, body].concat(), KeepOpen)
     };
+    let followed = |name, line: &[u8]| {
+        let answer = b"Content-Length: 4\r\n\r\nabcd";
+        RawAnswer::new(name, [line, b"\r\n{proof}\r\n", OK, answer].concat(), KeepOpen)
+    };
     let no_body =
         |name, line: &[u8], end| RawAnswer::new(name, [line, b"\r\n{proof}\r\n"].concat(), end);
     vec![
         answer("status 000", b"HTTP/1.1 000 OK"),
+        followed("an answer after status 000", b"HTTP/1.1 000 OK"),
+        followed("an answer after status 099", b"HTTP/1.1 099 OK"),
+        followed("an answer after a switch of protocols", b"HTTP/1.1 101 OK"),
         no_body("status 000 without a body", b"HTTP/1.1 000 OK", Close),
         nested("an answer in the body of status 000", b"HTTP/1.1 000 OK"),
         nested("an answer in the body of status 099", b"HTTP/1.1 099 OK"),
         no_body("a switch of protocols", b"HTTP/1.1 101 OK", KeepOpen),
-        nested("an answer after a switch of protocols", b"HTTP/1.1 101 OK"),
+        nested("an answer in the body of a switch of protocols", b"HTTP/1.1 101 OK"),
         no_body("only an interim answer", b"HTTP/1.1 100 OK", Close),
         nested("an answer in the body of status 100", b"HTTP/1.1 100 OK"),
         nested("an answer in the body of status 103", b"HTTP/1.1 103 OK"),
