Reject chunks and trailers that are not understood (MIXED)

What callers saw: an answer of fescuemux-node in place of a failure although a chunk size held a sign or a blank, a chunk was one byte shorter than its size, or a line after the last chunk was no field, for example the status line of another answer.

Cause: lines of the chunked coding could end in a bare line feed, so that a chunk shorter than its size still seemed to end in CR LF; chunk sizes were read by the parser of integers after trimming text; extensions and trailers were not looked at.

Evidence, spoilt_chunks_reach_no_caller, each case as a request that must not repeat and as an idempotent one. Chunk extensions, blanks before them, leading zeros and trailers that are fields still pass (unusual_answers).

Why the fix works: each line ends in CR LF, a size is hexadecimal digits, an extension has no control byte, and each line of the trailers is a field, by the parser that reads those of the head.

--- a/crates/fescuemux-http/src/body.rs
+++ b/crates/fescuemux-http/src/body.rs
@@ -1,6 +1,8 @@
 //! Decoding of response bodies.
 
+use crate::head::trim_blanks;
 use crate::{Framing, ResponseError};
+use std::ops::Range;
 
 /// Maximum length of a chunk-size or trailer line.
 const MAX_LINE_BYTES: usize = 8 * 1024;
@@ -89,8 +91,8 @@
             }
             State::ChunkSize | State::ChunkEnd | State::Trailers(_) => {
                 let Some(line) = find_line(input)? else { return Ok(BodyPart::Incomplete) };
-                self.state = next_state(self.state, line.strip_suffix(b"\r").unwrap_or(line))?;
-                Ok(BodyPart::Framing(line.len() + 1))
+                self.state = next_state(self.state, &input[line.clone()])?;
+                Ok(BodyPart::Framing(line.end + 2))
             }
         }
     }
@@ -130,23 +132,45 @@
         },
         State::ChunkEnd if line.is_empty() => Ok(State::ChunkSize),
         State::Trailers(_) if line.is_empty() => Ok(State::Complete),
-        State::Trailers(count) if count < MAX_TRAILERS => Ok(State::Trailers(count + 1)),
+        State::Trailers(count) if count < MAX_TRAILERS && is_field_line(line) => {
+            Ok(State::Trailers(count + 1))
+        }
         _ => Err(ResponseError::Malformed),
     }
 }
 
-/// Returns the first line of `input` without its line feed, or `None` if more bytes are needed.
-fn find_line(input: &[u8]) -> Result<Option<&[u8]>, ResponseError> {
-    match input.iter().position(|byte| *byte == b'\n') {
-        Some(at) => Ok(Some(&input[..at])),
-        None if input.len() > MAX_LINE_BYTES => Err(ResponseError::Malformed),
-        None => Ok(None),
+/// Returns where the first line of `input` is, without the CR LF that ends it, or `None` if more
+/// bytes are needed.
+fn find_line(input: &[u8]) -> Result<Option<Range<usize>>, ResponseError> {
+    let Some(at) = input.iter().position(|byte| *byte == b'\n') else {
+        return if input.len() > MAX_LINE_BYTES { Err(ResponseError::Malformed) } else { Ok(None) };
+    };
+    if at > MAX_LINE_BYTES || at == 0 || input[at - 1] != b'\r' {
+        return Err(ResponseError::Malformed);
     }
+    Ok(Some(0..at - 1))
 }
 
 /// Parses a chunk size with its extensions, which have no meaning here.
 fn parse_chunk_size(line: &[u8]) -> Result<u64, ResponseError> {
-    let digits = line.split(|byte| *byte == b';').next().unwrap_or_default();
-    let digits = std::str::from_utf8(digits).map_err(|_| ResponseError::Malformed)?.trim();
+    let digit_count = line.iter().take_while(|byte| byte.is_ascii_hexdigit()).count();
+    let (digits, rest) = line.split_at(digit_count);
+    let extension = trim_blanks(rest);
+    let is_extension = extension.is_empty() || extension.starts_with(b";");
+    if !is_extension || !rest.iter().all(|byte| is_text(*byte)) {
+        return Err(ResponseError::Malformed);
+    }
+    let digits = std::str::from_utf8(digits).map_err(|_| ResponseError::Malformed)?;
     u64::from_str_radix(digits, 16).map_err(|_| ResponseError::Malformed)
 }
+
+fn is_field_line(line: &[u8]) -> bool {
+    let mut headers = [httparse::EMPTY_HEADER; 1];
+    let line = [line, b"\r\n\r\n"].concat();
+    matches!(httparse::parse_headers(&line, &mut headers), Ok(status) if status.is_complete())
+}
+
+/// Returns whether a byte may occur in a field value: it is a tab or no control byte.
+fn is_text(byte: u8) -> bool {
+    byte == b'\t' || !byte.is_ascii_control()
+}
