--- a/crates/fescuemux-daemon/src/http/pool.rs
+++ b/crates/fescuemux-daemon/src/http/pool.rs
@@ -3,6 +3,7 @@
 use super::body::OutgoingBody;
 use bytes::Bytes;
 use fescuemux_core::base::{HashMap, Verdict};
+use fescuemux_http::{CheckedStream, ExchangeHandle, RequestMethod};
 use http::Response;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -75,6 +76,8 @@
 #[derive(Debug)]
 struct Connection {
     sender: SendRequest<OutgoingBody>,
+    /// Tells the check of responses which one comes next.
+    exchange: ExchangeHandle,
     task: AbortHandle,
 }
 
@@ -121,6 +124,7 @@
             .map_err(|_| SendError::Connect("timed out".to_owned()))?
             .map_err(|e| SendError::Connect(e.to_string()))?;
         stream.set_nodelay(true).map_err(|e| SendError::Connect(e.to_string()))?;
+        let (stream, exchange) = CheckedStream::new(stream);
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|e| SendError::Connect(e.to_string()))?;
@@ -129,7 +133,7 @@
                 tracing::debug!(error = %e, "client connection failed");
             }
         });
-        Ok(Connection { sender, task: task.abort_handle() })
+        Ok(Connection { sender, exchange, task: task.abort_handle() })
     }
 
     async fn send_over(
@@ -138,6 +142,7 @@
         mut connection: Connection,
         req: http::Request<OutgoingBody>,
     ) -> Result<PooledResponse, (SendError, Option<Box<http::Request<OutgoingBody>>>)> {
+        connection.exchange.begin(RequestMethod::from(req.method().as_str()));
         match connection.sender.try_send_request(req).await {
             Ok(response) => {
                 let lease = ConnectionLease { pool: Arc::clone(self), addr, connection };
--- /dev/null
+++ b/crates/fescuemux-daemon/tests/broken_answers.rs
@@ -0,0 +1,183 @@
+//! Answers of backend servers that are broken, unusual or early, judged by what callers of
+//! `fescuemuxd` get.
+
+mod support;
+
+use fescuemux_standins::raw::{
+    AnswerEnd, CallerAnswer, RawAnswer, RawServer, SOUND_BODY, broken, call, sound_answers,
+};
+use fescuemux_standins::store::StandInStore;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+use support::process::{Process, start};
+use support::{TEST_TIMEOUT, intent, post, send_raw};
+
+/// Size of an upload that neither the daemons nor the sockets can buffer.
+const UPLOAD_BYTES: usize = 24 << 20;
+
+/// Number of fleets that were started, which tells their processes apart.
+static FLEET_COUNT: AtomicUsize = AtomicUsize::new(0);
+
+/// Fleet of two daemons. The only server is a raw one beside `guard`; callers use `ingress`.
+struct RawFleet {
+    ingress: Process,
+    guard: Process,
+    server: RawServer,
+    _store: StandInStore,
+}
+
+impl RawFleet {
+    fn start() -> RawFleet {
+        let number = FLEET_COUNT.fetch_add(1, Ordering::SeqCst);
+        let store = StandInStore::start("127.0.0.1:0").expect("a store");
+        let ingress = start(&format!("broken-ingress-{number}"), store.addr(), &[]);
+        let guard = start(&format!("broken-guard-{number}"), store.addr(), &[ingress.rpc]);
+        let server = RawServer::start("/orders").expect("a server");
+        let fleet = RawFleet { ingress, guard, server, _store: store };
+        let operators = fleet.ingress.operators;
+        let plan = post(operators, "/v1/plans", intent().to_string().as_bytes());
+        let id = plan["id"].as_str().expect("a plan").to_owned();
+        post(operators, &format!("/v1/plans/{id}/confirm"), b"");
+        let started = Instant::now();
+        let head = "GET /slots HTTP/1.1\r\nhost: a\r\n";
+        while fleet.call(head, 0).is_none_or(|got| got.status != 200) {
+            assert!(started.elapsed() < TEST_TIMEOUT, "no request reaches the server");
+            fleet.announce();
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        fleet
+    }
+
+    /// Announces the server to its guard.
+    fn announce(&self) {
+        let announcement = format!(
+            r#"{{"server":"raw","service":"orders","address":"{}","slots":4,"incarnation":1,"phase":"ready"}}"#,
+            self.server.addr()
+        );
+        let head = format!("content-length: {}\r\nconnection: close", announcement.len());
+        let request = format!("POST /announce HTTP/1.1\r\nhost: a\r\n{head}\r\n\r\n{announcement}");
+        assert_eq!(send_raw(self.guard.local, request.as_bytes()).status, Some(200));
+    }
+
+    fn call(&self, head: &str, body_len: usize) -> Option<CallerAnswer> {
+        call(self.ingress.callers, head, vec![b'u'; body_len]).expect("the daemon accepts")
+    }
+
+    /// Plays an answer to a request that is not idempotent, and returns what the caller got.
+    /// Requests that did not reach the server, which may be avoided after broken answers, are
+    /// repeated.
+    fn play(&self, answer: &RawAnswer, body_len: usize) -> Option<CallerAnswer> {
+        self.server.set_answer(answer.clone());
+        let started = Instant::now();
+        for round in 0.. {
+            assert!(started.elapsed() < TEST_TIMEOUT, "{}: no request reaches it", answer.name);
+            self.announce();
+            let path = format!("/orders/{}-{round}", answer.name.replace(' ', "-"));
+            let head =
+                format!("POST {path} HTTP/1.1\r\nhost: a\r\nfescuemux-deadline-ms: 4000\r\n");
+            let got = self.call(&head, body_len);
+            if self.server.answer_count(&path) > 0 {
+                let refused = got.as_ref().is_some_and(|got| {
+                    matches!(got.status, 408 | 421 | 429 | 503)
+                        || got.head.contains("fescuemux-verdict: not-run")
+                });
+                assert!(!refused, "{}: the request has run: {got:?}", answer.name);
+                return got;
+            }
+        }
+        unreachable!("the loop ends in one of its rounds")
+    }
+}
+
+/// Returns whether the caller got a failure that promises nothing, or no complete answer.
+fn is_true_failure(got: Option<&CallerAnswer>) -> bool {
+    got.is_none_or(|got| matches!(got.status, 502 | 504))
+}
+
+/// Asserts that callers get a true failure in place of each answer.
+fn assert_reach_no_caller(answers: Vec<RawAnswer>) {
+    let fleet = RawFleet::start();
+    let mut failures = Vec::new();
+    for answer in answers {
+        let got = fleet.play(&answer, 0);
+        if !is_true_failure(got.as_ref()) {
+            failures.push(format!("{}: {got:?}", answer.name));
+        }
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
+
+/// A line of the head that is no field may have been any field, also one that tells the length.
+#[test]
+fn heads_with_lines_that_are_no_fields_reach_no_caller() {
+    assert_reach_no_caller(broken::field_lines());
+}
+
+/// An answer that ends early must not look complete, however it ends.
+#[test]
+fn answers_that_end_early_reach_no_caller() {
+    assert_reach_no_caller(broken::early_ends());
+}
+
+/// Without a status that is known, an answer is neither a success nor an interim answer.
+#[test]
+fn spoilt_status_lines_reach_no_caller() {
+    assert_reach_no_caller(broken::status_lines());
+}
+
+/// A body whose length cannot be understood may end anywhere.
+#[test]
+fn spoilt_lengths_reach_no_caller() {
+    assert_reach_no_caller(broken::lengths());
+}
+
+/// A body in a coding that cannot be understood may be anything.
+#[test]
+fn spoilt_codings_reach_no_caller() {
+    assert_reach_no_caller(broken::codings());
+}
+
+/// Chunks that cannot be understood may end anywhere.
+#[test]
+fn spoilt_chunks_reach_no_caller() {
+    assert_reach_no_caller(broken::chunks());
+}
+
+/// Answers that are unusual and sound must still reach their callers.
+#[test]
+fn unusual_answers_reach_their_callers() {
+    let fleet = RawFleet::start();
+    let mut failures = Vec::new();
+    for answer in sound_answers() {
+        let got = fleet.play(&answer, 0);
+        let body = got.as_ref().filter(|got| got.status < 300).map(|got| &*got.body);
+        if body != Some(SOUND_BODY.as_bytes()) {
+            failures.push(format!("{}: {got:?}", answer.name));
+        }
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
+
+/// Returns an early answer without a length.
+fn early(name: &'static str, body_len: usize, end: AnswerEnd) -> RawAnswer {
+    let head = b"HTTP/1.1 200 OK\r\n\r\n";
+    RawAnswer::early(name, [&head[..], &vec![b'a'; body_len]].concat(), end)
+}
+
+/// A server may answer a long upload before it has read it. An answer without a length ends with
+/// its connection, and a reset must not look like that end.
+#[test]
+fn an_early_answer_that_is_reset_is_not_complete() {
+    let fleet = RawFleet::start();
+    let mut failures = Vec::new();
+    for (name, part_len) in [("no part", 0), ("a short part", 7), ("a long part", 400 << 10)] {
+        for round in 0..15 {
+            let got = fleet.play(&early(name, part_len, AnswerEnd::Reset), UPLOAD_BYTES);
+            if !is_true_failure(got.as_ref()) {
+                let got = got.map(|got| (got.status, got.body.len()));
+                failures.push(format!("{name}, round {round}: {got:?}"));
+            }
+        }
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
--- a/crates/fescuemux-daemon/tests/processes.rs
+++ b/crates/fescuemux-daemon/tests/processes.rs
@@ -2,91 +2,17 @@
 
 mod support;
 
-use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command};
 use std::time::{Duration, Instant};
-use support::{CLUSTER_KEY, TEST_TIMEOUT, TOKEN, get, intent, post, start_server};
+use support::process::{Process, start};
+use support::{TEST_TIMEOUT, get, intent, post, start_server};
 
 /// Maximum growth of a daemon's peak memory during an upload, in KiB.
 const MAX_MEMORY_GROWTH_KIB: u64 = 8 * 1_024;
 const UPLOAD_BYTES: usize = 200 << 20;
 
-struct Process {
-    child: Child,
-    callers: SocketAddr,
-    local: SocketAddr,
-    rpc: SocketAddr,
-    operators: SocketAddr,
-    settings_path: PathBuf,
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.settings_path);
-    }
-}
-
-/// Reads the log of a daemon until the line with the daemon's addresses, and returns these by name.
-fn read_addresses(child: &mut Child) -> HashMap<String, SocketAddr> {
-    let mut log = BufReader::new(child.stderr.take().unwrap());
-    let mut line = String::new();
-    loop {
-        line.clear();
-        assert!(log.read_line(&mut line).unwrap() > 0, "the daemon ended before it started");
-        if !line.contains("daemon started") {
-            continue;
-        }
-        // The rest of the log must be read; otherwise the daemon blocks when the pipe is full.
-        std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-        let fields = line.split_once("Addresses {").unwrap().1.split_once('}').unwrap().0;
-        let field = |field: &str| {
-            let (name, addr) = field.split_once(": ").unwrap();
-            (name.trim().to_owned(), addr.trim().parse().unwrap())
-        };
-        return fields.split(',').map(field).collect();
-    }
-}
-
-fn start(name: &str, store: SocketAddr, seeds: &[SocketAddr]) -> Process {
-    let any = "127.0.0.1:0";
-    let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
-    let text = format!(
-        r#"{{ // settings of a test
-            "instance": "{name}", "domain": "d", "region": "r",
-            "listen": {{ "callers": "{any}", "hop": "{any}", "rpc": "{any}",
-                        "local": "{any}", "operators": "{any}" }},
-            "store": {{ "addresses": ["{store}"] }},
-            "cluster_keys": ["{CLUSTER_KEY}"],
-            "operators": [{{ "name": "test", "token": "{TOKEN}" }}],
-            "seeds": [{}], "log": {{ "level": "info", "format": "text" }} }}"#,
-        seeds.join(",")
-    );
-    let file_name = format!("fescuemuxd-{}-{name}.jsonc", std::process::id());
-    let settings_path = std::env::temp_dir().join(file_name);
-    std::fs::write(&settings_path, text).unwrap();
-    let mut child = Command::new(env!("CARGO_BIN_EXE_fescuemuxd"))
-        .arg("--config")
-        .arg(&settings_path)
-        .stderr(Stdio::piped())
-        .spawn()
-        .unwrap();
-    let addresses = read_addresses(&mut child);
-    let (callers, local) = (addresses["callers"], addresses["local"]);
-    Process {
-        child,
-        callers,
-        local,
-        rpc: addresses["rpc"],
-        operators: addresses["operators"],
-        settings_path,
-    }
-}
-
 fn wait_for(what: &str, done: impl Fn() -> bool) {
     let started = Instant::now();
     while !done() {
--- a/crates/fescuemux-daemon/tests/support/mod.rs
+++ b/crates/fescuemux-daemon/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses only some of these helpers")]
 
+pub(crate) mod process;
+
 use fescuemux_daemon::Daemon;
 use fescuemux_settings::Settings;
 use fescuemux_standins::server::{ServerOptions, StandInServer};
--- a/crates/fescuemux-http/src/lib.rs
+++ b/crates/fescuemux-http/src/lib.rs
@@ -4,17 +4,20 @@
 //! end of a response unless the response told its end or, without a length, its stream was seen to
 //! end cleanly. What the decoder cannot understand is an error; nothing is skipped or repaired.
 //!
-//! The decoder does no input or output.
+//! The decoder does no input or output. [`CheckedStream`] applies it to the connections of an HTTP
+//! library.
 //!
 //! Must not know what requests mean.
 
 mod body;
+mod checked_stream;
 mod decoder;
 mod error;
 mod head;
 mod request;
 
 pub use body::StreamEnd;
+pub use checked_stream::{CheckedStream, ExchangeHandle};
 pub use decoder::{Decoded, Part, RequestMethod, ResponseDecoder};
 pub use error::ResponseError;
 pub use head::{Framing, ResponseHead};
