Go on with an upload while its answer is received (fescuemux-node)

What callers saw: a server answers a long upload early, with a body without a length or a long one, and reads on. The caller got 502, or an answer that broke off, in place of a sound one.

Cause: three places gave the rest of an upload up as soon as an answer came. The ingress sent no more of it once it had the head, so that a server that ends its answer after the upload waited until the deadline. The guard closed its connection to the ingress with unread frames, and the HTTP library that to the caller with unread bytes; such a close resets the connection, and what was sent last is lost.

Why the fix works: Exchange sends the request for as long as frames of the answer are received, also while they are passed on to the caller. A connection returns to the pool only when the whole request was sent; before, that was left to the guard's close. A guard that is done before the request is discards frames until the ingress closes. The rest of a caller's body is discarded for up to two seconds, after which the caller has the answer or does not read it.

--- a/crates/fescuemux-http/src/lib.rs
+++ b/crates/fescuemux-http/src/lib.rs
@@ -12,6 +12,7 @@
 mod body;
 mod checked_stream;
 mod decoder;
+mod discard_rest;
 mod error;
 mod head;
 mod request;
@@ -19,6 +20,7 @@
 pub use body::StreamEnd;
 pub use checked_stream::{CheckedStream, ExchangeHandle};
 pub use decoder::{Decoded, Part, RequestMethod, ResponseDecoder};
+pub use discard_rest::DiscardRest;
 pub use error::ResponseError;
 pub use head::{Framing, ResponseHead};
 pub use request::RequestHead;
--- a/crates/fescuemux-sidecar/src/guard.rs
+++ b/crates/fescuemux-sidecar/src/guard.rs
@@ -20,6 +20,9 @@
 /// an unused grant earlier; this timeout only ends the wait on the connection.
 const COMMIT_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Time for an ingress to read the end of a response and close the connection.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
+
 pub(crate) use server_connections::is_hop_by_hop;
 
 /// Serves a connection from an instance, which may be this one, until the connection ends.
@@ -38,6 +41,9 @@
             Ok(()) => {}
             // The peer closed the connection as usual.
             Err(HopError::Closed) => return,
+            Err(HopError::IncompleteRequest) => {
+                return hop.discard_until_closed(CLOSE_TIMEOUT).await;
+            }
             Err(e) => {
                 info!(event = "hop_ended", error = %e);
                 return;
--- a/crates/fescuemux-sidecar/src/guard/relay.rs
+++ b/crates/fescuemux-sidecar/src/guard/relay.rs
@@ -43,7 +43,8 @@
 /// Runs a committed request at the backend server and sends its response to the ingress.
 ///
 /// # Errors
-/// Fails if the hop connection must not be used any further.
+/// Fails if the hop connection must not be used any further, with
+/// [`HopError::IncompleteRequest`] if frames of the request body may still arrive on it.
 pub(super) async fn run(
     node: &Node,
     hop: &mut HopConnection,
@@ -117,8 +118,7 @@
         None if result.outcome == RequestOutcome::Abandoned => return Err(HopError::Closed),
         None => {}
     }
-    // Frames of an incomplete request body may still arrive, so close the connection.
-    if body_complete.get() { Ok(()) } else { Err(HopError::Closed) }
+    if body_complete.get() { Ok(()) } else { Err(HopError::IncompleteRequest) }
 }
 
 /// Registers a request as running at the local backend server until dropped.
@@ -145,8 +145,7 @@
     }
 }
 
-/// Reports to the ingress that nothing was sent to the server, and closes the connection because
-/// the request body may still arrive on it.
+/// Reports to the ingress that nothing was sent to the server.
 async fn fail_before_send(
     node: &Node,
     hop: &mut HopConnection,
@@ -156,7 +155,7 @@
     log_failure(commit, failure);
     node.metrics.record_admission(failure.as_str());
     hop.send(Message::Failed(failure)).await?;
-    Err(HopError::Closed)
+    Err(HopError::IncompleteRequest)
 }
 
 fn log_work(
--- a/crates/fescuemux-sidecar/src/hop/connection.rs
+++ b/crates/fescuemux-sidecar/src/hop/connection.rs
@@ -21,6 +21,9 @@
     /// The peer sent a message that is not valid in this state.
     #[error("unexpected message")]
     UnexpectedMessage,
+    /// The exchange has ended before the request was complete, so its rest may still arrive.
+    #[error("request not complete")]
+    IncompleteRequest,
     /// The peer did not reply in time.
     #[error("timed out")]
     TimedOut,
@@ -89,6 +92,14 @@
         }
     }
 
+    /// Discards what arrives until the peer closes the connection, for up to `timeout`. Closing a
+    /// connection with unread bytes resets it, and the peer could lose what was sent to it last.
+    pub(crate) async fn discard_until_closed(&mut self, timeout: Duration) {
+        let discard = async { while self.next_frame().await.is_ok() {} };
+        // A peer that does not close the connection in time may lose the last messages.
+        let _ = tokio::time::timeout(timeout, discard).await;
+    }
+
     /// Returns whether another exchange may begin: the peer has neither closed the connection nor
     /// sent anything since the last exchange.
     pub(crate) fn is_reusable(&self) -> bool {
--- a/crates/fescuemux-sidecar/src/ingress.rs
+++ b/crates/fescuemux-sidecar/src/ingress.rs
@@ -3,6 +3,7 @@
 
 mod attempt;
 mod caller_connection;
+mod exchange;
 mod request;
 mod request_body;
 mod reservation;
--- a/crates/fescuemux-sidecar/src/ingress/attempt.rs
+++ b/crates/fescuemux-sidecar/src/ingress/attempt.rs
@@ -1,5 +1,6 @@
 //! A single attempt: reserves a slot, sends the request and receives the response.
 
+use super::exchange::Exchange;
 use super::request::CallerRequest;
 use super::request_body::RequestBody;
 use super::reservation::{Reservation, reserve_slot};
@@ -8,10 +9,8 @@
 use crate::node::Node;
 use bytes::BytesMut;
 use fescuemux_core::base::Verdict;
-use fescuemux_core::placement::{EvictedAttempt, Refusal};
-use futures::{SinkExt, StreamExt};
+use fescuemux_core::placement::{EvictedAttempt, Peer, Refusal};
 use http::StatusCode;
-use http_body_util::BodyExt;
 use std::cell::Cell;
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
@@ -20,9 +19,6 @@
 /// within this size, another attempt can still replace it.
 const MAX_BUFFERED_BYTES: usize = 256 * 1024;
 
-/// Size of the chunks in which a buffered request body is sent to a guard, to keep frames small.
-const BODY_CHUNK_BYTES: usize = 32 * 1024;
-
 /// Multiple of the expected running time after which an idempotent request without a response is
 /// hedged, that is, sent to a second server as well.
 const HEDGE_FACTOR: f64 = 2.0;
@@ -81,7 +77,7 @@
     may_wait: bool,
     state: &AttemptState,
 ) -> AttemptOutcome {
-    let mut reservation = match reserve_slot(node, request, body.buffered.len(), may_wait).await {
+    let reservation = match reserve_slot(node, request, body.buffered.len(), may_wait).await {
         Ok(reservation) => reservation,
         Err(refusal) => return AttemptOutcome::NoSlot(refusal),
     };
@@ -97,27 +93,29 @@
         sent_at + EvictedAttempt::presumed_lost_after(reservation.expected_running_time);
     state.phase.set(AttemptPhase::Sent { presumed_lost_at });
     request.attempt_notify.notify_one();
-    let outcome = match send_and_receive_head(node, request, body, &mut reservation, state).await {
+    let Reservation { hop, peer, expected_running_time, .. } = reservation;
+    let mut exchange = Exchange::start(hop, commit(node, request, body), body);
+    let outcome = match receive_head(request, &mut exchange, state).await {
         Ok(GuardReply::Head(head)) => {
             let notice = head.server_notice.as_ref().map(Into::into);
-            node.relayed_notices.borrow_mut().on_response(&reservation.peer.id, notice);
+            node.relayed_notices.borrow_mut().on_response(&peer.id, notice);
             let elapsed = node.now().saturating_duration_since(sent_at);
             node.running_times.borrow_mut().record(
                 request.route_hash,
                 elapsed,
-                reservation.expected_running_time,
+                expected_running_time,
             );
-            receive_body(node, request, reservation, head).await
+            receive_body(node, request, &peer, exchange, head).await
         }
         Ok(GuardReply::Failed(failure)) => failure_outcome(request, failure),
         Err(e) => {
             tracing::info!(
                 event = "attempt_broken",
                 request = request.request_id,
-                peer = %reservation.peer.id,
+                peer = %peer.id,
                 error = %e
             );
-            node.hop_pool.drop_all(reservation.peer.addr);
+            node.hop_pool.drop_all(peer.addr);
             AttemptOutcome::MayHaveRun { reason: "peer_lost" }
         }
     };
@@ -146,75 +144,40 @@
     Failed(Failure),
 }
 
-/// Sends the request, and returns the response head or the failure that the guard reports.
-async fn send_and_receive_head(
-    node: &Node,
-    request: &CallerRequest,
-    body: &RequestBody,
-    reservation: &mut Reservation,
-    state: &AttemptState,
-) -> Result<GuardReply, HopError> {
-    let remaining = body.take_remaining();
-    let commit = Commit {
+fn commit(node: &Node, request: &CallerRequest, body: &RequestBody) -> Commit {
+    Commit {
         request_id: request.request_id.clone(),
         method: request.method.clone(),
         path: request.path.clone(),
         headers: request.headers.clone(),
         time_left_ms: request.time_left(node.now()).as_millis() as u32,
         body_len: body.len,
-    };
-    let (mut sink, mut stream) = (&mut reservation.hop.frames).split();
-    let upload = async {
-        sink.feed(Frame::Message(Message::Commit(commit))).await?;
-        let mut buffered = body.buffered.clone();
-        while !buffered.is_empty() {
-            let chunk = buffered.split_to(buffered.len().min(BODY_CHUNK_BYTES));
-            sink.feed(Frame::Body(chunk)).await?;
-        }
-        if let Some(mut remaining) = remaining {
-            while let Some(frame) = remaining.frame().await {
-                let frame = frame.map_err(std::io::Error::other)?;
-                if let Ok(chunk) = frame.into_data() {
-                    sink.send(Frame::Body(chunk)).await?;
-                }
-            }
-        }
-        sink.send(Frame::Message(Message::BodyEnd)).await?;
-        Ok::<_, HopError>(())
-    };
+    }
+}
+
+/// Returns the response head or the failure that the guard reports.
+async fn receive_head(
+    request: &CallerRequest,
+    exchange: &mut Exchange,
+    state: &AttemptState,
+) -> Result<GuardReply, HopError> {
     let receive = async {
         loop {
-            match stream.next().await {
-                Some(Ok(Frame::Message(Message::Head(head)))) => return Ok(GuardReply::Head(head)),
-                Some(Ok(Frame::Message(Message::Failed(failure)))) => {
-                    return Ok(GuardReply::Failed(failure));
-                }
-                Some(Ok(Frame::Message(Message::Evicted))) => {
+            match exchange.next_frame().await? {
+                Frame::Message(Message::Head(head)) => return Ok(GuardReply::Head(head)),
+                Frame::Message(Message::Failed(failure)) => return Ok(GuardReply::Failed(failure)),
+                Frame::Message(Message::Evicted) => {
                     if let AttemptPhase::Sent { presumed_lost_at } = state.phase.get() {
                         state.phase.set(AttemptPhase::Evicted { presumed_lost_at });
                         request.attempt_notify.notify_one();
                     }
                 }
-                Some(Ok(_)) => return Err(HopError::UnexpectedMessage),
-                Some(Err(e)) => return Err(e.into()),
-                None => return Err(HopError::Closed),
+                Frame::Message(_) | Frame::Body(_) => return Err(HopError::UnexpectedMessage),
             }
         }
     };
-    let exchange = async {
-        tokio::pin!(upload, receive);
-        tokio::select! {
-            received = &mut receive => received,
-            sent = &mut upload => match sent {
-                Ok(()) => receive.await,
-                // A guard that cannot complete the request reports the failure and closes the
-                // connection. Sending may fail first, so look for the report before returning `e`.
-                Err(e) => receive.await.map_err(|_| e),
-            },
-        }
-    };
     tokio::select! {
-        reply = exchange => reply,
+        reply = receive => reply,
         () = state.break_off.notified() => Ok(GuardReply::Failed(Failure::Evicted)),
     }
 }
@@ -224,14 +187,15 @@
 async fn receive_body(
     node: &Node,
     request: &CallerRequest,
-    mut reservation: Reservation,
+    peer: &Peer,
+    mut exchange: Exchange,
     head: HopResponseHead,
 ) -> AttemptOutcome {
     let status = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut buffered = BytesMut::new();
     let mut complete = false;
     while buffered.len() <= MAX_BUFFERED_BYTES {
-        match reservation.hop.next_frame().await {
+        match exchange.next_frame().await {
             Ok(Frame::Body(chunk)) => buffered.extend_from_slice(&chunk),
             Ok(Frame::Message(Message::End)) => {
                 complete = true;
@@ -243,12 +207,13 @@
         }
     }
     record_response_size(node, request.route_hash, head.body_len.unwrap_or(buffered.len() as u64));
-    let peer = reservation.peer.id.clone();
     let body = if complete {
-        node.hop_pool.put(reservation.peer.addr, node.now(), reservation.hop);
+        if let Some(hop) = exchange.into_connection(node.now()) {
+            node.hop_pool.put(peer.addr, node.now(), hop);
+        }
         ResponseBody::complete(buffered.freeze())
     } else {
-        ResponseBody::streaming(buffered.freeze(), head.body_len, reservation.hop)
+        ResponseBody::streaming(buffered.freeze(), head.body_len, exchange)
     };
     AttemptOutcome::Responded(CallerResponse {
         status,
@@ -257,7 +222,7 @@
         reason: None,
         verdict: Verdict::Ran,
         retry_after: None,
-        peer: Some(peer),
+        peer: Some(peer.id.clone()),
     })
 }
 
--- a/crates/fescuemux-sidecar/src/ingress/request_body.rs
+++ b/crates/fescuemux-sidecar/src/ingress/request_body.rs
@@ -2,6 +2,7 @@
 
 use super::CallerResponse;
 use bytes::{Bytes, BytesMut};
+use fescuemux_http::DiscardRest;
 use http::StatusCode;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -19,7 +20,7 @@
     pub(super) buffered: Bytes,
     /// Length of the complete body in bytes, if known.
     pub(super) len: Option<u64>,
-    remaining: RefCell<Option<Incoming>>,
+    remaining: RefCell<Option<DiscardRest>>,
     is_streamed: bool,
 }
 
@@ -44,7 +45,7 @@
         let mut buffered = BytesMut::new();
         loop {
             if buffered.len() > MAX_BUFFERED_BYTES {
-                let remaining = RefCell::new(Some(body));
+                let remaining = RefCell::new(Some(DiscardRest::new(body)));
                 return Ok(RequestBody {
                     buffered: buffered.freeze(),
                     len,
@@ -77,7 +78,7 @@
     }
 
     /// Takes the unbuffered rest of the body. Only the first call can return it.
-    pub(super) fn take_remaining(&self) -> Option<Incoming> {
+    pub(super) fn take_remaining(&self) -> Option<DiscardRest> {
         self.remaining.borrow_mut().take()
     }
 
--- a/crates/fescuemux-sidecar/src/ingress/response_body.rs
+++ b/crates/fescuemux-sidecar/src/ingress/response_body.rs
@@ -1,8 +1,8 @@
 //! Bodies of responses to callers.
 
-use crate::hop::{Frame, HopConnection, Message};
+use super::exchange::Exchange;
+use crate::hop::{Frame, Message};
 use bytes::Bytes;
-use futures::StreamExt;
 use hyper::body::{Body, Frame as HttpFrame, SizeHint};
 use std::collections::VecDeque;
 use std::io;
@@ -15,20 +15,25 @@
 pub(super) struct ResponseBody {
     buffered: VecDeque<Bytes>,
     len: Option<u64>,
-    /// Connection on which the rest of the body arrives, unless all of it is buffered.
-    hop: Option<Box<HopConnection>>,
+    /// Exchange in which the rest of the body arrives, unless all of it is buffered.
+    exchange: Option<Box<Exchange>>,
 }
 
 impl ResponseBody {
     /// Returns a body that is completely buffered.
     pub(super) fn complete(body: Bytes) -> ResponseBody {
-        ResponseBody { len: Some(body.len() as u64), buffered: VecDeque::from([body]), hop: None }
+        ResponseBody {
+            len: Some(body.len() as u64),
+            buffered: VecDeque::from([body]),
+            exchange: None,
+        }
     }
 
     /// Returns a body of `len` bytes, if known, that starts with `buffered` and continues with
-    /// the frames of `hop`.
-    pub(super) fn streaming(buffered: Bytes, len: Option<u64>, hop: HopConnection) -> ResponseBody {
-        ResponseBody { buffered: VecDeque::from([buffered]), len, hop: Some(Box::new(hop)) }
+    /// the frames of `exchange`.
+    pub(super) fn streaming(buffered: Bytes, len: Option<u64>, exchange: Exchange) -> ResponseBody {
+        let exchange = Some(Box::new(exchange));
+        ResponseBody { buffered: VecDeque::from([buffered]), len, exchange }
     }
 }
 
@@ -45,29 +50,27 @@
                 return Poll::Ready(Some(Ok(HttpFrame::data(chunk))));
             }
         }
-        let Some(hop) = &mut self.hop else { return Poll::Ready(None) };
-        match futures::ready!(hop.frames.poll_next_unpin(cx)) {
-            Some(Ok(Frame::Message(Message::Evicted))) => self.poll_frame(cx),
-            Some(Ok(Frame::Body(chunk))) => Poll::Ready(Some(Ok(HttpFrame::data(chunk)))),
-            Some(Ok(Frame::Message(Message::End))) => {
-                self.hop = None;
+        let Some(exchange) = &mut self.exchange else { return Poll::Ready(None) };
+        match futures::ready!(exchange.poll_frame(cx)) {
+            Ok(Frame::Message(Message::Evicted)) => self.poll_frame(cx),
+            Ok(Frame::Body(chunk)) => Poll::Ready(Some(Ok(HttpFrame::data(chunk)))),
+            Ok(Frame::Message(Message::End)) => {
+                self.exchange = None;
                 Poll::Ready(None)
             }
             // The error closes the caller's connection, so the caller sees a truncated body.
-            Some(Ok(Frame::Message(_))) | None => {
-                Poll::Ready(Some(Err(io::ErrorKind::UnexpectedEof.into())))
-            }
-            Some(Err(e)) => Poll::Ready(Some(Err(e))),
+            Ok(Frame::Message(_)) => Poll::Ready(Some(Err(io::ErrorKind::UnexpectedEof.into()))),
+            Err(e) => Poll::Ready(Some(Err(io::Error::other(e)))),
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        self.hop.is_none() && self.buffered.iter().all(|chunk| chunk.is_empty())
+        self.exchange.is_none() && self.buffered.iter().all(|chunk| chunk.is_empty())
     }
 
     fn size_hint(&self) -> SizeHint {
         let buffered: u64 = self.buffered.iter().map(|chunk| chunk.len() as u64).sum();
-        match (&self.hop, self.len) {
+        match (&self.exchange, self.len) {
             (None, _) => SizeHint::with_exact(buffered),
             (Some(_), Some(len)) => SizeHint::with_exact(len),
             (Some(_), None) => SizeHint::default(),
