Keep reading an upload until the caller has its answer (fescuemuxd)

What callers saw: a server answers a long upload early, without a length, ends its answer cleanly and reads on. The caller got 502, or an answer that broke off, in place of a sound one.

Cause: guard and ingress dropped the body of the request with the answer's end, and the HTTP library closed the connection with unread bytes, which resets it.

Evidence: an_early_answer_to_an_upload_reaches_the_caller, uploads of 24 MiB through two processes.

--- a/crates/fescuemux-daemon/src/guard/forward.rs
+++ b/crates/fescuemux-daemon/src/guard/forward.rs
@@ -11,6 +11,7 @@
 };
 use fescuemux_core::base::Verdict;
 use fescuemux_core::detect::Outcome;
+use fescuemux_http::DiscardRest;
 use fescuemux_wire::headers;
 use fescuemux_wire::hop::{HopRequest, HopResponse};
 use http::{HeaderMap, Request, Response, StatusCode, request};
@@ -86,7 +87,7 @@
             max_bytes: self.limits.max_body_bytes,
         };
         if !is_replayable(&body.size_hint(), self.limits.max_replay_bytes) {
-            return Ok(relay(body, limits).boxed());
+            return Ok(relay(DiscardRest::new(body), limits).boxed());
         }
         match timeout_at(deadline.into(), read_all(body, limits)).await {
             Ok(Ok(content)) => Ok(full(content)),
--- a/crates/fescuemux-daemon/src/ingress/caller_body.rs
+++ b/crates/fescuemux-daemon/src/ingress/caller_body.rs
@@ -7,6 +7,7 @@
 };
 use bytes::Bytes;
 use fescuemux_core::base::Verdict;
+use fescuemux_http::DiscardRest;
 use http::StatusCode;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -44,7 +45,7 @@
         let relay_limits =
             RelayLimits { idle_timeout: limits.idle_timeout, max_bytes: limits.max_body_bytes };
         if !is_replayable(&size_hint, limits.max_replay_bytes) {
-            let unsent = Arc::new(Mutex::new(Some(relay(body, relay_limits))));
+            let unsent = Arc::new(Mutex::new(Some(relay(DiscardRest::new(body), relay_limits))));
             return Ok(CallerBody::Streamed(unsent));
         }
         match timeout_at(deadline.into(), read_all(body, relay_limits)).await {
--- a/crates/fescuemux-daemon/tests/broken_answers.rs
+++ b/crates/fescuemux-daemon/tests/broken_answers.rs
@@ -181,3 +181,56 @@
     }
     assert!(failures.is_empty(), "{failures:#?}");
 }
+
+/// An early answer whose end was told or seen must reach the caller.
+#[test]
+fn an_early_answer_to_an_upload_reaches_the_caller() {
+    struct Case {
+        answer: RawAnswer,
+        body_len: usize,
+    }
+    let with_length = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\naaaa";
+    let cases = [
+        Case {
+            answer: RawAnswer::early("a length, kept open", with_length, AnswerEnd::KeepOpen),
+            body_len: 4,
+        },
+        Case {
+            answer: RawAnswer::early(
+                "a length, read on",
+                with_length,
+                AnswerEnd::CloseAfterRequest,
+            ),
+            body_len: 4,
+        },
+        Case { answer: early("half closed", 4, AnswerEnd::CloseAndReadOn), body_len: 4 },
+        Case {
+            answer: early("long and half closed", 400 << 10, AnswerEnd::CloseAndReadOn),
+            body_len: 400 << 10,
+        },
+        Case {
+            answer: early("closed after the upload", 4, AnswerEnd::CloseAfterRequest),
+            body_len: 4,
+        },
+        Case {
+            answer: early(
+                "long and closed after the upload",
+                400 << 10,
+                AnswerEnd::CloseAfterRequest,
+            ),
+            body_len: 400 << 10,
+        },
+    ];
+    let fleet = RawFleet::start();
+    let mut failures = Vec::new();
+    for Case { answer, body_len } in cases {
+        for round in 0..5 {
+            let got = fleet.play(&answer, UPLOAD_BYTES);
+            let got = got.map(|got| (got.status, got.body.len()));
+            if got != Some((200, body_len)) {
+                failures.push(format!("{}, round {round}: {got:?}", answer.name));
+            }
+        }
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
