Check the length and head of a response between instances (fescuemux-node)

What callers could see: nothing was seen, and no server can cause it. A guard that sent fewer bytes than the length in its head, or a head that is none, would have made the ingress send a complete answer: with the length that came, with status 502 as if the server had sent it, or without the headers that could not be read. A message with bytes behind it was accepted.

The ingress took the end of the response for granted where the guard told it, and repaired what it did not understand.

Evidence: a_response_of_a_guard_ends_where_it_says fails on "an end too early" without the two checks of the length; the conversion of heads is new.

Why the fix works: Exchange counts the bytes that are due and knows no other end than the message End with none left. The wire type of a head is converted by TryFrom, whose error is a broken response, so the caller gets 502. A message is decoded only without a rest.

--- a/crates/fescuemux-sidecar/src/hop/codec.rs
+++ b/crates/fescuemux-sidecar/src/hop/codec.rs
@@ -46,10 +46,10 @@
         }
         match frame.get_u8() {
             BODY_TAG => Ok(Some(Frame::Body(frame.freeze()))),
-            MESSAGE_TAG => {
-                let message = postcard::from_bytes(&frame).map_err(|_| invalid_frame("message"))?;
-                Ok(Some(Frame::Message(message)))
-            }
+            MESSAGE_TAG => match postcard::take_from_bytes(&frame) {
+                Ok((message, [])) => Ok(Some(Frame::Message(message))),
+                Ok(_) | Err(_) => Err(invalid_frame("message")),
+            },
             _ => Err(invalid_frame("tag")),
         }
     }
--- a/crates/fescuemux-sidecar/src/hop/connection.rs
+++ b/crates/fescuemux-sidecar/src/hop/connection.rs
@@ -21,6 +21,9 @@
     /// The peer sent a message that is not valid in this state.
     #[error("unexpected message")]
     UnexpectedMessage,
+    /// The peer sent a response that is invalid or not complete.
+    #[error("broken response")]
+    BrokenResponse,
     /// The exchange has ended before the request was complete, so its rest may still arrive.
     #[error("request not complete")]
     IncompleteRequest,
--- a/crates/fescuemux-sidecar/src/ingress.rs
+++ b/crates/fescuemux-sidecar/src/ingress.rs
@@ -10,6 +10,8 @@
 mod response;
 mod response_body;
 mod retry_loop;
+#[cfg(test)]
+mod tests;
 
 use crate::node::Node;
 use http::{Request, Response, StatusCode};
--- a/crates/fescuemux-sidecar/src/ingress/attempt.rs
+++ b/crates/fescuemux-sidecar/src/ingress/attempt.rs
@@ -4,13 +4,13 @@
 use super::request::CallerRequest;
 use super::request_body::RequestBody;
 use super::reservation::{Reservation, reserve_slot};
+use super::response::ServerResponseHead;
 use super::{CallerResponse, ResponseBody};
 use crate::hop::{Commit, Failure, Frame, HopError, HopResponseHead, Message};
 use crate::node::Node;
 use bytes::BytesMut;
 use fescuemux_core::base::Verdict;
 use fescuemux_core::placement::{EvictedAttempt, Peer, Refusal};
-use http::StatusCode;
 use std::cell::Cell;
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
@@ -105,7 +105,10 @@
                 elapsed,
                 expected_running_time,
             );
-            receive_body(node, request, &peer, exchange, head).await
+            match ServerResponseHead::try_from(head) {
+                Ok(head) => receive_body(node, request, &peer, exchange, head).await,
+                Err(e) => broken_response(&e),
+            }
         }
         Ok(GuardReply::Failed(failure)) => failure_outcome(request, failure),
         Err(e) => {
@@ -189,21 +192,19 @@
     request: &CallerRequest,
     peer: &Peer,
     mut exchange: Exchange,
-    head: HopResponseHead,
+    head: ServerResponseHead,
 ) -> AttemptOutcome {
-    let status = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    exchange.expect_body(head.body_len);
     let mut buffered = BytesMut::new();
     let mut complete = false;
     while buffered.len() <= MAX_BUFFERED_BYTES {
-        match exchange.next_frame().await {
-            Ok(Frame::Body(chunk)) => buffered.extend_from_slice(&chunk),
-            Ok(Frame::Message(Message::End)) => {
+        match exchange.next_chunk().await {
+            Ok(Some(chunk)) => buffered.extend_from_slice(&chunk),
+            Ok(None) => {
                 complete = true;
                 break;
             }
-            Ok(Frame::Message(Message::Evicted)) => {}
-            Ok(Frame::Message(_)) => return AttemptOutcome::MayHaveRun { reason: "answer_broken" },
-            Err(_) => return AttemptOutcome::MayHaveRun { reason: "peer_lost" },
+            Err(e) => return broken_response(&e),
         }
     }
     record_response_size(node, request.route_hash, head.body_len.unwrap_or(buffered.len() as u64));
@@ -216,7 +217,7 @@
         ResponseBody::streaming(buffered.freeze(), head.body_len, exchange)
     };
     AttemptOutcome::Responded(CallerResponse {
-        status,
+        status: head.status,
         headers: head.headers,
         body,
         reason: None,
@@ -226,6 +227,14 @@
     })
 }
 
+fn broken_response(e: &HopError) -> AttemptOutcome {
+    let reason = match e {
+        HopError::BrokenResponse => Failure::Broken.as_str(),
+        _ => "peer_lost",
+    };
+    AttemptOutcome::MayHaveRun { reason }
+}
+
 fn record_response_size(node: &Node, route_hash: u64, bytes: u64) {
     let response_kb = bytes as f64 / 1024.0;
     let mut sizes = node.mean_response_kb.borrow_mut();
--- a/crates/fescuemux-sidecar/src/ingress/exchange.rs
+++ b/crates/fescuemux-sidecar/src/ingress/exchange.rs
@@ -2,6 +2,7 @@
 
 use super::request_body::RequestBody;
 use crate::hop::{Commit, Frame, HopCodec, HopConnection, HopError, Message};
+use bytes::Bytes;
 use futures::future::LocalBoxFuture;
 use futures::stream::{SplitSink, SplitStream};
 use futures::{FutureExt, SinkExt, StreamExt};
@@ -25,6 +26,8 @@
 pub(super) struct Exchange {
     upload: Upload,
     frames: FrameStream,
+    /// Number of bytes of the response body that are still due, if its length is known.
+    body_left: Option<u64>,
 }
 
 enum Upload {
@@ -38,7 +41,7 @@
     pub(super) fn start(hop: HopConnection, commit: Commit, body: &RequestBody) -> Exchange {
         let (sink, frames) = hop.frames.split();
         let upload = send_request(sink, commit, body).boxed_local();
-        Exchange { upload: Upload::Sending(upload), frames }
+        Exchange { upload: Upload::Sending(upload), frames, body_left: None }
     }
 
     /// Returns the next frame.
@@ -49,8 +52,45 @@
         poll_fn(|cx| self.poll_frame(cx)).await
     }
 
-    /// Polls for the next frame, as [`Exchange::next_frame`] does.
-    pub(super) fn poll_frame(&mut self, cx: &mut Context<'_>) -> Poll<Result<Frame, HopError>> {
+    /// Sets the length of the response body, if it is known. Must be called between the head and
+    /// the body.
+    pub(super) fn expect_body(&mut self, len: Option<u64>) {
+        self.body_left = len;
+    }
+
+    /// Returns the next part of the response body, or `None` once the response is complete.
+    ///
+    /// # Errors
+    /// Fails with [`HopError::BrokenResponse`] if the guard reports a failure or does not send as
+    /// many bytes as are due, and with other errors if the connection ends.
+    pub(super) async fn next_chunk(&mut self) -> Result<Option<Bytes>, HopError> {
+        poll_fn(|cx| self.poll_chunk(cx)).await
+    }
+
+    /// Polls for the next part of the response body, as [`Exchange::next_chunk`] does.
+    pub(super) fn poll_chunk(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Result<Option<Bytes>, HopError>> {
+        loop {
+            match futures::ready!(self.poll_frame(cx))? {
+                Frame::Body(chunk) => {
+                    if let Some(left) = &mut self.body_left {
+                        let new_left = left.checked_sub(chunk.len() as u64);
+                        *left = new_left.ok_or(HopError::BrokenResponse)?;
+                    }
+                    return Poll::Ready(Ok(Some(chunk)));
+                }
+                Frame::Message(Message::Evicted) => {}
+                Frame::Message(Message::End) if self.body_left.unwrap_or(0) == 0 => {
+                    return Poll::Ready(Ok(None));
+                }
+                Frame::Message(_) => return Poll::Ready(Err(HopError::BrokenResponse)),
+            }
+        }
+    }
+
+    fn poll_frame(&mut self, cx: &mut Context<'_>) -> Poll<Result<Frame, HopError>> {
         if let Upload::Sending(upload) = &mut self.upload
             && let Poll::Ready(sent) = upload.poll_unpin(cx)
         {
--- a/crates/fescuemux-sidecar/src/ingress/request_body.rs
+++ b/crates/fescuemux-sidecar/src/ingress/request_body.rs
@@ -68,13 +68,13 @@
                 }
             }
         }
+        Ok(RequestBody::buffered(buffered.freeze()))
+    }
+
+    /// Returns a body that is completely buffered.
+    pub(super) fn buffered(buffered: Bytes) -> RequestBody {
         let len = Some(buffered.len() as u64);
-        Ok(RequestBody {
-            buffered: buffered.freeze(),
-            len,
-            remaining: RefCell::new(None),
-            is_streamed: false,
-        })
+        RequestBody { buffered, len, remaining: RefCell::new(None), is_streamed: false }
     }
 
     /// Takes the unbuffered rest of the body. Only the first call can return it.
--- a/crates/fescuemux-sidecar/src/ingress/response_body.rs
+++ b/crates/fescuemux-sidecar/src/ingress/response_body.rs
@@ -1,7 +1,6 @@
 //! Bodies of responses to callers.
 
 use super::exchange::Exchange;
-use crate::hop::{Frame, Message};
 use bytes::Bytes;
 use hyper::body::{Body, Frame as HttpFrame, SizeHint};
 use std::collections::VecDeque;
@@ -51,15 +50,13 @@
             }
         }
         let Some(exchange) = &mut self.exchange else { return Poll::Ready(None) };
-        match futures::ready!(exchange.poll_frame(cx)) {
-            Ok(Frame::Message(Message::Evicted)) => self.poll_frame(cx),
-            Ok(Frame::Body(chunk)) => Poll::Ready(Some(Ok(HttpFrame::data(chunk)))),
-            Ok(Frame::Message(Message::End)) => {
+        match futures::ready!(exchange.poll_chunk(cx)) {
+            Ok(Some(chunk)) => Poll::Ready(Some(Ok(HttpFrame::data(chunk)))),
+            Ok(None) => {
                 self.exchange = None;
                 Poll::Ready(None)
             }
             // The error closes the caller's connection, so the caller sees a truncated body.
-            Ok(Frame::Message(_)) => Poll::Ready(Some(Err(io::ErrorKind::UnexpectedEof.into()))),
             Err(e) => Poll::Ready(Some(Err(io::Error::other(e)))),
         }
     }
