--- a/crates/fescuemux-http/src/lib.rs
+++ b/crates/fescuemux-http/src/lib.rs
@@ -5,10 +5,11 @@
 //! end cleanly. What the decoder cannot understand is an error; nothing is skipped or repaired.
 //!
 //! The decoder does no input or output. [`CheckedStream`] applies it to the connections of an HTTP
-//! library.
+//! library, and [`blocking`] is a client for calls from threads.
 //!
 //! Must not know what requests mean.
 
+pub mod blocking;
 mod body;
 mod checked_stream;
 mod decoder;
--- a/crates/fescuemux-store/src/http.rs
+++ b/crates/fescuemux-store/src/http.rs
@@ -10,13 +10,13 @@
     MAX_VALUE_BYTES, Mutation, Precondition, RenewResult, Store, StoreError, SwapResult, Version,
     WatchResult, protocol,
 };
-use attohttpc::{ErrorKind, ProxySettings};
+use fescuemux_http::ResponseError;
+use fescuemux_http::blocking::{self, CallError, Limits, Request};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use std::io::{self, Read as _};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Settings of [`HttpStore`].
 #[derive(Clone, Debug)]
@@ -134,28 +134,25 @@
         if let Some(call_hook) = &self.call_hook {
             call_hook(call.kind);
         }
-        let timeout = self.settings.call_timeout + call.max_wait;
-        let response = attohttpc::post(format!("http://{addr}{}", call.path))
-            .header("content-type", "application/json")
-            .connect_timeout(self.settings.connect_timeout)
-            .read_timeout(timeout)
-            .timeout(timeout)
-            .follow_redirects(false)
-            .proxy_settings(ProxySettings::builder().build())
-            .bytes(body)
-            .send()
-            .map_err(|error| transport_error(call, addr, &error))?;
-        let status = response.status().as_u16();
-        let mut response_body = Vec::new();
-        response.split().2.take(MAX_BODY_BYTES).read_to_end(&mut response_body).map_err(
-            |error| call_error(call, FailureKind::NoResponse, format!("{addr}: {error}")),
-        )?;
-        if status == 200 {
-            return serde_json::from_slice(&response_body).map_err(|error| {
+        let request = Request {
+            method: "POST",
+            path: call.path,
+            headers: &[("content-type", "application/json")],
+            body,
+        };
+        let limits = Limits {
+            connect_timeout: self.settings.connect_timeout,
+            timeout: self.settings.call_timeout + call.max_wait,
+            max_body_len: MAX_BODY_BYTES,
+        };
+        let response = blocking::call(addr, &request, &limits, Instant::now)
+            .map_err(|e| transport_error(call, addr, &e))?;
+        if response.status == 200 {
+            return serde_json::from_slice(&response.body).map_err(|error| {
                 call_error(call, FailureKind::InvalidResponse, format!("{addr}: {error}"))
             });
         }
-        Err(status_error(call, addr, status, &response_body))
+        Err(status_error(call, addr, response.status, &response.body))
     }
 }
 
@@ -167,17 +164,17 @@
     }
 }
 
-/// Returns the error of a call without a complete response. Only a refused connection proves
-/// that nothing was sent: unreachable hosts and timeouts are also reported on connections over
-/// which the request was already sent.
-fn transport_error(call: Call, addr: SocketAddr, error: &attohttpc::Error) -> StoreError {
-    let detail = format!("{addr}: {error}");
-    match error.kind() {
-        ErrorKind::Io(e) if e.kind() == io::ErrorKind::ConnectionRefused => {
-            StoreError::without_effect(FailureKind::Unreachable, detail)
+/// Returns the error of a call without a complete response.
+fn transport_error(call: Call, addr: SocketAddr, e: &CallError) -> StoreError {
+    let detail = format!("{addr}: {e}");
+    match e {
+        CallError::Connect(_) => StoreError::without_effect(FailureKind::Unreachable, detail),
+        CallError::Response(
+            ResponseError::Io(_) | ResponseError::Closed | ResponseError::Truncated,
+        ) => call_error(call, FailureKind::NoResponse, detail),
+        CallError::Response(ResponseError::Malformed | ResponseError::TooLarge) => {
+            call_error(call, FailureKind::InvalidResponse, detail)
         }
-        ErrorKind::Io(_) => call_error(call, FailureKind::NoResponse, detail),
-        _ => call_error(call, FailureKind::InvalidResponse, detail),
     }
 }
 
--- a/crates/fescuemux-store/tests/http.rs
+++ b/crates/fescuemux-store/tests/http.rs
@@ -139,6 +139,91 @@
     }
 }
 
+/// A response that is broken says nothing about the effect of a write, although its body may look
+/// like that of a success.
+#[test]
+fn a_broken_response_leaves_the_effect_unknown() {
+    struct Case {
+        name: &'static str,
+        response: &'static str,
+    }
+    let cases = [
+        Case {
+            name: "an early end",
+            response: "HTTP/1.1 200 OK\r\ncontent-length: 40\r\n\r\n{\"done\":true,\"version\":3}",
+        },
+        Case {
+            name: "a sign before the length",
+            response: "HTTP/1.1 200 OK\r\ncontent-length: +25\r\n\r\n{\"done\":true,\"version\":3}",
+        },
+        Case {
+            name: "a blank in the name of the length",
+            response: "HTTP/1.1 200 OK\r\ncontent length: 25\r\n\r\n{\"done\":true,\"version\":3}",
+        },
+        Case {
+            name: "a control byte in the name of a field",
+            response: "HTTP/1.1 200 OK\r\nx-\u{1}a: b\r\ncontent-length: 25\r\n\r\n\
+                       {\"done\":true,\"version\":3}",
+        },
+        Case {
+            name: "an unknown coding",
+            response: "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\n\
+                       {\"done\":true,\"version\":3}",
+        },
+        Case {
+            name: "an unknown coding, then chunks",
+            response: "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip, chunked\r\n\r\n\
+                       19\r\n{\"done\":true,\"version\":3}\r\n0\r\n\r\n",
+        },
+        Case {
+            name: "a length and chunks",
+            response: "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\ncontent-length: 25\r\n\r\n\
+                       19\r\n{\"done\":true,\"version\":3}\r\n0\r\n\r\n",
+        },
+        Case {
+            name: "a sign before a chunk size",
+            response: "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n\
+                       +19\r\n{\"done\":true,\"version\":3}\r\n0\r\n\r\n",
+        },
+        Case {
+            name: "no last chunk",
+            response: "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n\
+                       19\r\n{\"done\":true,\"version\":3}\r\n",
+        },
+        Case {
+            name: "another protocol",
+            response: "ICY 200 OK\r\ncontent-length: 25\r\n\r\n{\"done\":true,\"version\":3}",
+        },
+        Case { name: "status 000", response: "HTTP/1.1 000 OK\r\ncontent-length: 0\r\n\r\n" },
+        Case {
+            name: "a refusal with a line that is no field",
+            response: "HTTP/1.1 429 X\r\nno field\r\ncontent-length: 0\r\n\r\n",
+        },
+        Case {
+            name: "a refusal that ends early",
+            response: "HTTP/1.1 400 X\r\ncontent-length: 9\r\n\r\n",
+        },
+        Case {
+            name: "a statement without effect that ends early",
+            response: "HTTP/1.1 503 X\r\ncontent-length: 40\r\n\r\n\
+                       {\"error\":\"x\",\"no_effect\":true}",
+        },
+    ];
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let client = client(&[listener.local_addr().unwrap()]);
+    let mut failures = Vec::new();
+    for Case { name, response } in cases {
+        let result = std::thread::scope(|scope| {
+            scope.spawn(|| respond_once(&listener, response));
+            client.compare_and_swap("k", Precondition::Absent, PUT)
+        });
+        if result.as_ref().err().map(|e| e.effect) != Some(Effect::Unknown) {
+            failures.push(format!("{name}: {result:?}"));
+        }
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
+
 #[test]
 fn other_addresses_are_tried_only_when_safe() {
     let (broken, healthy) = (start(), start());
