Read answers to operator commands and loads with the checked reader (fescuemux)

What operators could see: `fescuemux status`, `dump` and `log-level` ended with success on an answer that was broken, and printed what was left of it. `status` then said that no daemon is behind.

`fescuemux load` counted answers that hyper had repaired as answers.

Why the fix works: the commands use fescuemux_http::blocking, and the body of a success must be JSON. The connections of a load go through CheckedStream.

--- a/crates/fescuemux-cli/src/api.rs
+++ b/crates/fescuemux-cli/src/api.rs
@@ -1,15 +1,18 @@
 //! Client of the operator API.
 
 use anyhow::{Context, bail};
-use attohttpc::{Method, RequestBuilder};
 use clap::Args;
+use fescuemux_http::blocking::{self, Limits, Request};
 use serde_json::Value;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Maximum time of a call. A confirm may wait for a slow store.
 const CALL_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Maximum size of a response body. The dump of a daemon in a large fleet must fit into it.
+const MAX_RESPONSE_BYTES: u64 = 256 << 20;
+
 /// Connection to the operator API.
 #[derive(Clone, Debug, Args)]
 pub(crate) struct ApiArgs {
@@ -34,38 +37,43 @@
 impl ApiArgs {
     /// Sends a GET request.
     pub(crate) fn get(&self, path: &str) -> anyhow::Result<ApiResponse> {
-        self.send(self.request(Method::GET, path), Vec::new())
+        self.send("GET", path, &[])
     }
 
     /// Sends a PUT request without a body. The path holds the new value.
     pub(crate) fn put(&self, path: &str) -> anyhow::Result<ApiResponse> {
-        self.send(self.request(Method::PUT, path), Vec::new())
+        self.send("PUT", path, &[])
     }
 
     /// Sends a POST request.
     pub(crate) fn post(&self, path: &str, body: Vec<u8>) -> anyhow::Result<ApiResponse> {
-        self.send(self.request(Method::POST, path), body)
-    }
-
-    fn request(&self, method: Method, path: &str) -> RequestBuilder {
-        let url = format!("http://{}{path}", self.addr);
-        RequestBuilder::new(method, url)
-            .header("Authorization", format!("Bearer {}", self.token))
-            .timeout(CALL_TIMEOUT)
+        self.send("POST", path, &body)
     }
 
-    fn send(&self, req: RequestBuilder, body: Vec<u8>) -> anyhow::Result<ApiResponse> {
-        let no_response = || {
-            format!(
-                "the daemon at {} does not answer; name the `operators` address of another one",
-                self.addr
-            )
+    fn send(&self, method: &str, path: &str, body: &[u8]) -> anyhow::Result<ApiResponse> {
+        let authorization = format!("Bearer {}", self.token);
+        let headers = [("authorization", authorization.as_str())];
+        let request = Request { method, path, headers: &headers, body };
+        let limits = Limits {
+            connect_timeout: CALL_TIMEOUT,
+            timeout: CALL_TIMEOUT,
+            max_body_len: MAX_RESPONSE_BYTES,
+        };
+        let response =
+            blocking::call(self.addr, &request, &limits, Instant::now).with_context(|| {
+                format!(
+                    "the daemon at {} does not answer; name the `operators` address of another one",
+                    self.addr
+                )
+            })?;
+        let body = serde_json::from_slice(&response.body);
+        // An error without a text is described by its status.
+        let body = if (200..300).contains(&response.status) {
+            body.with_context(|| format!("the answer of the daemon at {} is no JSON", self.addr))?
+        } else {
+            body.unwrap_or(Value::Null)
         };
-        let response = req.bytes(body).send().with_context(no_response)?;
-        let status = response.status().as_u16();
-        let content = response.bytes().with_context(no_response)?;
-        let body = serde_json::from_slice(&content).unwrap_or(Value::Null);
-        Ok(ApiResponse { status, body })
+        Ok(ApiResponse { status: response.status, body })
     }
 }
 
--- a/crates/fescuemux-cli/src/load/pool.rs
+++ b/crates/fescuemux-cli/src/load/pool.rs
@@ -1,8 +1,12 @@
 //! Connection pool of one target.
 
 use bytes::Bytes;
+use fescuemux_http::{CheckedStream, ExchangeHandle, RequestMethod};
 use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -11,7 +15,22 @@
 use tokio::sync::{Semaphore, SemaphorePermit};
 
 /// Sending half of a connection.
-pub(crate) type Sender = SendRequest<Full<Bytes>>;
+#[derive(Debug)]
+pub(crate) struct Sender {
+    sender: SendRequest<Full<Bytes>>,
+    exchange: ExchangeHandle,
+}
+
+impl Sender {
+    /// Sends a request. The response to the previous one must be complete.
+    pub(crate) async fn try_send_request(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.exchange.begin(RequestMethod::from(request.method().as_str()));
+        self.sender.try_send_request(request).await
+    }
+}
 
 /// Pool with a bounded number of connections to the addresses of one target. The most recently
 /// used idle connection is reused first.
@@ -56,7 +75,7 @@
     pub(crate) fn take_idle(&self) -> Option<Sender> {
         let mut idle = self.idle();
         while let Some(sender) = idle.pop() {
-            if sender.is_ready() {
+            if sender.sender.is_ready() {
                 return Some(sender);
             }
         }
@@ -67,16 +86,17 @@
     pub(crate) async fn open(&self) -> anyhow::Result<Sender> {
         let stream = TcpStream::connect(self.addr()).await?;
         stream.set_nodelay(true)?;
+        let (stream, exchange) = CheckedStream::new(stream);
         let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
         // The task ends when `sender` is dropped. Its errors also reach the request in progress,
         // which reports them.
         tokio::spawn(connection);
-        Ok(sender)
+        Ok(Sender { sender, exchange })
     }
 
     /// Puts a connection back into the pool. Its response must have been read to the end.
     pub(crate) fn release(self, sender: Sender) {
-        if !sender.is_closed() {
+        if !sender.sender.is_closed() {
             self.idle().push(sender);
         }
     }
