Refuse announcements that are broken (fescuemuxd)

What servers could see: an announcement whose head or framing was spoilt was acknowledged and acted upon, for example one that says that the server drains.

Cause: announcements were served by rouille, whose parser drops header lines that it does not understand, takes a body with an unknown coding for one without, and accepts a sign before a length or a chunk size.

Why the fix works: the endpoint is served like those for callers and ingresses, with the strict check of heads before the library, and its body is collected only when its end was told.

--- a/crates/fescuemux-daemon/src/daemon.rs
+++ b/crates/fescuemux-daemon/src/daemon.rs
@@ -14,7 +14,6 @@
 use self::bound::BoundSockets;
 use self::parts::{Components, EventReceivers};
 use self::threads::Threads;
-use crate::guard::serve_announcements;
 use crate::operators::{SetLogLevel, serve_operators};
 use crate::stop::{StopController, StopPhase, stop_channel};
 use anyhow::Context;
@@ -67,21 +66,16 @@
         let mut threads = Threads::default();
         let context = components.operator_context(settings, set_log_level)?;
         let operators = serve_operators(settings.listen.operators, Arc::new(context))?;
-        let announcements =
-            serve_announcements(settings.listen.local, Arc::clone(&components.guard))?;
         let addresses = Addresses {
             callers: sockets.callers.local_addr()?,
             hop: sockets.hop.local_addr()?,
             rpc: sockets.rpc.local_addr()?,
-            local: announcements.server_addr(),
+            local: sockets.local.local_addr()?,
             operators: operators.server_addr(),
         };
         threads.spawn_polling("operators", peers_signal.clone(), move |timeout| {
             operators.poll_timeout(timeout);
         })?;
-        threads.spawn_polling("announcements", peers_signal.clone(), move |timeout| {
-            announcements.poll_timeout(timeout);
-        })?;
 
         let runtime_guard = runtime.enter();
         let (ledger_tx, ledger_rx) = flume::unbounded();
--- a/crates/fescuemux-daemon/src/daemon/bound.rs
+++ b/crates/fescuemux-daemon/src/daemon/bound.rs
@@ -13,6 +13,7 @@
     pub(super) callers: Listener,
     pub(super) hop: Listener,
     pub(super) rpc: TcpListener,
+    pub(super) local: Listener,
 }
 
 impl BoundSockets {
@@ -21,11 +22,13 @@
         let callers = Listener::bind(listen.callers).await;
         let hop = Listener::bind(listen.hop).await;
         let rpc = TcpListener::bind(listen.rpc).await;
+        let local = Listener::bind(listen.local).await;
         Ok(BoundSockets {
             callers: callers
                 .with_context(|| format!("cannot bind `callers` {}", listen.callers))?,
             hop: hop.with_context(|| format!("cannot bind `hop` {}", listen.hop))?,
             rpc: rpc.with_context(|| format!("cannot bind `rpc` {}", listen.rpc))?,
+            local: local.with_context(|| format!("cannot bind `local` {}", listen.local))?,
         })
     }
 
--- a/crates/fescuemux-daemon/src/daemon/tasks.rs
+++ b/crates/fescuemux-daemon/src/daemon/tasks.rs
@@ -3,7 +3,7 @@
 use super::bound::BoundSockets;
 use super::parts::{Components, POOL_IDLE_TIMEOUT};
 use crate::config_sync::{ConfigEvent, pull_from_peers};
-use crate::guard::{Guard, GuardEvent};
+use crate::guard::{Guard, GuardEvent, handle_announcement};
 use crate::http::{HttpLimits, Pool, ServeOptions};
 use crate::ingress::Ingress;
 use crate::ledger::LedgerRequest;
@@ -21,7 +21,7 @@
 /// Interval at which the guard receives the baselines of this instance's ingress.
 const BASELINE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Starts the servers for callers, for ingresses and for remote procedure calls.
+/// Starts the servers for callers, for ingresses, for remote procedure calls and for announcements.
 pub(super) fn spawn_servers(
     components: &Components,
     sockets: BoundSockets,
@@ -45,7 +45,14 @@
         homes: Arc::clone(&components.homes),
         demand: Arc::clone(&components.demand),
     };
-    tokio::spawn(serve_peers(sockets.rpc, components.keys.clone(), server, peers_stop));
+    tokio::spawn(serve_peers(sockets.rpc, components.keys.clone(), server, peers_stop.clone()));
+    let guard = Arc::clone(&components.guard);
+    let local_options = ServeOptions { limits, name: "local" };
+    tokio::spawn(
+        sockets.local.serve(local_options, peers_stop, move |req| {
+            handle_announcement(Arc::clone(&guard), req)
+        }),
+    );
     let ingress = Arc::clone(&components.ingress);
     let caller_options = ServeOptions { limits, name: "callers" };
     let callers = sockets.callers;
--- a/crates/fescuemux-daemon/src/guard.rs
+++ b/crates/fescuemux-daemon/src/guard.rs
@@ -16,7 +16,7 @@
 mod work;
 mod work_body;
 
-pub(crate) use announce::serve_announcements;
+pub(crate) use announce::handle_announcement;
 pub(crate) use event::GuardEvent;
 pub(crate) use policy::ServicePolicy;
 pub(crate) use snapshot::ServerSnapshot;
--- a/crates/fescuemux-daemon/src/guard/announce.rs
+++ b/crates/fescuemux-daemon/src/guard/announce.rs
@@ -1,56 +1,48 @@
 //! HTTP endpoint for announcements of the backend servers on this instance.
 
 use super::Guard;
+use crate::http::{OutgoingBody, full};
 use anyhow::Context;
 use fescuemux_wire::announce::{Announcement, AnnouncementWire};
-use rouille::{Request, Response, Server};
-use std::io::Read;
-use std::net::SocketAddr;
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
 use std::sync::Arc;
 
 /// Maximum size of an announcement in bytes.
-const MAX_ANNOUNCEMENT_BYTES: u64 = 4_096;
-/// Number of threads of the announcement endpoint. An instance has one backend server today and
-/// eight in the target deployment.
-const ANNOUNCE_THREADS: usize = 2;
+const MAX_ANNOUNCEMENT_BYTES: usize = 4_096;
 
-/// Binds the endpoint and returns its HTTP server, which the calling code must poll until the
-/// daemon stops.
-///
-/// # Errors
-///
-/// Returns an error when the address cannot be bound.
-pub(crate) fn serve_announcements(
-    addr: SocketAddr,
+/// Handles a request to the endpoint.
+pub(crate) async fn handle_announcement(
     guard: Arc<Guard>,
-) -> anyhow::Result<Server<impl Fn(&Request) -> Response + Send + Sync + 'static>> {
-    let server = Server::new(addr, move |req| handle(&guard, req))
-        .map_err(|e| anyhow::anyhow!("{e}"))
-        .with_context(|| format!("cannot listen for announcements on {addr}"))?;
-    Ok(server.pool_size(ANNOUNCE_THREADS))
-}
-
-fn handle(guard: &Guard, req: &Request) -> Response {
-    if req.method() != "POST" || req.url() != "/announce" {
-        return Response::empty_404();
+    req: Request<Incoming>,
+) -> Response<OutgoingBody> {
+    if req.method() != Method::POST || req.uri().path() != "/announce" {
+        return text_response(StatusCode::NOT_FOUND, String::new());
     }
-    match parse(req) {
+    match receive(req.into_body()).await {
         Ok(announcement) => {
             guard.on_announcement(announcement);
-            Response::text("ok\n")
+            text_response(StatusCode::OK, "ok\n".to_owned())
         }
-        Err(e) => Response::text(format!("{e:#}\n")).with_status_code(400),
+        Err(e) => text_response(StatusCode::BAD_REQUEST, format!("{e:#}\n")),
     }
 }
 
-fn parse(req: &Request) -> anyhow::Result<Announcement> {
-    let body = req.data().context("the body was read before")?;
-    let mut content = Vec::new();
-    body.take(MAX_ANNOUNCEMENT_BYTES + 1).read_to_end(&mut content)?;
-    anyhow::ensure!(
-        content.len() as u64 <= MAX_ANNOUNCEMENT_BYTES,
-        "an announcement has at most {MAX_ANNOUNCEMENT_BYTES} bytes"
-    );
-    let wire: AnnouncementWire = serde_json::from_slice(&content)?;
+async fn receive(body: Incoming) -> anyhow::Result<Announcement> {
+    let body = Limited::new(body, MAX_ANNOUNCEMENT_BYTES).collect().await;
+    // The error tells whether the limit was exceeded or the body is broken.
+    let content = body.map_err(|e| anyhow::anyhow!("{e}")).with_context(|| {
+        format!("no whole announcement of at most {MAX_ANNOUNCEMENT_BYTES} bytes")
+    })?;
+    let wire: AnnouncementWire = serde_json::from_slice(&content.to_bytes())?;
     Ok(Announcement::try_from(wire)?)
 }
+
+fn text_response(status: StatusCode, text: String) -> Response<OutgoingBody> {
+    let mut response = Response::new(full(text));
+    *response.status_mut() = status;
+    let text_type = HeaderValue::from_static("text/plain; charset=utf-8");
+    response.headers_mut().insert(header::CONTENT_TYPE, text_type);
+    response
+}
--- a/crates/fescuemux-daemon/tests/broken_answers.rs
+++ b/crates/fescuemux-daemon/tests/broken_answers.rs
@@ -4,7 +4,8 @@
 mod support;
 
 use fescuemux_standins::raw::{
-    AnswerEnd, CallerAnswer, RawAnswer, RawServer, SOUND_BODY, broken, call, sound_answers,
+    AnswerEnd, CallerAnswer, RawAnswer, RawServer, SOUND_BODY, broken, call, requests,
+    sound_answers,
 };
 use fescuemux_standins::store::StandInStore;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -234,3 +235,24 @@
     }
     assert!(failures.is_empty(), "{failures:#?}");
 }
+
+/// An announcement that is broken may have told anything, so it must be neither acknowledged nor
+/// acted upon.
+#[test]
+fn broken_announcements_of_a_server_are_refused() {
+    let fleet = RawFleet::start();
+    let addr = fleet.server.addr();
+    let body = format!(
+        r#"{{"server":"raw","service":"orders","address":"{addr}","slots":4,"incarnation":1,"phase":"draining"}}"#
+    );
+    let mut failures = Vec::new();
+    for request in requests::broken_requests("POST /announce", &body) {
+        let status = requests::send(fleet.guard.local, &request.bytes);
+        if status.is_some_and(|status| status < 400) {
+            failures.push(format!("{}: {status:?}", request.name));
+        }
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+    let got = fleet.call("GET /slots HTTP/1.1\r\nhost: a\r\n", 0);
+    assert_eq!(got.map(|got| got.status), Some(200), "the only server still serves");
+}
--- a/crates/fescuemux-standins/src/raw.rs
+++ b/crates/fescuemux-standins/src/raw.rs
@@ -2,6 +2,7 @@
 
 pub mod broken;
 mod caller;
+pub mod requests;
 mod sound;
 
 use std::io::{self, BufRead, BufReader, Read, Write};
