Take an early answer for complete if its server closes without reading the rest (both daemons)

Cause: closing with unread bytes sends a reset after the end of the stream. The write of the upload then fails, and every failed write counted as a reset. In fescuemuxd, the HTTP library takes a failed write for the end of the response.

Why the fix works: Linux reports a reset that follows the end of the stream as a broken pipe, and any other as a reset, in the first call that fails; and reads after it still get the bytes and the clean end. So a write that fails with a broken pipe leaves a clean end. Below the HTTP library, the rest of such a request is discarded, so that the response is read to its end. On other systems every failed write still counts as a reset.

--- a/crates/fescuemux-http/src/blocking.rs
+++ b/crates/fescuemux-http/src/blocking.rs
@@ -1,6 +1,8 @@
 //! Client for calls from threads. Each call uses its own connection.
 
-use crate::{Part, RequestHead, RequestMethod, ResponseDecoder, ResponseError, StreamEnd};
+use crate::{
+    Part, RequestHead, RequestMethod, ResponseDecoder, ResponseError, StreamEnd, is_unclean_end,
+};
 use bytes::BytesMut;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -80,7 +82,10 @@
         .map_err(ResponseError::Io)?;
     // A server may respond and close without having read the whole request.
     let sent = stream.write_all(&encode(addr, request));
-    let end = if sent.is_ok() { StreamEnd::Clean } else { StreamEnd::Failed };
+    let end = match &sent {
+        Err(e) if is_unclean_end(e) => StreamEnd::Failed,
+        Ok(()) | Err(_) => StreamEnd::Clean,
+    };
     let read = |buf: &mut [u8]| {
         stream.set_read_timeout(Some(time_left()?))?;
         stream.read(buf)
--- a/crates/fescuemux-http/src/body.rs
+++ b/crates/fescuemux-http/src/body.rs
@@ -2,6 +2,7 @@
 
 use crate::head::trim_blanks;
 use crate::{Framing, ResponseError};
+use std::io;
 use std::ops::Range;
 
 /// Maximum length of a chunk-size or trailer line.
@@ -21,6 +22,15 @@
     Failed,
 }
 
+/// Returns whether the first error of a write shows that the stream of the other side was not closed
+/// cleanly.
+///
+/// Linux reports a reset that follows a clean end of the stream as a broken pipe, and any other
+/// reset as such. A server that responds without reading the whole request causes the former.
+pub fn is_unclean_end(write_error: &io::Error) -> bool {
+    !cfg!(target_os = "linux") || write_error.kind() != io::ErrorKind::BrokenPipe
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
     Fixed(u64),
--- a/crates/fescuemux-http/src/checked_stream.rs
+++ b/crates/fescuemux-http/src/checked_stream.rs
@@ -1,6 +1,6 @@
 //! Byte stream that forwards only valid responses to an HTTP library.
 
-use crate::{Part, RequestMethod, ResponseDecoder, ResponseError, StreamEnd};
+use crate::{Part, RequestMethod, ResponseDecoder, ResponseError, StreamEnd, is_unclean_end};
 use bytes::{Buf, BytesMut};
 use std::io::{self, IoSlice};
 use std::pin::Pin;
@@ -42,6 +42,7 @@
     unchecked: BytesMut,
     /// Error after the checked bytes.
     error: Option<ResponseError>,
+    /// Whether a write has failed in a way that leaves no clean end of the stream.
     write_failed: bool,
 }
 
@@ -93,8 +94,19 @@
         }
     }
 
-    fn note_write<T>(&mut self, written: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
-        self.write_failed |= matches!(written, Poll::Ready(Err(_)));
+    /// Handles the result of writing up to `len` bytes. A server that has closed its stream does not
+    /// read the rest of the request, which is then discarded: the library would take the failed
+    /// write for the end of the response, of which some may not have been read yet.
+    fn on_write(
+        &mut self,
+        written: Poll<io::Result<usize>>,
+        len: usize,
+    ) -> Poll<io::Result<usize>> {
+        match &written {
+            Poll::Ready(Err(e)) if is_unclean_end(e) => self.write_failed = true,
+            Poll::Ready(Err(_)) if !self.write_failed => return Poll::Ready(Ok(len)),
+            Poll::Ready(_) | Poll::Pending => {}
+        }
         written
     }
 }
@@ -137,7 +149,7 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write(cx, buf);
-        self.note_write(written)
+        self.on_write(written, buf.len())
     }
 
     fn poll_write_vectored(
@@ -146,7 +158,7 @@
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
-        self.note_write(written)
+        self.on_write(written, bufs.iter().map(|buf| buf.len()).sum())
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -154,8 +166,7 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let flushed = Pin::new(&mut self.stream).poll_flush(cx);
-        self.note_write(flushed)
+        Pin::new(&mut self.stream).poll_flush(cx)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/fescuemux-http/src/lib.rs
+++ b/crates/fescuemux-http/src/lib.rs
@@ -18,7 +18,7 @@
 mod head;
 mod request;
 
-pub use body::StreamEnd;
+pub use body::{StreamEnd, is_unclean_end};
 pub use checked_stream::{CheckedStream, ExchangeHandle};
 pub use decoder::{Decoded, Part, RequestMethod, ResponseDecoder};
 pub use discard_rest::DiscardRest;
--- a/crates/fescuemux-sidecar/src/h1/connection.rs
+++ b/crates/fescuemux-sidecar/src/h1/connection.rs
@@ -3,6 +3,7 @@
 use bytes::{Bytes, BytesMut};
 use fescuemux_http::{
     Decoded, Part, RequestMethod, ResponseDecoder, ResponseError, ResponseHead, StreamEnd,
+    is_unclean_end,
 };
 use std::cell::Cell;
 use std::io;
@@ -28,7 +29,8 @@
 #[derive(Debug)]
 pub struct RequestWriter {
     tcp: OwnedWriteHalf,
-    /// Tells the reader of the connection that a write has failed.
+    /// Tells the reader of the connection that a write has failed in a way that leaves no clean end
+    /// of the stream.
     write_failed: Rc<Cell<bool>>,
 }
 
@@ -103,7 +105,11 @@
     /// # Errors
     /// Fails if the connection has ended. The server may have responded before.
     pub async fn write_all(&mut self, bytes: &[u8]) -> io::Result<()> {
-        self.tcp.write_all(bytes).await.inspect_err(|_| self.write_failed.set(true))
+        let written = self.tcp.write_all(bytes).await;
+        if written.as_ref().is_err_and(is_unclean_end) {
+            self.write_failed.set(true);
+        }
+        written
     }
 }
 
