Stand-in proxy: pass a reset on as a reset

The proxy between a sidecar and its server passed the reset of an answer without a length on as a clean end, which makes the answer sound.

--- a/crates/fescuemux-standins/src/platform/link.rs
+++ b/crates/fescuemux-standins/src/platform/link.rs
@@ -127,7 +127,9 @@
 fn forward(shared: &Shared, direction: Direction, mut from: TcpStream, mut to: TcpStream) {
     let mut buf = [0; 16 * 1024];
     loop {
-        let len = from.read(&mut buf).unwrap_or(0);
+        let read = from.read(&mut buf);
+        let was_reset = read.is_err();
+        let len = read.unwrap_or(0);
         while shared.stalls(direction) && !shared.stopped.load(Ordering::SeqCst) {
             std::thread::sleep(STALL_CHECK_INTERVAL);
         }
@@ -138,6 +140,13 @@
         if fault == ProxyFault::Reset {
             break;
         }
+        if was_reset {
+            // The connection is reset once the other direction has ended as well, which the end of
+            // its stream causes. The receiving side may be closed already.
+            let _ = socket2::SockRef::from(&to).set_linger(Some(Duration::ZERO));
+            let _ = to.shutdown(Shutdown::Read);
+            return;
+        }
         if len == 0 {
             // The receiving side may be closed already.
             let _ = to.shutdown(Shutdown::Write);
