--- a/crates/fescuemux-cli/tests/broken_answers.rs
+++ b/crates/fescuemux-cli/tests/broken_answers.rs
@@ -27,21 +27,10 @@
 #[test]
 fn a_broken_answer_fails_the_command() {
     let server = RawServer::start("/v1/").expect("a server");
-    let answers = [
-        broken::status_lines(),
-        broken::field_lines(),
-        broken::lengths(),
-        broken::codings(),
-        broken::chunks(),
-        broken::early_ends(),
-        vec![RawAnswer::new(
-            "a body that is no JSON",
-            b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n{\"a\"",
-            AnswerEnd::Close,
-        )],
-    ];
+    let no_json = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n{\"a\"";
+    let no_json = RawAnswer::new("a body that is no JSON", no_json, AnswerEnd::Close);
     let mut failures = Vec::new();
-    for mut answer in answers.concat() {
+    for mut answer in broken::all().into_iter().chain([no_json]) {
         // The body is JSON for a client that takes the answer for complete.
         replace(&mut answer.bytes, b"abcdef", b"123456");
         replace(&mut answer.bytes, b"abcd", b"1234");
--- a/crates/fescuemux-daemon/tests/broken_answers.rs
+++ b/crates/fescuemux-daemon/tests/broken_answers.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use fescuemux_standins::raw::{
-    AnswerEnd, CallerAnswer, RawAnswer, RawServer, SOUND_BODY, broken, call, requests,
+    CallerAnswer, RawAnswer, RawServer, SOUND_BODY, broken, call, early_answers, requests,
     sound_answers,
 };
 use fescuemux_standins::store::StandInStore;
@@ -159,24 +159,19 @@
     assert!(failures.is_empty(), "{failures:#?}");
 }
 
-/// Returns an early answer without a length.
-fn early(name: &'static str, body_len: usize, end: AnswerEnd) -> RawAnswer {
-    let head = b"HTTP/1.1 200 OK\r\n\r\n";
-    RawAnswer::early(name, [&head[..], &vec![b'a'; body_len]].concat(), end)
-}
-
 /// A server may answer a long upload before it has read it. An answer without a length ends with
-/// its connection, and a reset must not look like that end.
+/// its connection, and a reset must not look like that end, whichever side of the connection
+/// notices it first.
 #[test]
 fn an_early_answer_that_is_reset_is_not_complete() {
     let fleet = RawFleet::start();
     let mut failures = Vec::new();
-    for (name, part_len) in [("no part", 0), ("a short part", 7), ("a long part", 400 << 10)] {
+    for answer in broken::early_resets() {
         for round in 0..15 {
-            let got = fleet.play(&early(name, part_len, AnswerEnd::Reset), UPLOAD_BYTES);
+            let got = fleet.play(&answer, UPLOAD_BYTES);
             if !is_true_failure(got.as_ref()) {
                 let got = got.map(|got| (got.status, got.body.len()));
-                failures.push(format!("{name}, round {round}: {got:?}"));
+                failures.push(format!("{}, round {round}: {got:?}", answer.name));
             }
         }
     }
@@ -186,46 +181,9 @@
 /// An early answer whose end was told or seen must reach the caller.
 #[test]
 fn an_early_answer_to_an_upload_reaches_the_caller() {
-    struct Case {
-        answer: RawAnswer,
-        body_len: usize,
-    }
-    let with_length = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\naaaa";
-    let cases = [
-        Case {
-            answer: RawAnswer::early("a length, kept open", with_length, AnswerEnd::KeepOpen),
-            body_len: 4,
-        },
-        Case {
-            answer: RawAnswer::early(
-                "a length, read on",
-                with_length,
-                AnswerEnd::CloseAfterRequest,
-            ),
-            body_len: 4,
-        },
-        Case { answer: early("closed, not read on", 4, AnswerEnd::Close), body_len: 4 },
-        Case { answer: early("half closed", 4, AnswerEnd::CloseAndReadOn), body_len: 4 },
-        Case {
-            answer: early("long and half closed", 400 << 10, AnswerEnd::CloseAndReadOn),
-            body_len: 400 << 10,
-        },
-        Case {
-            answer: early("closed after the upload", 4, AnswerEnd::CloseAfterRequest),
-            body_len: 4,
-        },
-        Case {
-            answer: early(
-                "long and closed after the upload",
-                400 << 10,
-                AnswerEnd::CloseAfterRequest,
-            ),
-            body_len: 400 << 10,
-        },
-    ];
     let fleet = RawFleet::start();
     let mut failures = Vec::new();
-    for Case { answer, body_len } in cases {
+    for (answer, body_len) in early_answers() {
         for round in 0..5 {
             let got = fleet.play(&answer, UPLOAD_BYTES);
             let got = got.map(|got| (got.status, got.body.len()));
--- a/crates/fescuemux-http/src/lib.rs
+++ b/crates/fescuemux-http/src/lib.rs
@@ -7,6 +7,9 @@
 //! The decoder does no input or output. [`CheckedStream`] applies it to the connections of an HTTP
 //! library, and [`blocking`] is a client for calls from threads.
 //!
+//! [`DiscardRest`] serves the other side: it keeps a response from being lost when it comes before
+//! the whole request.
+//!
 //! Must not know what requests mean.
 
 pub mod blocking;
--- a/crates/fescuemux-standins/src/platform/app_server.rs
+++ b/crates/fescuemux-standins/src/platform/app_server.rs
@@ -238,9 +238,11 @@
         if shared.stopped.load(Ordering::SeqCst) {
             return Ok(());
         }
+        let id = request.header("request-id").unwrap_or_default().to_owned();
+        let is_misdirected =
+            request.header("target-instance").is_some_and(|target| target != shared.options.id);
         let raw_answer = shared.raw_answer.lock().unwrap_or_else(PoisonError::into_inner).clone();
-        if let Some(answer) = raw_answer {
-            let id = request.header("request-id").unwrap_or_default().to_owned();
+        if let Some(answer) = raw_answer.filter(|_| !is_misdirected) {
             record_execution(shared, &request, &id);
             let body_len = request.content_length().unwrap_or_default() as u64;
             let proof = format!("Request-Id: {id}\r\nReply-Stamp: stamp-{id}\r\n");
@@ -250,8 +252,7 @@
             return Ok(());
         }
         http::read_body(&mut reader, &mut request)?;
-        let id = request.header("request-id").unwrap_or_default().to_owned();
-        if request.header("target-instance").is_some_and(|target| target != shared.options.id) {
+        if is_misdirected {
             let head = "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n";
             stream.write_all(format!("{head}Request-Id: {id}\r\nNot-Run: 1\r\n\r\n").as_bytes())?;
             continue;
--- a/crates/fescuemux-standins/src/raw.rs
+++ b/crates/fescuemux-standins/src/raw.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 pub use caller::{CallerAnswer, call};
-pub use sound::{SOUND_BODY, sound_answers};
+pub use sound::{SOUND_BODY, early_answers, sound_answers};
 
 /// Part of [`RawAnswer::bytes`] that stands for the header lines with which a sound server proves
 /// that the answer belongs to the request.
--- a/crates/fescuemux-standins/src/raw/broken.rs
+++ b/crates/fescuemux-standins/src/raw/broken.rs
@@ -8,6 +8,11 @@
 /// Head of a success with the proof, up to further field lines.
 const OK: &[u8] = b"HTTP/1.1 200 OK\r\n{proof}";
 
+/// Returns all broken answers.
+pub fn all() -> Vec<RawAnswer> {
+    [status_lines(), field_lines(), lengths(), codings(), chunks(), early_ends()].concat()
+}
+
 /// Returns answers whose status line is spoilt.
 pub fn status_lines() -> Vec<RawAnswer> {
     let answer = |name, line: &[u8]| {
@@ -243,3 +248,14 @@
         after_ok("a reset before a body without a length", b"\r\n", Reset),
     ]
 }
+
+/// Returns answers to an upload that come before its body was read, have no length and are reset.
+pub fn early_resets() -> Vec<RawAnswer> {
+    // A longer part of an answer is passed on before its end is known.
+    [("no part", 0), ("a short part", 7), ("a long part", 400 << 10)]
+        .map(|(name, part_len)| {
+            let bytes = [OK, b"\r\n", &vec![b'a'; part_len][..]].concat();
+            RawAnswer::early(name, bytes, Reset)
+        })
+        .to_vec()
+}
--- a/crates/fescuemux-standins/src/raw/sound.rs
+++ b/crates/fescuemux-standins/src/raw/sound.rs
@@ -1,6 +1,6 @@
 //! Answers that are unusual and sound.
 
-use super::AnswerEnd::{Close, CloseAndReadOn, KeepOpen};
+use super::AnswerEnd::{Close, CloseAfterRequest, CloseAndReadOn, KeepOpen};
 use super::RawAnswer;
 
 /// Body of each sound answer.
@@ -54,3 +54,26 @@
         ),
     ]
 }
+
+/// Returns answers to an upload that come before its body was read, each with the length of its
+/// body.
+pub fn early_answers() -> Vec<(RawAnswer, usize)> {
+    const LONG: usize = 400 << 10;
+    let without_length = |name, body_len: usize, end| {
+        let head = b"HTTP/1.1 200 OK\r\n{proof}\r\n";
+        (RawAnswer::early(name, [&head[..], &vec![b'a'; body_len]].concat(), end), body_len)
+    };
+    let with_length = |name, end| {
+        let bytes = b"HTTP/1.1 200 OK\r\n{proof}Content-Length: 4\r\n\r\naaaa";
+        (RawAnswer::early(name, bytes, end), 4)
+    };
+    vec![
+        with_length("a length, kept open", KeepOpen),
+        with_length("a length, closed after the upload", CloseAfterRequest),
+        without_length("closed, not read on", 4, Close),
+        without_length("half closed", 4, CloseAndReadOn),
+        without_length("long and half closed", LONG, CloseAndReadOn),
+        without_length("closed after the upload", 4, CloseAfterRequest),
+        without_length("long and closed after the upload", LONG, CloseAfterRequest),
+    ]
+}
