--- a/crates/fescuemux-core/src/lib.rs
+++ b/crates/fescuemux-core/src/lib.rs
@@ -54,7 +54,9 @@
 //! ```
 
 pub mod admit;
+pub mod allowances;
 pub mod base;
+pub mod caller_keys;
 pub mod config;
 pub mod dedup;
 pub mod detect;
