Core, platform: customers of the configuration and their keys

The configuration may name customers with API keys, a priority and an allowance, and routes that need no key. Nothing read them so far.

--- a/crates/fescuemux-core/src/placement/route_map.rs
+++ b/crates/fescuemux-core/src/placement/route_map.rs
@@ -4,6 +4,7 @@
 use crate::placement::RoutePolicy;
 use smol_str::SmolStr;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Routes of one configuration. A lookup costs one hash per path segment, regardless of the number
 /// of routes.
@@ -12,12 +13,14 @@
     /// Routes by lowercase host name and path prefix.
     hosts: HashMap<SmolStr, HashMap<SmolStr, Arc<RoutePolicy>>>,
     ids: HashSet<RouteId>,
+    longest_timeout: Duration,
 }
 
 impl RouteMap {
     /// Adds a route. Host names are case-insensitive.
     pub fn insert(&mut self, host: &str, prefix: &str, policy: RoutePolicy) {
         self.ids.insert(policy.id.clone());
+        self.longest_timeout = self.longest_timeout.max(policy.timeout);
         let routes = self.hosts.entry(host.to_ascii_lowercase().into()).or_default();
         routes.insert(prefix.into(), Arc::new(policy));
     }
@@ -35,6 +38,12 @@
         self.ids.contains(id)
     }
 
+    /// Returns the longest timeout of all routes that were added, which bounds the time for which a
+    /// request may run.
+    pub fn longest_timeout(&self) -> Duration {
+        self.longest_timeout
+    }
+
     /// Returns the number of routes.
     pub fn len(&self) -> usize {
         self.hosts.values().map(|routes| routes.len()).sum()
--- a/crates/fescuemux-core/src/placement/route_policy.rs
+++ b/crates/fescuemux-core/src/placement/route_policy.rs
@@ -51,6 +51,8 @@
     pub max_attempts: u32,
     /// Services that share the requests, at least one.
     pub services: Vec<WeightedService>,
+    /// Whether requests need no key where the configuration names customers.
+    pub public: bool,
 }
 
 impl RoutePolicy {
--- a/crates/fescuemux-core/tests/placement/routes.rs
+++ b/crates/fescuemux-core/tests/placement/routes.rs
@@ -17,6 +17,7 @@
         timeout: Duration::from_secs(3),
         max_attempts: 2,
         services: weights.iter().map(to_weighted).collect(),
+        public: false,
     }
 }
 
--- a/crates/fescuemux-sidecar/src/fleet_config.rs
+++ b/crates/fescuemux-sidecar/src/fleet_config.rs
@@ -2,7 +2,9 @@
 
 use bytes::Bytes;
 use fescuemux_core::base::{Generation, HashSet, ServiceId};
+use fescuemux_core::caller_keys::CallerKeys;
 use fescuemux_core::placement::RouteMap;
+use std::fmt;
 use std::time::Duration;
 
 /// Limits on requests and connections from callers.
@@ -18,8 +20,9 @@
     pub idle_timeout: Duration,
 }
 
-/// Decoded configuration, with its encoded form, which is sent to other instances.
-#[derive(Clone, Debug)]
+/// Decoded configuration, with its encoded form, which is sent to other instances. `Debug` does not
+/// show the encoded form, which contains the keys of customers.
+#[derive(Clone)]
 pub struct FleetConfig {
     /// Version, which grows with each change.
     pub version: Generation,
@@ -29,6 +32,22 @@
     pub services: HashSet<ServiceId>,
     /// Limits for callers.
     pub limits: CallerLimits,
+    /// Keys of the customers, or `None` if the configuration names no customers and requests need no
+    /// key.
+    pub caller_keys: Option<CallerKeys>,
     /// Encoded configuration as stored.
     pub raw: Bytes,
 }
+
+impl fmt::Debug for FleetConfig {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("FleetConfig")
+            .field("version", &self.version)
+            .field("routes", &self.routes)
+            .field("services", &self.services)
+            .field("limits", &self.limits)
+            .field("caller_keys", &self.caller_keys)
+            .field("raw_bytes", &self.raw.len())
+            .finish()
+    }
+}
