Ingress: authenticate requests by the keys of customers

Where the configuration names customers, a request runs with the name of its customer in the header to the server, or is refused with 401. The key and what the caller put into that header are removed once, in the list of headers that all attempts use. The priority of the customer goes into load queries and reservations in place of that of the route. A nested request needs no key; as long as a parent may run that the guard does not know, a request without a key gets 503. A request with a key is not nested, even if its id extends that of a running request. Without customers, headers and decisions are as before.

--- a/crates/fescuemux-sidecar/src/dialect.rs
+++ b/crates/fescuemux-sidecar/src/dialect.rs
@@ -16,6 +16,8 @@
     pub deadline_ms: &'static str,
     /// Service of the instance whose ingress received the request.
     pub caller_service: &'static str,
+    /// Name of the customer that sent the request.
+    pub caller_account: &'static str,
     /// Id of the only backend server that may run the request.
     pub target_server: &'static str,
     /// Set on a response if the backend server did not run the request.
--- a/crates/fescuemux-sidecar/src/guard/relay.rs
+++ b/crates/fescuemux-sidecar/src/guard/relay.rs
@@ -104,6 +104,9 @@
         }
     };
     drop((sink, stream));
+    if result.outcome == RequestOutcome::Abandoned {
+        node.unfinished_parents.borrow_mut().on_broken_off(node.now(), &commit.request_id);
+    }
     log_work(node, reserve, &commit, started_at, &result);
     finish_admission(node, entry, &commit, attribute_failure(node, &commit, result.outcome));
     if let Some(idle_timeout) = result.reuse_idle_timeout.filter(|_| body_complete.get()) {
--- a/crates/fescuemux-sidecar/src/hop/message.rs
+++ b/crates/fescuemux-sidecar/src/hop/message.rs
@@ -15,7 +15,7 @@
     pub(crate) addressee: String,
     /// Service of the request.
     pub(crate) service: String,
-    /// Priority of the route; zero is the highest.
+    /// Priority of the customer, or else of the route; zero is the highest.
     pub(crate) priority: u8,
     /// Whether a request that runs at the ingress's local backend server, the parent request, waits
     /// for this request.
--- a/crates/fescuemux-sidecar/src/ingress.rs
+++ b/crates/fescuemux-sidecar/src/ingress.rs
@@ -2,6 +2,7 @@
 //! guard of an instance and returns the response.
 
 mod attempt;
+mod authentication;
 mod caller_connection;
 mod exchange;
 mod request;
@@ -78,7 +79,8 @@
         request = request_id,
         route = request.map_or("", |request| request.policy.id.as_str()),
         service = request.map_or("", |request| request.service.as_str()),
-        priority = request.map_or(0, |request| request.policy.priority),
+        priority = request.map_or(0, |request| request.priority),
+        caller = request.and_then(CallerRequest::customer).unwrap_or_default(),
         nested = request.is_some_and(|request| request.nested),
         tie_breaker = request.map_or(0, |request| request.tie_breaker),
         status,
--- a/crates/fescuemux-sidecar/src/ingress/request.rs
+++ b/crates/fescuemux-sidecar/src/ingress/request.rs
@@ -1,10 +1,13 @@
 //! Requests from callers, with their route and deadline.
 
+use super::authentication::Unauthenticated;
 use super::{CallerResponse, DEFAULT_RETRY_AFTER};
+use crate::FleetConfig;
 use crate::guard::is_hop_by_hop;
 use crate::node::Node;
 use fescuemux_core::base::{InstanceId, ServiceId, stable_hash};
-use fescuemux_core::placement::{Precedence, RoutePolicy, is_nested_request_of};
+use fescuemux_core::caller_keys::CallerAccount;
+use fescuemux_core::placement::{Precedence, RoutePolicy};
 use http::{HeaderMap, StatusCode, header};
 use std::cell::{Cell, RefCell};
 use std::sync::Arc;
@@ -20,6 +23,11 @@
     pub(super) headers: Vec<(String, Vec<u8>)>,
     pub(super) policy: Arc<RoutePolicy>,
     pub(super) service: ServiceId,
+    /// Customer that sent the request; `None` if the configuration names no customers, or if the
+    /// request is nested or came without a key on a public route.
+    pub(super) account: Option<Arc<CallerAccount>>,
+    /// Priority of the customer, or else of the route.
+    pub(super) priority: u8,
     /// Whether a request that runs at the local backend server, the parent request, waits for this
     /// request.
     pub(super) nested: bool,
@@ -79,10 +87,29 @@
             |name: &str| parts.headers.get(name).and_then(|value| value.to_str().ok());
         let host = header_text("host").or(parts.uri.host()).unwrap_or_default();
         let host = host.rsplit_once(':').map_or(host, |(host, _)| host);
-        let Some(policy) = config.routes.lookup(host, parts.uri.path()).cloned() else {
+        let policy = config.routes.lookup(host, parts.uri.path()).cloned();
+        let request_id = header_text(header_names.request_id);
+        let mut parent = request_id.and_then(|id| node.running_parent(id));
+        let account = match &config.caller_keys {
+            Some(keys) => {
+                let request = Unauthenticated {
+                    headers: &parts.headers,
+                    public: policy.as_ref().is_none_or(|policy| policy.public),
+                    request_id,
+                    nested: parent.is_some(),
+                };
+                request.authenticate(node, &config, keys)?
+            }
+            None => None,
+        };
+        if account.is_some() {
+            // A nested request carries no key, so the id is only similar to that of a running one.
+            parent = None;
+        }
+        let Some(policy) = policy else {
             return Err(Box::new(CallerResponse::refused(StatusCode::NOT_FOUND, "no_route", None)));
         };
-        let Some(request_id) = header_text(header_names.request_id).map(str::to_owned) else {
+        let Some(request_id) = request_id.map(str::to_owned) else {
             return Err(Box::new(CallerResponse::refused(
                 StatusCode::BAD_REQUEST,
                 "no_request_id",
@@ -99,10 +126,6 @@
                 Some(DEFAULT_RETRY_AFTER),
             )));
         };
-        let parent = {
-            let running = node.running_requests.borrow();
-            running.iter().find(|parent| is_nested_request_of(&request_id, &parent.id)).cloned()
-        };
         let timeout = header_text(header_names.deadline_ms).and_then(|ms| ms.parse().ok());
         let timeout = timeout.map_or(policy.timeout, Duration::from_millis).min(policy.timeout);
         Ok(CallerRequest {
@@ -112,7 +135,9 @@
             request_id,
             method: parts.method.to_string(),
             path: parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned(),
-            headers: end_to_end_headers(node, &parts.headers),
+            headers: end_to_end_headers(node, &config, &parts.headers, account.as_deref()),
+            priority: CallerAccount::effective_priority(account.as_deref(), policy.priority),
+            account,
             route_hash: stable_hash(&[policy.id.as_bytes()]),
             policy,
             service,
@@ -128,9 +153,14 @@
         })
     }
 
+    /// Returns the name of the customer that sent this request, if there is one.
+    pub(super) fn customer(&self) -> Option<&str> {
+        self.account.as_ref().map(|account| account.id.as_str())
+    }
+
     /// Returns the precedence of this request among queued requests.
     pub(super) fn precedence(&self) -> Precedence {
-        Precedence::new(self.nested, self.policy.priority, self.tie_breaker)
+        Precedence::new(self.nested, self.priority, self.tie_breaker)
     }
 
     /// Counts another attempt if the limit of the route allows one more, and returns whether the
@@ -166,8 +196,14 @@
 }
 
 /// Returns the headers to forward to the backend server. Headers that only a sidecar may set are
-/// removed, and the caller service is set to the service of this instance.
-fn end_to_end_headers(node: &Node, headers: &HeaderMap) -> Vec<(String, Vec<u8>)> {
+/// removed, and the caller service is set to the service of this instance. If the configuration
+/// names customers, the key is removed, and the customer is set if there is one.
+fn end_to_end_headers(
+    node: &Node,
+    config: &FleetConfig,
+    headers: &HeaderMap,
+    account: Option<&CallerAccount>,
+) -> Vec<(String, Vec<u8>)> {
     let header_names = node.dialect.headers();
     let connection_options: Vec<String> = headers
         .get_all(header::CONNECTION)
@@ -178,15 +214,21 @@
         .collect();
     let overwritten =
         [header_names.caller_service, header_names.deadline_ms, header_names.target_server];
+    let has_customers = config.caller_keys.is_some();
+    let about_customer = [header_names.caller_account, header::AUTHORIZATION.as_str()];
     let forwarded = headers.iter().filter(|(name, _)| {
         let name = name.as_str();
         !is_hop_by_hop(name)
             && !overwritten.contains(&name)
+            && !(has_customers && about_customer.contains(&name))
             && !connection_options.iter().any(|option| option == name)
     });
     let mut forwarded: Vec<_> =
         forwarded.map(|(name, value)| (name.to_string(), value.as_bytes().to_vec())).collect();
     let caller_service = node.settings.borrow().service.to_string();
     forwarded.push((header_names.caller_service.to_owned(), caller_service.into_bytes()));
+    if let Some(account) = account {
+        forwarded.push((header_names.caller_account.to_owned(), account.id.as_bytes().to_vec()));
+    }
     forwarded
 }
--- a/crates/fescuemux-sidecar/src/ingress/reservation.rs
+++ b/crates/fescuemux-sidecar/src/ingress/reservation.rs
@@ -273,7 +273,7 @@
     let message = Message::Reserve(Reserve {
         addressee: peer.id.to_string(),
         service: request.service.to_string(),
-        priority: request.policy.priority,
+        priority: request.priority,
         idempotent: request.policy.class.is_idempotent(),
         nested: request.nested,
         tie_breaker: request.tie_breaker,
--- a/crates/fescuemux-sidecar/src/node.rs
+++ b/crates/fescuemux-sidecar/src/node.rs
@@ -7,11 +7,12 @@
 use crate::{Dialect, FleetConfig, NodeSettings};
 use anyhow::Result;
 use fescuemux_core::base::{Clock, Cx, Generation, HashMap, Incarnation};
+use fescuemux_core::caller_keys::{CallerKeys, UnfinishedParents};
 use fescuemux_core::placement::{
     Admission, AdmissionController, ConfigFreshness, ConfigRole, Departure, FailedRequests,
     HeldDepartures, LocalServer, NoticeChange, OwnDepartures, Peer, PeerDirectory, RelayedNotice,
     RelayedNotices, RunningTimes, ServerNotice, ServerReport, ShutdownDeadlines, Ticket,
-    TrafficSplitter,
+    TrafficSplitter, is_nested_request_of,
 };
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -50,6 +51,8 @@
     pub(crate) logged_as_suspected: Cell<bool>,
     /// Requests that are running at the local backend server.
     pub(crate) running_requests: RefCell<Vec<RunningRequest>>,
+    /// Requests that may run at the local backend server without being in `running_requests`.
+    pub(crate) unfinished_parents: RefCell<UnfinishedParents>,
     /// Start time of the process.
     pub(crate) started_at: Instant,
     /// Time from which new requests are refused because they could outlast the process.
@@ -120,6 +123,7 @@
             idle_server_connections: RefCell::default(),
             logged_as_suspected: Cell::new(false),
             running_requests: RefCell::default(),
+            unfinished_parents: RefCell::new(UnfinishedParents::new(now, settings.first_start)),
             started_at: now,
             refuse_requests_from: Cell::new(None),
             shutdown_deadlines: Cell::new(None),
@@ -178,6 +182,13 @@
         *self.stopping.borrow() || is_recent_start()
     }
 
+    /// Returns the request running at the local backend server in which the request `id` is nested,
+    /// if there is one.
+    pub(crate) fn running_parent(&self, id: &str) -> Option<RunningRequest> {
+        let running = self.running_requests.borrow();
+        running.iter().find(|parent| is_nested_request_of(id, &parent.id)).cloned()
+    }
+
     /// Returns a new ticket, which identifies a request at the local guard.
     pub(crate) fn next_ticket(&self) -> Ticket {
         self.next_ticket.set(self.next_ticket.get() + 1);
@@ -212,7 +223,9 @@
             version = config.version,
             previous = installed_version,
             source,
-            routes = config.routes.len()
+            routes = config.routes.len(),
+            customers = config.caller_keys.as_ref().map_or(0, CallerKeys::customer_count),
+            keys = config.caller_keys.as_ref().map_or(0, CallerKeys::key_count)
         );
         self.metrics.config_version.set(config.version as i64);
         // Drop the state of removed routes, as hundreds may be added and removed in a day.
