Ingress: handle pipelined requests concurrently

hyper handles one request of a connection at a time, so that a slow request delays the work for all behind it. The connection's I/O now gives hyper the bytes of one request at a time, reads further requests into a bounded buffer and starts those early that the core lets start; hyper still parses each request and writes the responses in order. All work ends when the caller leaves, also when reading has stopped; a planned stop answers what has started, and nothing behind it runs. A head that does not end within header_timeout closes its connection. Two metrics count early requests.

--- a/crates/fescuemux-sidecar/src/fleet_config.rs
+++ b/crates/fescuemux-sidecar/src/fleet_config.rs
@@ -12,7 +12,8 @@
     pub head_bytes: usize,
     /// Maximum `Content-Length` of a request, in bytes. Chunked bodies are not limited.
     pub body_bytes: u64,
-    /// Maximum time from the first to the last byte of a request head. Not enforced.
+    /// Maximum time from the first to the last byte of a request head, counted from the turn of a
+    /// pipelined request.
     pub head_timeout: Duration,
     /// Maximum idle time of a connection.
     pub idle_timeout: Duration,
--- a/crates/fescuemux-sidecar/src/ingress.rs
+++ b/crates/fescuemux-sidecar/src/ingress.rs
@@ -3,7 +3,11 @@
 
 mod attempt;
 mod caller_connection;
+mod caller_stream;
+mod early_requests;
 mod exchange;
+mod message_tracker;
+mod pipelined_head;
 mod request;
 mod request_body;
 mod reservation;
@@ -14,14 +18,15 @@
 mod tests;
 
 use crate::node::Node;
-use http::{Request, Response, StatusCode};
+use bytes::Bytes;
+use http::{Response, StatusCode};
 use hyper::body::Incoming;
 use request::CallerRequest;
 use request_body::RequestBody;
 use response::CallerResponse;
 use response_body::ResponseBody;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tracing::info;
 
 pub(crate) use caller_connection::serve;
@@ -30,11 +35,13 @@
 /// restarts, or in which the other instances take over the load of a failed instance.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(800);
 
-/// Handles one request and returns the response to send.
-async fn handle(node: Rc<Node>, req: Request<Incoming>) -> Response<ResponseBody> {
-    let arrival = node.now();
-    let _in_flight_count = InFlightCount::new(&node);
-    let (parts, body) = req.into_parts();
+/// Handles one request, which arrived at `arrival`, and returns the response to send.
+async fn handle(
+    node: Rc<Node>,
+    parts: http::request::Parts,
+    body: Option<Incoming>,
+    arrival: Instant,
+) -> Response<ResponseBody> {
     let request = match CallerRequest::new(&node, &parts, arrival) {
         Ok(request) => request,
         Err(response) => return finish(&node, None, *response, &parts),
@@ -43,9 +50,13 @@
     let limits = node.config.borrow().as_ref().map(|config| config.limits);
     let max_body_bytes = limits.map_or(u64::MAX, |limits| limits.body_bytes);
     let time_left = request.time_left(node.now());
-    let read_result =
-        tokio::time::timeout(time_left, RequestBody::read(body, max_body_bytes)).await;
-    let response = match read_result {
+    let read_body = async {
+        match body {
+            Some(body) => RequestBody::read(body, max_body_bytes).await,
+            None => Ok(RequestBody::buffered(Bytes::new())),
+        }
+    };
+    let response = match tokio::time::timeout(time_left, read_body).await {
         Ok(Ok(body)) => retry_loop::run(&node, &request, body).await,
         Ok(Err(response)) => response,
         Err(_) => CallerResponse::refused(StatusCode::REQUEST_TIMEOUT, "body_timeout", None),
@@ -98,19 +109,19 @@
 }
 
 /// Counts a request as in flight until dropped.
-struct InFlightCount<'a> {
-    node: &'a Node,
+struct InFlightCount {
+    node: Rc<Node>,
 }
 
-impl InFlightCount<'_> {
-    fn new(node: &Node) -> InFlightCount<'_> {
+impl InFlightCount {
+    fn new(node: Rc<Node>) -> InFlightCount {
         node.in_flight.set(node.in_flight.get() + 1);
         node.metrics.in_flight.inc();
         InFlightCount { node }
     }
 }
 
-impl Drop for InFlightCount<'_> {
+impl Drop for InFlightCount {
     fn drop(&mut self) {
         self.node.in_flight.set(self.node.in_flight.get() - 1);
         self.node.metrics.in_flight.dec();
--- a/crates/fescuemux-sidecar/src/ingress/request.rs
+++ b/crates/fescuemux-sidecar/src/ingress/request.rs
@@ -1,6 +1,7 @@
 //! Requests from callers, with their route and deadline.
 
 use super::{CallerResponse, DEFAULT_RETRY_AFTER};
+use crate::FleetConfig;
 use crate::guard::is_hop_by_hop;
 use crate::node::Node;
 use fescuemux_core::base::{InstanceId, ServiceId, stable_hash};
@@ -77,9 +78,7 @@
         let header_names = node.dialect.headers();
         let header_text =
             |name: &str| parts.headers.get(name).and_then(|value| value.to_str().ok());
-        let host = header_text("host").or(parts.uri.host()).unwrap_or_default();
-        let host = host.rsplit_once(':').map_or(host, |(host, _)| host);
-        let Some(policy) = config.routes.lookup(host, parts.uri.path()).cloned() else {
+        let Some(policy) = lookup_route(&config, parts) else {
             return Err(Box::new(CallerResponse::refused(StatusCode::NOT_FOUND, "no_route", None)));
         };
         let Some(request_id) = header_text(header_names.request_id).map(str::to_owned) else {
@@ -159,6 +158,17 @@
     }
 }
 
+/// Returns the policy of the route of a request.
+pub(super) fn lookup_route(
+    config: &FleetConfig,
+    parts: &http::request::Parts,
+) -> Option<Arc<RoutePolicy>> {
+    let host = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok());
+    let host = host.or(parts.uri.host()).unwrap_or_default();
+    let host = host.rsplit_once(':').map_or(host, |(host, _)| host);
+    config.routes.lookup(host, parts.uri.path()).cloned()
+}
+
 /// Derives the tie breaker of nested requests from the id of their parent, so that all
 /// requests nested in the parent share one tie breaker.
 fn tie_breaker(parent_id: &str) -> u16 {
--- a/crates/fescuemux-sidecar/src/ingress/tests.rs
+++ b/crates/fescuemux-sidecar/src/ingress/tests.rs
@@ -1,5 +1,7 @@
 //! Unit tests of the ingress.
 
+mod pipelining;
+
 use super::exchange::Exchange;
 use super::request_body::RequestBody;
 use super::response::ServerResponseHead;
--- a/crates/fescuemux-sidecar/src/metrics.rs
+++ b/crates/fescuemux-sidecar/src/metrics.rs
@@ -3,7 +3,8 @@
 //! Must not know how the values of the metrics are determined.
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
 };
 use std::time::Duration;
 
@@ -28,6 +29,10 @@
     pub(crate) peers: IntGauge,
     /// Number of requests from callers in flight.
     pub(crate) in_flight: IntGauge,
+    /// Pipelined requests that started before their turn.
+    pub(crate) early_requests: IntCounter,
+    /// Number of connections with requests that started before their turn.
+    pub(crate) early_connections: IntGauge,
 }
 
 impl Metrics {
@@ -56,6 +61,11 @@
             &["service"],
         )?;
         registry.register(Box::new(request_seconds.clone()))?;
+        let early_requests = IntCounter::new(
+            "fescuemux_early_requests_total",
+            "Pipelined requests of callers that started before their turn",
+        )?;
+        registry.register(Box::new(early_requests.clone()))?;
         Ok(Metrics {
             requests: register_counter(
                 "fescuemux_requests_total",
@@ -88,6 +98,11 @@
                 "fescuemux_requests_in_flight",
                 "Requests of callers under way",
             )?,
+            early_requests,
+            early_connections: register_gauge(
+                "fescuemux_early_connections",
+                "Connections of callers with pipelined requests that started before their turn",
+            )?,
             registry,
         })
     }
--- a/crates/fescuemux-sidecar/src/node.rs
+++ b/crates/fescuemux-sidecar/src/node.rs
@@ -7,6 +7,7 @@
 use crate::{Dialect, FleetConfig, NodeSettings};
 use anyhow::Result;
 use fescuemux_core::base::{Clock, Cx, Generation, HashMap, Incarnation};
+use fescuemux_core::pipelining::{EarlyStarts, PipelineLimits};
 use fescuemux_core::placement::{
     Admission, AdmissionController, ConfigFreshness, ConfigRole, Departure, FailedRequests,
     HeldDepartures, LocalServer, NoticeChange, OwnDepartures, Peer, PeerDirectory, RelayedNotice,
@@ -89,6 +90,8 @@
     pub(crate) pull_addr: RefCell<Option<SocketAddr>>,
     /// Wakes the task that pulls when `pull_addr` is set.
     pub(crate) pull_notify: Notify,
+    /// Pipelined requests that have started early at this ingress.
+    pub(crate) early_starts: RefCell<EarlyStarts>,
     /// Number of requests in flight at this ingress.
     pub(crate) in_flight: Cell<usize>,
     rng: RefCell<fescuemux_core::base::Rng>,
@@ -142,6 +145,7 @@
             stopping: watch::Sender::new(false),
             pull_addr: RefCell::default(),
             pull_notify: Notify::new(),
+            early_starts: RefCell::new(EarlyStarts::new(PipelineLimits::default())),
             in_flight: Cell::new(0),
             rng: RefCell::new(Cx::new(now, rand::random()).rng),
             next_ticket: Cell::new(0),
