--- a/crates/fescuemux-sidecar/src/ingress/request.rs
+++ b/crates/fescuemux-sidecar/src/ingress/request.rs
@@ -85,9 +85,7 @@
         let header_names = node.dialect.headers();
         let header_text =
             |name: &str| parts.headers.get(name).and_then(|value| value.to_str().ok());
-        let host = header_text("host").or(parts.uri.host()).unwrap_or_default();
-        let host = host.rsplit_once(':').map_or(host, |(host, _)| host);
-        let policy = config.routes.lookup(host, parts.uri.path()).cloned();
+        let policy = lookup_route(&config, parts);
         let request_id = header_text(header_names.request_id);
         let mut parent = request_id.and_then(|id| node.running_parent(id));
         let account = match &config.caller_keys {
@@ -189,6 +187,17 @@
     }
 }
 
+/// Returns the policy of the route of a request.
+pub(super) fn lookup_route(
+    config: &FleetConfig,
+    parts: &http::request::Parts,
+) -> Option<Arc<RoutePolicy>> {
+    let host = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok());
+    let host = host.or(parts.uri.host()).unwrap_or_default();
+    let host = host.rsplit_once(':').map_or(host, |(host, _)| host);
+    config.routes.lookup(host, parts.uri.path()).cloned()
+}
+
 /// Derives the tie breaker of nested requests from the id of their parent, so that all
 /// requests nested in the parent share one tie breaker.
 fn tie_breaker(parent_id: &str) -> u16 {
