Queue of a server: fair shares between customers within a priority

Requests of a customer that sends many times what a server can take filled its queue, and the requests of others waited behind them or were refused. Waiting top-level requests of one priority are now ordered by start-time fair queueing, weighted by the allowances; without customers the order is as before.

--- a/crates/fescuemux-core/src/placement/admission_controller.rs
+++ b/crates/fescuemux-core/src/placement/admission_controller.rs
@@ -208,7 +208,8 @@
             self.grant(now, ticket, request);
             return Admission::Granted;
         }
-        let expected_wait = self.expected_wait(now, request.precedence(), running_time);
+        let expected_wait =
+            self.expected_wait(now, request.precedence(), request.share, running_time);
         let refuse = |reason| Admission::Refused(Refusal { reason, retry_in: expected_wait });
         if !request.may_queue || !self.queue.has_room(now, &request, self.max_waiting_per_kind(now))
         {
@@ -227,7 +228,7 @@
             return refuse(SlotRefusalReason::TooLate);
         }
         let expires_at = if request.nested { now + max_wait } else { request.queue_deadline() };
-        self.queue.push(now, WaitingRequest { ticket, request, expires_at });
+        self.queue.push(now, WaitingRequest::new(ticket, request, expires_at));
         Admission::Queued(expected_wait)
     }
 
--- a/crates/fescuemux-core/src/placement/admission_controller/load.rs
+++ b/crates/fescuemux-core/src/placement/admission_controller/load.rs
@@ -1,6 +1,7 @@
 //! Load and expected waits, as reported to ingresses and told to refused requests.
 
 use super::AdmissionController;
+use crate::fair_queue::FairShare;
 use crate::placement::waiting::TOP_LEVEL_SLOT_SHARE;
 use crate::placement::{LoadReport, Precedence, Readiness};
 use std::time::{Duration, Instant};
@@ -18,13 +19,26 @@
 const IDLE_AFTER: Duration = Duration::from_millis(1_600);
 
 impl AdmissionController {
-    /// Returns the load as seen by a request of the given precedence and route.
+    /// Returns the load as seen by a request without a customer; see
+    /// [`AdmissionController::load_report_for`].
+    pub fn load_report(
+        &mut self,
+        now: Instant,
+        precedence: Precedence,
+        route_hash: u64,
+        expected_running_time: Duration,
+    ) -> LoadReport {
+        self.load_report_for(now, precedence, None, route_hash, expected_running_time)
+    }
+
+    /// Returns the load as seen by a request of the given precedence, customer and route.
     /// `expected_running_time` is the ingress's estimate, used until this server has answered a
     /// request of the route.
-    pub fn load_report(
+    pub fn load_report_for(
         &mut self,
         now: Instant,
         precedence: Precedence,
+        share: Option<FairShare>,
         route_hash: u64,
         expected_running_time: Duration,
     ) -> LoadReport {
@@ -44,7 +58,7 @@
             slots: self.available_slots(now) as u32,
             used_slots: self.holders.len() as u32,
             queued: self.queue.len() as u32,
-            expected_wait: self.expected_wait(now, precedence, running_time),
+            expected_wait: self.expected_wait(now, precedence, share, running_time),
             expected_running_time: running_time,
             failure_probability: self.failure_probability(now),
             shed_probability: self.shed_rate.probability(now),
@@ -62,9 +76,10 @@
         &self,
         now: Instant,
         precedence: Precedence,
+        share: Option<FairShare>,
         running_time: Duration,
     ) -> Duration {
-        let ahead = self.queue.ahead_of(precedence);
+        let ahead = self.queue.ahead_of(precedence, share);
         let limit_wait =
             self.limiter().map_or(Duration::ZERO, |limiter| limiter.time_until(now, ahead + 1));
         if self.queue.is_empty() && self.holders.len() < self.slots() {
@@ -80,11 +95,11 @@
         if !precedence.top_level {
             return expected_wait.max(limit_wait);
         }
-        let ahead = self.queue.top_level_ahead_of(precedence);
+        let ahead = self.queue.top_level_ahead_of(precedence, share);
         let wait_in_running_times = (ahead as f64 + 1.0) / (available * TOP_LEVEL_SLOT_SHARE);
         expected_wait
             .min(running_time.mul_f64(wait_in_running_times))
-            .max(self.queue.estimated_wait(now, precedence.priority))
+            .max(self.queue.estimated_wait(now, precedence.priority, share))
             .max(limit_wait)
     }
 }
--- a/crates/fescuemux-core/src/placement/slot_request.rs
+++ b/crates/fescuemux-core/src/placement/slot_request.rs
@@ -1,5 +1,6 @@
 //! A request for a slot, the decision about it, and its outcome.
 
+use crate::fair_queue::FairShare;
 use crate::placement::Precedence;
 use std::time::{Duration, Instant};
 
@@ -37,6 +38,8 @@
     pub nested: bool,
     /// Tie breaker of the parent; see [`Precedence::tie_breaker`].
     pub tie_breaker: u16,
+    /// Share of the request's customer among waiting requests of its priority; `None` without one.
+    pub share: Option<FairShare>,
     /// How the request counts in the retry budget.
     pub attempt: AttemptKind,
     /// Hash of the route id, the key of the route's running times.
--- a/crates/fescuemux-core/src/placement/waiting.rs
+++ b/crates/fescuemux-core/src/placement/waiting.rs
@@ -1,7 +1,9 @@
 //! Requests that wait for a slot of one backend server.
 
 use crate::base::HashMap;
+use crate::fair_queue::{FairShare, FairShares};
 use crate::placement::{AttemptKind, Precedence, SlotRequest, Ticket};
+use std::cmp::Ordering;
 use std::time::{Duration, Instant};
 
 /// Share of the slots' time that top-level requests get while nested requests wait too. Without
@@ -18,6 +20,14 @@
     /// Time before which at least half of the request's expected running time must fit; otherwise
     /// the request is refused.
     pub(super) expires_at: Instant,
+    /// Position among top-level requests of the same priority; see [`FairShares`].
+    fair_tag: f64,
+}
+
+impl WaitingRequest {
+    pub(super) fn new(ticket: Ticket, request: SlotRequest, expires_at: Instant) -> WaitingRequest {
+        WaitingRequest { ticket, request, expires_at, fair_tag: 0.0 }
+    }
 }
 
 /// Number of granted slots at which a [`SlotRate`] halves its count of slots and its time, so that
@@ -59,6 +69,8 @@
     deficit: f64,
     /// Slot rates of top-level requests by priority.
     slot_rates: HashMap<u8, SlotRate>,
+    /// Shares of the customers whose top-level requests wait, by priority.
+    fair_shares: HashMap<u8, FairShares>,
 }
 
 impl WaitQueue {
@@ -75,41 +87,76 @@
         self.requests.iter().filter(|w| w.request.attempt != AttemptKind::First).count()
     }
 
-    pub(super) fn push(&mut self, now: Instant, waiting: WaitingRequest) {
-        let SlotRequest { nested, priority, .. } = waiting.request;
-        if !nested && self.top_level_count(priority) == 0 {
-            self.slot_rates.insert(priority, SlotRate { since: now, slots: 0 });
+    pub(super) fn push(&mut self, now: Instant, mut waiting: WaitingRequest) {
+        let SlotRequest { nested, priority, share, expected_running_time, .. } = waiting.request;
+        if !nested {
+            let is_first = self.top_level_count(priority) == 0;
+            let fair_shares = self.fair_shares.entry(priority).or_default();
+            if is_first {
+                self.slot_rates.insert(priority, SlotRate { since: now, slots: 0 });
+                fair_shares.clear();
+            }
+            waiting.fair_tag = fair_shares.add(share, expected_running_time);
         }
         self.requests.push(waiting);
     }
 
     pub(super) fn cancel(&mut self, ticket: Ticket) {
-        self.requests.retain(|waiting| waiting.ticket != ticket);
+        self.retain(|waiting| waiting.ticket != ticket);
     }
 
     /// Removes the requests for which `keep` returns false.
-    pub(super) fn retain(&mut self, keep: impl FnMut(&WaitingRequest) -> bool) {
-        self.requests.retain(keep);
+    pub(super) fn retain(&mut self, mut keep: impl FnMut(&WaitingRequest) -> bool) {
+        let fair_shares = &mut self.fair_shares;
+        self.requests.retain(|waiting| {
+            let keeps = keep(waiting);
+            if !keeps {
+                withdraw(fair_shares, &waiting.request);
+            }
+            keeps
+        });
     }
 
-    /// Returns the number of waiting requests that go before a new request of the given precedence;
-    /// waiting requests of the same precedence count too.
-    pub(super) fn ahead_of(&self, precedence: Precedence) -> usize {
-        self.requests.iter().filter(|w| w.request.precedence() <= precedence).count()
+    /// Returns the number of waiting requests that go before a new request of the given precedence
+    /// and customer; waiting requests of the same position count too.
+    pub(super) fn ahead_of(&self, precedence: Precedence, share: Option<FairShare>) -> usize {
+        let position = self.position(precedence, share);
+        self.requests.iter().filter(|w| goes_before(w, position)).count()
     }
 
-    /// Returns the number of waiting top-level requests that go before a new request of the given
-    /// precedence, counted as in [`WaitQueue::ahead_of`].
-    pub(super) fn top_level_ahead_of(&self, precedence: Precedence) -> usize {
+    /// Returns the number of waiting top-level requests that go before a new request, counted as in
+    /// [`WaitQueue::ahead_of`].
+    pub(super) fn top_level_ahead_of(
+        &self,
+        precedence: Precedence,
+        share: Option<FairShare>,
+    ) -> usize {
+        let position = self.position(precedence, share);
         let top_level = self.requests.iter().filter(|w| !w.request.nested);
-        top_level.filter(|w| w.request.precedence() <= precedence).count()
+        top_level.filter(|w| goes_before(w, position)).count()
+    }
+
+    /// Returns the position of a new request among the waiting ones.
+    fn position(&self, precedence: Precedence, share: Option<FairShare>) -> (Precedence, f64) {
+        let fair_shares = self.fair_shares.get(&precedence.priority);
+        let fair_shares = fair_shares.filter(|_| precedence.top_level);
+        (precedence, fair_shares.map_or(0.0, |shares| shares.next_tag(share)))
     }
 
     /// Returns the estimated wait of a new top-level request of this priority, from the rate at
     /// which such requests got slots. The number of waiting requests alone would underestimate the
     /// wait, as nested requests and requests of higher priority that arrive later go first.
-    pub(super) fn estimated_wait(&self, now: Instant, priority: u8) -> Duration {
-        let ahead = self.top_level_count(priority);
+    pub(super) fn estimated_wait(
+        &self,
+        now: Instant,
+        priority: u8,
+        share: Option<FairShare>,
+    ) -> Duration {
+        let position = self.position(Precedence::top_level(priority), share);
+        let of_priority = self.requests.iter().filter(|w| {
+            !w.request.nested && w.request.priority == priority && goes_before(w, position)
+        });
+        let ahead = of_priority.count();
         let rate = self.slot_rates.get(&priority).filter(|_| ahead > 0);
         rate.map_or(Duration::ZERO, |rate| rate.time_until_granted(now, ahead + 1))
     }
@@ -124,9 +171,12 @@
     /// refused.
     pub(super) fn has_room(&self, now: Instant, request: &SlotRequest, limit: usize) -> bool {
         let last = self.last_index(now, request.nested);
+        let (_, fair_tag) = self.position(request.precedence(), request.share);
         self.count(request.nested) < limit
             || last.is_some_and(|index| {
-                queue_order(now, &self.requests[index].request) > queue_order(now, request)
+                let last = &self.requests[index];
+                let last_order = queue_order(now, &last.request, last.fair_tag);
+                last_order.total_cmp(&queue_order(now, request, fair_tag)) == Ordering::Greater
             })
     }
 
@@ -134,7 +184,9 @@
     pub(super) fn pop_excess(&mut self, now: Instant, limit: usize) -> Option<WaitingRequest> {
         let nested = [true, false].into_iter().find(|nested| self.count(*nested) > limit)?;
         let last = self.last_index(now, nested)?;
-        Some(self.requests.remove(last))
+        let excess = self.requests.remove(last);
+        withdraw(&mut self.fair_shares, &excess.request);
+        Some(excess)
     }
 
     /// Removes and returns the request that gets the next slot. Nested requests go first until the
@@ -147,7 +199,11 @@
         let first_index = |nested: bool| {
             let requests = self.requests.iter().enumerate();
             let requests = requests.filter(|(_, w)| w.request.nested == nested);
-            requests.min_by_key(|(_, w)| queue_order(now, &w.request)).map(|(index, _)| index)
+            let first = requests.min_by(|(_, a), (_, b)| {
+                let order = |w: &WaitingRequest| queue_order(now, &w.request, w.fair_tag);
+                order(a).total_cmp(&order(b))
+            });
+            first.map(|(index, _)| index)
         };
         let index = match (first_index(true), first_index(false)) {
             (Some(nested), Some(top_level)) => {
@@ -171,6 +227,10 @@
             }
         };
         let next = self.requests.remove(index);
+        let fair_shares = self.fair_shares.get_mut(&next.request.priority);
+        if let Some(fair_shares) = fair_shares.filter(|_| !next.request.nested) {
+            fair_shares.on_served(next.fair_tag);
+        }
         if let Some(rate) =
             self.slot_rates.get_mut(&next.request.priority).filter(|_| !next.request.nested)
         {
@@ -186,14 +246,47 @@
     /// Returns the index of the nested or top-level request that would go last.
     fn last_index(&self, now: Instant, nested: bool) -> Option<usize> {
         let requests = self.requests.iter().enumerate().filter(|(_, w)| w.request.nested == nested);
-        requests.max_by_key(|(_, w)| queue_order(now, &w.request)).map(|(index, _)| index)
+        let last = requests.max_by(|(_, a), (_, b)| {
+            let order = |w: &WaitingRequest| queue_order(now, &w.request, w.fair_tag);
+            order(a).total_cmp(&order(b))
+        });
+        last.map(|(index, _)| index)
+    }
+}
+
+/// Removes a request that leaves the queue without a slot from the shares of its customer.
+fn withdraw(fair_shares: &mut HashMap<u8, FairShares>, request: &SlotRequest) {
+    if let Some(fair_shares) = fair_shares.get_mut(&request.priority).filter(|_| !request.nested) {
+        fair_shares.withdraw(request.share, request.expected_running_time);
+    }
+}
+
+fn goes_before(waiting: &WaitingRequest, (precedence, fair_tag): (Precedence, f64)) -> bool {
+    let order = waiting.request.precedence().cmp(&precedence);
+    order.then(waiting.fair_tag.total_cmp(&fair_tag)) != Ordering::Greater
+}
+
+/// Sort key of waiting requests.
+struct QueueOrder {
+    is_late: bool,
+    precedence: Precedence,
+    fair_tag: f64,
+    objective: Instant,
+}
+
+impl QueueOrder {
+    fn total_cmp(&self, other: &QueueOrder) -> Ordering {
+        (self.is_late, self.precedence)
+            .cmp(&(other.is_late, other.precedence))
+            .then(self.fair_tag.total_cmp(&other.fair_tag))
+            .then(self.objective.cmp(&other.objective))
     }
 }
 
-/// Sort key of waiting requests: top-level requests that can no longer meet their objective go
-/// last, then precedence and objective decide. A late nested request is worth as much as its
-/// parent's work, so it is not sorted last.
-fn queue_order(now: Instant, request: &SlotRequest) -> (bool, Precedence, Instant) {
+/// Returns the sort key of a waiting request: top-level requests that can no longer meet their
+/// objective go last, then precedence, the shares of the customers and the objective decide. A late
+/// nested request is worth as much as its parent's work, so it is not sorted last.
+fn queue_order(now: Instant, request: &SlotRequest, fair_tag: f64) -> QueueOrder {
     let is_late = !request.nested && now + request.expected_running_time > request.objective;
-    (is_late, request.precedence(), request.objective)
+    QueueOrder { is_late, precedence: request.precedence(), fair_tag, objective: request.objective }
 }
--- a/crates/fescuemux-core/tests/placement/main.rs
+++ b/crates/fescuemux-core/tests/placement/main.rs
@@ -9,6 +9,7 @@
 mod directory;
 mod evictions;
 mod exhaustive;
+mod fair_shares;
 mod fault_estimator;
 mod fleet_retries;
 mod limited_server;
--- a/crates/fescuemux-core/tests/placement/support.rs
+++ b/crates/fescuemux-core/tests/placement/support.rs
@@ -43,6 +43,7 @@
         idempotent: false,
         nested: false,
         tie_breaker: 0,
+        share: None,
         attempt: AttemptKind::First,
         route_hash: 7,
         deadline: now + ms(3_000),
