Carry the customer's share in load queries and reservations

The guard orders waiting requests by the shares of their customers, so it needs the customer and the weight of each request, also to tell how long a new one would wait.

--- a/crates/fescuemux-sidecar/src/guard.rs
+++ b/crates/fescuemux-sidecar/src/guard.rs
@@ -128,6 +128,7 @@
         idempotent: reserve.idempotent,
         nested: reserve.nested,
         tie_breaker: reserve.tie_breaker,
+        share: reserve.share.map(Into::into),
         attempt: match (reserve.is_retry, reserve.nested_in_retry) {
             (true, _) => AttemptKind::Retry,
             (false, true) => AttemptKind::NestedInRetry,
--- a/crates/fescuemux-sidecar/src/hop/message.rs
+++ b/crates/fescuemux-sidecar/src/hop/message.rs
@@ -1,5 +1,6 @@
 //! Messages between instances.
 
+use crate::fair_share_record::FairShareRecord;
 use fescuemux_core::base::Verdict;
 use fescuemux_core::placement::{Departure, Peer, Refusal, RelayedNotice, SlotRefusalReason};
 use serde::{Deserialize, Serialize};
@@ -23,6 +24,8 @@
     /// Tie breaker that all requests nested in the same parent request share.
     #[serde(rename = "lot")]
     pub(crate) tie_breaker: u16,
+    /// Share of the customer, if there is one.
+    pub(crate) share: Option<FairShareRecord>,
     /// Whether a backend server may have received an earlier attempt of the request.
     #[serde(rename = "again")]
     pub(crate) is_retry: bool,
--- a/crates/fescuemux-sidecar/src/ingress/request.rs
+++ b/crates/fescuemux-sidecar/src/ingress/request.rs
@@ -7,6 +7,7 @@
 use crate::node::Node;
 use fescuemux_core::base::{InstanceId, ServiceId, stable_hash};
 use fescuemux_core::caller_keys::CallerAccount;
+use fescuemux_core::fair_queue::FairShare;
 use fescuemux_core::placement::{Precedence, RoutePolicy};
 use http::{HeaderMap, StatusCode, header};
 use std::cell::{Cell, RefCell};
@@ -156,6 +157,11 @@
         self.account.as_ref().map(|account| account.id.as_str())
     }
 
+    /// Returns the share of the request's customer among waiting requests, if there is a customer.
+    pub(super) fn share(&self) -> Option<FairShare> {
+        self.account.as_deref().map(FairShare::from)
+    }
+
     /// Returns the precedence of this request among queued requests.
     pub(super) fn precedence(&self) -> Precedence {
         Precedence::new(self.nested, self.priority, self.tie_breaker)
--- a/crates/fescuemux-sidecar/src/ingress/reservation.rs
+++ b/crates/fescuemux-sidecar/src/ingress/reservation.rs
@@ -204,6 +204,7 @@
     let domain = node.settings.borrow().domain.clone();
     let query = LoadQuery {
         precedence: request.precedence(),
+        share: request.share(),
         route_hash: request.route_hash,
         expected_running_time: assumed_running_time(node, request),
     };
@@ -277,6 +278,7 @@
         idempotent: request.policy.class.is_idempotent(),
         nested: request.nested,
         tie_breaker: request.tie_breaker,
+        share: request.share().map(Into::into),
         is_retry: request.sent_attempts.get() > 0,
         nested_in_retry: request.nested_in_retry,
         route_hash: request.route_hash,
--- a/crates/fescuemux-sidecar/src/lib.rs
+++ b/crates/fescuemux-sidecar/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod control;
 mod dialect;
+mod fair_share_record;
 mod fleet_config;
 mod guard;
 pub mod h1;
--- a/crates/fescuemux-sidecar/src/load_query.rs
+++ b/crates/fescuemux-sidecar/src/load_query.rs
@@ -3,8 +3,10 @@
 //! A reply shows that the network path worked in both directions just before a request is sent over
 //! it. A lost query costs nothing but the timeout.
 
+use crate::fair_share_record::FairShareRecord;
 use crate::node::Node;
 use fescuemux_core::base::HashMap;
+use fescuemux_core::fair_queue::FairShare;
 use fescuemux_core::placement::{LoadReport, Peer, Precedence, Readiness, ReportedAge};
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
@@ -38,6 +40,7 @@
         from: String,
         config_version: u64,
         precedence: PrecedenceRecord,
+        share: Option<FairShareRecord>,
         #[serde(rename = "route")]
         route_hash: u64,
         #[serde(rename = "expected_ms")]
@@ -174,6 +177,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct LoadQuery {
     pub(crate) precedence: Precedence,
+    /// Share of the customer, if there is one.
+    pub(crate) share: Option<FairShare>,
     /// Hash of the route.
     pub(crate) route_hash: u64,
     /// Running time that the ingress expects, used by guards that have not measured the route.
@@ -185,6 +190,7 @@
     pub(crate) fn without_request() -> LoadQuery {
         LoadQuery {
             precedence: Precedence::top_level(0),
+            share: None,
             route_hash: 0,
             expected_running_time: Duration::ZERO,
         }
@@ -284,6 +290,7 @@
         from: node.settings.borrow().instance.to_string(),
         config_version: node.config_version(),
         precedence: query.precedence.into(),
+        share: query.share.map(Into::into),
         route_hash: query.route_hash,
         expected_running_ms: query.expected_running_time.as_millis() as u32,
     };
@@ -326,6 +333,7 @@
             from,
             config_version,
             precedence,
+            share,
             route_hash,
             expected_running_ms,
         } => {
@@ -335,9 +343,10 @@
             }
             let expected_running_time = Duration::from_millis(u64::from(expected_running_ms));
             let precedence = precedence.into();
-            let load_report = node.admission.borrow_mut().load_report(
+            let load_report = node.admission.borrow_mut().load_report_for(
                 node.now(),
                 precedence,
+                share.map(Into::into),
                 route_hash,
                 expected_running_time,
             );
