--- a/crates/fescuemux-sidecar/src/guard/relay.rs
+++ b/crates/fescuemux-sidecar/src/guard/relay.rs
@@ -38,6 +38,16 @@
     fn failed(outcome: RequestOutcome, failure: Failure) -> RelayResult {
         RelayResult { outcome, failure: Some(failure), reuse_idle_timeout: None }
     }
+
+    /// Returns whether the server has sent its whole response, or said that it does not run the
+    /// request. Otherwise, it may still work on the request.
+    fn has_ended_at_server(&self) -> bool {
+        match self.outcome {
+            RequestOutcome::Shed => true,
+            RequestOutcome::Abandoned => false,
+            _ => self.failure.is_none(),
+        }
+    }
 }
 
 /// Runs a committed request at the backend server and sends its response to the ingress.
@@ -104,7 +114,7 @@
         }
     };
     drop((sink, stream));
-    if result.outcome == RequestOutcome::Abandoned {
+    if !result.has_ended_at_server() {
         node.unfinished_parents.borrow_mut().on_broken_off(node.now(), &commit.request_id);
     }
     log_work(node, reserve, &commit, started_at, &result);
--- a/crates/fescuemux-standins/src/platform/app_server.rs
+++ b/crates/fescuemux-standins/src/platform/app_server.rs
@@ -382,6 +382,7 @@
         target: format!("{} {}", request.method, request.target),
         caller: request.header("caller").unwrap_or_default().to_owned(),
         deadline_ms: request.header("deadline-ms").and_then(|ms| ms.parse().ok()),
+        headers: request.headers().to_vec(),
         body: request.body.clone(),
         after_drain_ack: shared.drain_acknowledged.load(Ordering::SeqCst),
     });
--- a/crates/fescuemux-standins/src/platform/http.rs
+++ b/crates/fescuemux-standins/src/platform/http.rs
@@ -19,6 +19,11 @@
         found.map(|(_, value)| value.as_str())
     }
 
+    /// Returns all headers, with names in lower case, in the order in which they came.
+    pub(super) fn headers(&self) -> &[(String, String)] {
+        &self.headers
+    }
+
     /// Returns the length of the body, if the head tells it.
     pub(super) fn content_length(&self) -> Option<usize> {
         self.header("content-length").and_then(|len| len.parse().ok())
--- a/crates/fescuemux-standins/src/platform/run_log.rs
+++ b/crates/fescuemux-standins/src/platform/run_log.rs
@@ -18,6 +18,8 @@
     pub caller: String,
     /// Remaining time in milliseconds, from the request's deadline header.
     pub deadline_ms: Option<u64>,
+    /// All headers as received, with names in lower case.
+    pub headers: Vec<(String, String)>,
     /// Request body.
     pub body: Vec<u8>,
     /// Whether a heartbeat that reported the server as draining was acknowledged before the
@@ -25,6 +27,14 @@
     pub after_drain_ack: bool,
 }
 
+impl Execution {
+    /// Returns all values of a header, given in lower case.
+    pub fn header_values(&self, name: &str) -> Vec<&str> {
+        let found = self.headers.iter().filter(|(other, _)| other == name);
+        found.map(|(_, value)| value.as_str()).collect()
+    }
+}
+
 /// Executions of all servers that share the log, in the order in which they were added.
 #[derive(Clone, Debug, Default)]
 pub struct ExecutionLog {
