--- a/crates/fescuemux-core/src/caller_keys.rs
+++ b/crates/fescuemux-core/src/caller_keys.rs
@@ -4,6 +4,7 @@
 //! - Requests with known, unknown, malformed and missing keys, on public routes and on others.
 //! - Nested requests, which carry no key, also from parents that the process does not know: parents
 //!   that were sent by an earlier process, and parents whose exchange with the server was broken off.
+//! - Thousands of customers, of which a few send most of the requests of one process.
 //! - Configurations that add, move and remove keys, or that are not valid.
 //!
 //! Must not know sockets, header names or how configurations are stored.
@@ -11,11 +12,13 @@
 mod authentication;
 mod caller_account;
 mod caller_keys_error;
+mod frequent_callers;
 mod key_table;
 mod unfinished_parents;
 
 pub use authentication::{KeyContext, KeyRefusal, PresentedKey};
 pub use caller_account::CallerAccount;
 pub use caller_keys_error::CallerKeysError;
+pub use frequent_callers::FrequentCallers;
 pub use key_table::CallerKeys;
 pub use unfinished_parents::UnfinishedParents;
--- a/crates/fescuemux-core/tests/caller_keys.rs
+++ b/crates/fescuemux-core/tests/caller_keys.rs
@@ -2,8 +2,8 @@
 
 use fescuemux_core::allowances::Allowance;
 use fescuemux_core::caller_keys::{
-    CallerAccount, CallerKeys, CallerKeysError, KeyContext, KeyRefusal, PresentedKey,
-    UnfinishedParents,
+    CallerAccount, CallerKeys, CallerKeysError, FrequentCallers, KeyContext, KeyRefusal,
+    PresentedKey, UnfinishedParents,
 };
 use std::time::{Duration, Instant};
 
@@ -244,3 +244,37 @@
         (0..1_000).filter(|n| parents.may_run_for(now, &format!("p{n:04}-1"), TIMEOUT).is_some());
     assert_eq!(known.collect::<Vec<_>>(), (744..1_000).collect::<Vec<_>>());
 }
+
+/// With thousands of customers, the number of metric labels must stay bounded, and the large customers
+/// must have theirs. A label must be kept, or its counter would decrease.
+#[test]
+fn large_customers_have_labels_of_their_own() {
+    let mut callers = FrequentCallers::default();
+    let mut labels: Vec<String> = Vec::new();
+    let mut last_large = String::new();
+    for n in 0..60_000 {
+        // Two customers send a tenth of the requests each, beside 11,000 that send the rest.
+        let id = match n % 10 {
+            0 => "large-0".to_owned(),
+            1 => "large-1".to_owned(),
+            _ => format!("small-{}", (n * 7_919) % 11_000),
+        };
+        let label = callers.label(&id.as_str().into()).to_owned();
+        if n % 10 == 0 {
+            assert!(label == id || last_large != id, "the label was lost");
+            last_large.clone_from(&label);
+        }
+        if !labels.contains(&label) {
+            labels.push(label);
+        }
+    }
+    labels.sort();
+    assert_eq!(labels, ["large-0", "large-1", "other"]);
+    let mut callers = FrequentCallers::default();
+    let ids: Vec<_> = (0..40).map(|n| format!("equal-{n}").into()).collect();
+    let labels: Vec<_> = (0..4_000).map(|n| callers.label(&ids[n % 40]).to_owned()).collect();
+    let mut labels: Vec<_> = labels.into_iter().filter(|label| label != "other").collect();
+    labels.sort();
+    labels.dedup();
+    assert_eq!(labels.len(), 24);
+}
--- a/crates/fescuemux-sidecar/src/ingress.rs
+++ b/crates/fescuemux-sidecar/src/ingress.rs
@@ -15,6 +15,7 @@
 mod tests;
 
 use crate::node::Node;
+use fescuemux_core::base::Verdict;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use request::CallerRequest;
@@ -96,6 +97,14 @@
     );
     let service = request.map_or("none", |request| request.service.as_str());
     node.metrics.record_request(service, status, reason, elapsed);
+    if let Some(account) = request.and_then(|request| request.account.as_ref()) {
+        let outcome = match response.verdict {
+            Verdict::NotRun => "refused",
+            _ if response.is_server_error() => "failed",
+            _ => "served",
+        };
+        node.record_caller_request(account, outcome);
+    }
     response.into_response(header_names.request_id, request_id)
 }
 
@@ -132,6 +141,7 @@
         info!(
             event = "caller_left",
             request = request.request_id,
+            caller = request.customer().unwrap_or_default(),
             route = %request.policy.id,
             service = %request.service,
             sent = request.sent_attempts.get(),
@@ -139,5 +149,8 @@
             left_ms = request.time_left(self.node.now()).as_millis() as u64
         );
         self.node.failed_requests.borrow_mut().add(self.node.now(), &request.request_id);
+        if let Some(account) = &request.account {
+            self.node.record_caller_request(account, "left");
+        }
     }
 }
--- a/crates/fescuemux-sidecar/src/metrics.rs
+++ b/crates/fescuemux-sidecar/src/metrics.rs
@@ -16,6 +16,7 @@
 pub(crate) struct Metrics {
     registry: Registry,
     requests: IntCounterVec,
+    caller_requests: IntCounterVec,
     request_seconds: HistogramVec,
     attempts: IntCounterVec,
     admissions: IntCounterVec,
@@ -62,6 +63,11 @@
                 "Requests of callers by service, status and reason of a refusal or failure",
                 &["service", "status", "reason"],
             )?,
+            caller_requests: register_counter(
+                "fescuemux_caller_requests_total",
+                "Requests of customers by customer and outcome",
+                &["caller", "outcome"],
+            )?,
             request_seconds,
             attempts: register_counter(
                 "fescuemux_attempts_total",
@@ -104,6 +110,11 @@
         self.request_seconds.with_label_values(&[service]).observe(elapsed.as_secs_f64());
     }
 
+    /// Counts a request of a customer by its outcome.
+    pub(crate) fn record_caller_request(&self, label: &str, outcome: &str) {
+        self.caller_requests.with_label_values(&[label, outcome]).inc();
+    }
+
     /// Counts an attempt by its result.
     pub(crate) fn record_attempt(&self, result: &str) {
         self.attempts.with_label_values(&[result]).inc();
--- a/crates/fescuemux-sidecar/src/node.rs
+++ b/crates/fescuemux-sidecar/src/node.rs
@@ -7,7 +7,7 @@
 use crate::{Dialect, FleetConfig, NodeSettings};
 use anyhow::Result;
 use fescuemux_core::base::{Clock, Cx, Generation, HashMap, Incarnation};
-use fescuemux_core::caller_keys::{CallerKeys, UnfinishedParents};
+use fescuemux_core::caller_keys::{CallerAccount, CallerKeys, FrequentCallers, UnfinishedParents};
 use fescuemux_core::placement::{
     Admission, AdmissionController, ConfigFreshness, ConfigRole, Departure, FailedRequests,
     HeldDepartures, LocalServer, NoticeChange, OwnDepartures, Peer, PeerDirectory, RelayedNotice,
@@ -59,6 +59,8 @@
     pub(crate) refuse_requests_from: Cell<Option<Instant>>,
     /// Shutdown deadlines, set when shutdown begins.
     pub(crate) shutdown_deadlines: Cell<Option<ShutdownDeadlines>>,
+    /// Customers with a metric label of their own.
+    pub(crate) frequent_callers: RefCell<FrequentCallers>,
     /// Requests that recently failed at this ingress, including nested requests sent by the local
     /// backend server.
     pub(crate) failed_requests: RefCell<FailedRequests>,
@@ -127,6 +129,7 @@
             started_at: now,
             refuse_requests_from: Cell::new(None),
             shutdown_deadlines: Cell::new(None),
+            frequent_callers: RefCell::default(),
             failed_requests: RefCell::default(),
             directory: RefCell::default(),
             listed_at: Cell::new(None),
@@ -189,6 +192,12 @@
         running.iter().find(|parent| is_nested_request_of(id, &parent.id)).cloned()
     }
 
+    /// Counts a request of a customer in the metrics.
+    pub(crate) fn record_caller_request(&self, account: &CallerAccount, outcome: &str) {
+        let mut callers = self.frequent_callers.borrow_mut();
+        self.metrics.record_caller_request(callers.label(&account.id), outcome);
+    }
+
     /// Returns a new ticket, which identifies a request at the local guard.
     pub(crate) fn next_ticket(&self) -> Ticket {
         self.next_ticket.set(self.next_ticket.get() + 1);
