--- a/crates/fescuemux-standins/src/platform/run_log.rs
+++ b/crates/fescuemux-standins/src/platform/run_log.rs
@@ -52,6 +52,12 @@
         self.executions.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// Returns copies of the executions of a request.
+    pub fn of_request(&self, request_id: &str) -> Vec<Execution> {
+        let executions = self.executions.lock().unwrap_or_else(PoisonError::into_inner);
+        executions.iter().filter(|execution| execution.request_id == request_id).cloned().collect()
+    }
+
     /// Returns how often a request was executed.
     pub fn count(&self, request_id: &str) -> usize {
         let executions = self.executions.lock().unwrap_or_else(PoisonError::into_inner);
