--- a/crates/fescuemux-core/src/pipelining/early_starts.rs
+++ b/crates/fescuemux-core/src/pipelining/early_starts.rs
@@ -91,8 +91,7 @@
         EarlyStart::Now
     }
 
-    /// Records that the turn of a request has come that had started early, or that the request was
-    /// dropped.
+    /// Records that a request that had started early has been answered in its turn, or dropped.
     pub fn on_end(&mut self) {
         self.started -= 1;
     }
--- a/crates/fescuemux-sidecar/src/ingress/caller_connection.rs
+++ b/crates/fescuemux-sidecar/src/ingress/caller_connection.rs
@@ -1,7 +1,7 @@
 //! HTTP connections from callers.
 
 use super::caller_stream::CallerStream;
-use super::early_requests::{ConnectionError, Pipeline};
+use super::early_requests::{ConnectionError, Pipeline, Turn};
 use super::{InFlightCount, ResponseBody, handle};
 use crate::node::Node;
 use crate::serve::accept_connections;
@@ -46,13 +46,13 @@
     let service = service_fn(|req: Request<Incoming>| {
         let (node, activity, pipeline) = (node.clone(), activity.clone(), pipeline.clone());
         let (parts, body) = req.into_parts();
-        let early_request = pipeline.on_request(&parts, &body);
+        let turn = pipeline.on_request(&parts, &body);
         activity.active_requests.set(activity.active_requests.get() + 1);
         pipeline.changed.notify_one();
         async move {
-            let response = match early_request? {
-                Some(request) => {
-                    let mut response = request.finish().await?;
+            let response = match turn? {
+                Turn::Started(task) => {
+                    let mut response = task.finish().await?;
                     // The response may have waited, so that the connection's task does not see that
                     // its request is in progress.
                     if *node.stopping.borrow() && !pipeline.has_early_requests() {
@@ -61,9 +61,9 @@
                     }
                     response
                 }
-                None => {
+                Turn::New { arrival } => {
                     let _in_flight_count = InFlightCount::new(node.clone());
-                    handle(node.clone(), parts, Some(body), node.now()).await
+                    handle(node.clone(), parts, Some(body), arrival).await
                 }
             };
             activity.active_requests.set(activity.active_requests.get() - 1);
--- a/crates/fescuemux-sidecar/src/ingress/caller_stream.rs
+++ b/crates/fescuemux-sidecar/src/ingress/caller_stream.rs
@@ -52,11 +52,9 @@
             let mut tracker = self.pipeline.tracker.borrow_mut();
             let unread = tracker.unread();
             unread.reserve(room.min(READ_BYTES));
-            let result = self.stream.try_read_buf(&mut unread.limit(room));
-            drop(tracker);
-            match result {
+            match self.stream.try_read_buf(&mut unread.limit(room)) {
                 Ok(0) => return Poll::Ready(Ok(())),
-                Ok(_) => self.pipeline.on_read_ahead(),
+                Ok(_) => self.pipeline.on_read_ahead(&mut tracker),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 Err(e) => return Poll::Ready(Err(e)),
             }
@@ -100,7 +98,9 @@
         if !tracker.give(buf) {
             let start = buf.filled().len();
             ready!(Pin::new(&mut this.stream).poll_read(cx, buf))?;
-            tracker.take_back(buf, start);
+            if tracker.take_back(buf, start) {
+                pipeline.on_read_ahead(&mut tracker);
+            }
         }
         if tracker.is_within_head() {
             drop(tracker);
--- a/crates/fescuemux-sidecar/src/ingress/early_requests.rs
+++ b/crates/fescuemux-sidecar/src/ingress/early_requests.rs
@@ -26,6 +26,14 @@
     Task(#[from] JoinError),
 }
 
+/// Request whose turn has come.
+pub(super) enum Turn {
+    /// The request has started early.
+    Started(EarlyTask),
+    /// The request has not started.
+    New { arrival: Instant },
+}
+
 /// State of a connection that its I/O, its service and its task share.
 pub(super) struct Pipeline {
     node: Rc<Node>,
@@ -67,8 +75,7 @@
         !self.early_requests.borrow().is_empty()
     }
 
-    /// Records that hyper has parsed the head of a request. Returns the request if it has started
-    /// early.
+    /// Records that hyper has parsed the head of a request.
     ///
     /// # Errors
     /// Fails if hyper has parsed another request than the one that has started. The connection must
@@ -78,7 +85,7 @@
         &self,
         parts: &Parts,
         body: &Incoming,
-    ) -> Result<Option<EarlyRequest>, ConnectionError> {
+    ) -> Result<Turn, ConnectionError> {
         let body_len = match body.is_end_stream() {
             true => Some(0),
             false => body.size_hint().exact(),
@@ -100,7 +107,13 @@
             early_requests.clear();
         }
         self.update_metrics(!early_requests.is_empty());
-        if is_other { Err(ConnectionError::OtherRequest) } else { Ok(request) }
+        match request {
+            _ if is_other => Err(ConnectionError::OtherRequest),
+            Some(request) => Ok(Turn::Started(request.task)),
+            None => {
+                Ok(Turn::New { arrival: tracker.head_arrival().unwrap_or_else(|| self.node.now()) })
+            }
+        }
     }
 
     fn update_metrics(&self, has_early_requests: bool) {
@@ -120,7 +133,8 @@
     }
 
     /// Records that bytes have been read behind the request in progress.
-    pub(super) fn on_read_ahead(&self) {
+    pub(super) fn on_read_ahead(&self, tracker: &mut MessageTracker) {
+        tracker.on_arrival(self.node.now());
         self.recheck.set(true);
     }
 
@@ -148,7 +162,7 @@
             {
                 return;
             }
-            let Some(head) = tracker.next_head() else { return };
+            let Some((head, arrival)) = tracker.next_head() else { return };
             let len = head.len();
             let request = parse_head(head).and_then(|parts| {
                 let config = self.node.config.borrow().clone()?;
@@ -164,7 +178,8 @@
             match start {
                 Ok(parts) => {
                     tracker.on_started_early(len);
-                    early_requests.push_back(EarlyRequest::start(&self.node, parts));
+                    let arrival = arrival.unwrap_or_else(|| self.node.now());
+                    early_requests.push_back(EarlyRequest::start(&self.node, parts, arrival));
                     self.node.metrics.early_requests.inc();
                     self.update_metrics(true);
                 }
@@ -181,8 +196,8 @@
     }
 }
 
-/// Request that has started before its turn. Dropping it ends its work.
-pub(super) struct EarlyRequest {
+/// Request that has started before its turn.
+struct EarlyRequest {
     parts: Parts,
     task: EarlyTask,
 }
@@ -191,30 +206,32 @@
     /// Starts a request that the process's [`EarlyStarts`] let start.
     ///
     /// [`EarlyStarts`]: fescuemux_core::pipelining::EarlyStarts
-    fn start(node: &Rc<Node>, parts: Parts) -> EarlyRequest {
+    fn start(node: &Rc<Node>, parts: Parts, arrival: Instant) -> EarlyRequest {
         let in_flight_count = InFlightCount::new(node.clone());
-        let handled = handle(node.clone(), parts.clone(), None, node.now());
+        let handled = handle(node.clone(), parts.clone(), None, arrival);
         // The request is in flight until its turn, because its response must still be delivered.
         let task = spawn_local(async move { (handled.await, in_flight_count) });
         EarlyRequest { parts, task: EarlyTask { node: node.clone(), task } }
     }
+}
 
+/// Task of a request that has started early. Dropping it ends its work.
+pub(super) struct EarlyTask {
+    node: Rc<Node>,
+    task: JoinHandle<(Response<ResponseBody>, InFlightCount)>,
+}
+
+impl EarlyTask {
     /// Returns the response.
     ///
     /// # Errors
     /// Fails if the request's task has panicked.
     pub(super) async fn finish(mut self) -> Result<Response<ResponseBody>, JoinError> {
-        let (response, _in_flight_count) = (&mut self.task.task).await?;
+        let (response, _in_flight_count) = (&mut self.task).await?;
         Ok(response)
     }
 }
 
-/// Task of a request that has started early.
-struct EarlyTask {
-    node: Rc<Node>,
-    task: JoinHandle<(Response<ResponseBody>, InFlightCount)>,
-}
-
 impl Drop for EarlyTask {
     fn drop(&mut self) {
         self.task.abort();
--- a/crates/fescuemux-sidecar/src/ingress/message_tracker.rs
+++ b/crates/fescuemux-sidecar/src/ingress/message_tracker.rs
@@ -3,8 +3,12 @@
 use super::pipelined_head::HeadEnd;
 use bytes::{Buf, BytesMut};
 use std::collections::VecDeque;
+use std::time::Instant;
 use tokio::io::ReadBuf;
 
+/// Maximum number of recorded arrivals. With more reads, the last ones count as one.
+const MAX_ARRIVALS: usize = 16;
+
 /// Part of a connection's messages that hyper reads next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
@@ -34,6 +38,10 @@
     phase: Phase,
     /// Bytes that were read and that hyper does not have.
     unread: BytesMut,
+    /// Times of the reads that brought `unread`, with the number of its bytes up to the end of each.
+    arrivals: VecDeque<(usize, Instant)>,
+    /// Arrival of the head that hyper has, if it was read before its turn.
+    head_arrival: Option<Instant>,
     /// Lengths of the heads at the start of `unread` whose requests have started early.
     early_heads: VecDeque<usize>,
     /// Whether the request behind `early_heads` is left to hyper.
@@ -46,6 +54,8 @@
         MessageTracker {
             phase: Phase::NEXT_HEAD,
             unread: BytesMut::new(),
+            arrivals: VecDeque::new(),
+            head_arrival: None,
             early_heads: VecDeque::new(),
             next_in_order: false,
         }
@@ -66,11 +76,30 @@
         matches!(self.phase, Phase::Head { begun: true, .. })
     }
 
-    /// Returns the buffer of bytes for later, to which bytes that were read can be appended.
+    /// Returns the buffer of bytes for later. [`MessageTracker::on_arrival`] must follow when bytes
+    /// that were read are appended.
     pub(super) fn unread(&mut self) -> &mut BytesMut {
         &mut self.unread
     }
 
+    /// Records that bytes have been appended to the buffer of bytes for later.
+    pub(super) fn on_arrival(&mut self, now: Instant) {
+        if self.arrivals.len() == MAX_ARRIVALS {
+            self.arrivals.pop_back();
+        }
+        self.arrivals.push_back((self.unread.len(), now));
+    }
+
+    /// Returns the arrival of the bytes of `unread` up to `end`.
+    fn arrival(&self, end: usize) -> Option<Instant> {
+        self.arrivals.iter().find(|(read_end, _)| *read_end >= end).map(|(_, at)| *at)
+    }
+
+    /// Returns the arrival of the head that hyper has, if it was read before its turn.
+    pub(super) fn head_arrival(&self) -> Option<Instant> {
+        self.head_arrival
+    }
+
     /// Moves bytes to hyper's buffer. Returns false if there are none.
     pub(super) fn give(&mut self, buf: &mut ReadBuf<'_>) -> bool {
         if self.unread.is_empty() {
@@ -81,6 +110,11 @@
         let given = self.advance(&unread[..offered]);
         buf.put_slice(&unread[..given]);
         unread.advance(given);
+        self.head_arrival = self.arrival(given);
+        self.arrivals.retain_mut(|(end, _)| {
+            *end = end.saturating_sub(given);
+            *end > 0
+        });
         // The memory of an empty buffer is released.
         if !unread.is_empty() {
             self.unread = unread;
@@ -89,25 +123,29 @@
     }
 
     /// Takes back the bytes behind the current request from hyper's buffer, whose bytes from `start`
-    /// were just read.
-    pub(super) fn take_back(&mut self, buf: &mut ReadBuf<'_>, start: usize) {
+    /// were just read. Returns whether there are any, so that [`MessageTracker::on_arrival`] must
+    /// follow.
+    pub(super) fn take_back(&mut self, buf: &mut ReadBuf<'_>, start: usize) -> bool {
+        self.head_arrival = None;
         let filled = buf.filled().len();
         let given = self.advance(&buf.filled()[start..]);
         if start + given < filled {
             self.unread.extend_from_slice(&buf.filled()[start + given..]);
             buf.set_filled(start + given);
         }
+        start + given < filled
     }
 
-    /// Returns the next head that is complete and whose request may start early. The requests ahead
-    /// of it have started.
-    pub(super) fn next_head(&self) -> Option<&[u8]> {
+    /// Returns the next head that is complete and whose request may start early, and its arrival. The
+    /// requests ahead of it have started.
+    pub(super) fn next_head(&self) -> Option<(&[u8], Option<Instant>)> {
         if self.next_in_order || self.phase != Phase::Response {
             return None;
         }
-        let rest = &self.unread[self.early_heads.iter().sum()..];
-        let mut end = HeadEnd::START;
-        end.find(rest).map(|len| &rest[..len])
+        let start = self.early_heads.iter().sum();
+        let rest = &self.unread[start..];
+        let len = { HeadEnd::START }.find(rest)?;
+        Some((&rest[..len], self.arrival(start + len)))
     }
 
     /// Records that the request of the next head, of `len` bytes, has started early.
--- a/crates/fescuemux-sidecar/src/ingress/tests/pipelining.rs
+++ b/crates/fescuemux-sidecar/src/ingress/tests/pipelining.rs
@@ -81,7 +81,7 @@
     }
 
     fn start_early(&mut self) {
-        while let Some(head) = self.tracker.next_head() {
+        while let Some((head, _)) = self.tracker.next_head() {
             let (len, parts) = (head.len(), parse_head(head));
             let start = parts.as_ref().map_or(EarlyStart::InOrder, decide);
             let Some(parts) = parts.filter(|_| start == EarlyStart::Now) else {
