Sidecar, platform: messages and settings of allowances

The decisions about allowances are in core; nothing carried their messages.

Datagrams on the socket of the load queries carry them, a supervised task returns unused leases, and metrics show the busiest customers by rank.

Not wired to requests yet.

--- a/crates/fescuemux-sidecar/src/lib.rs
+++ b/crates/fescuemux-sidecar/src/lib.rs
@@ -10,6 +10,7 @@
 //! Must not know the header names, field names and keys that callers, backend servers and the
 //! store use; a [`Dialect`] and a [`MetadataStore`] translate them.
 
+mod allowance_exchange;
 mod control;
 mod dialect;
 mod fleet_config;
--- a/crates/fescuemux-sidecar/src/load_query.rs
+++ b/crates/fescuemux-sidecar/src/load_query.rs
@@ -1,8 +1,9 @@
-//! Load queries to guards over UDP.
+//! Load queries to guards over UDP, and the socket of all datagrams between instances.
 //!
 //! A reply shows that the network path worked in both directions just before a request is sent over
 //! it. A lost query costs nothing but the timeout.
 
+use crate::allowance_exchange::{self, AllowanceDatagram};
 use crate::node::Node;
 use fescuemux_core::base::HashMap;
 use fescuemux_core::placement::{LoadReport, Peer, Precedence, Readiness, ReportedAge};
@@ -26,7 +27,7 @@
 /// Maximum datagram size, below the usual MTU.
 const MAX_DATAGRAM_BYTES: usize = 1_200;
 
-/// Datagram between instances: a load query or the reply to one.
+/// Datagram between instances.
 #[derive(Debug, Serialize, Deserialize)]
 enum Datagram {
     #[serde(rename = "Ask")]
@@ -53,6 +54,7 @@
         #[serde(rename = "quote")]
         load_report: LoadReportRecord,
     },
+    Allowances(AllowanceDatagram),
 }
 
 /// Encoded [`ReportedAge`].
@@ -290,6 +292,11 @@
     send(node, peer.addr, &datagram);
 }
 
+/// Sends messages about allowances.
+pub(crate) fn send_allowances(node: &Node, addr: SocketAddr, datagram: AllowanceDatagram) {
+    send(node, addr, &Datagram::Allowances(datagram));
+}
+
 fn send(node: &Node, addr: SocketAddr, datagram: &Datagram) {
     match postcard::to_stdvec(datagram) {
         // A datagram that does not fit into the send buffer is treated as lost.
@@ -368,5 +375,6 @@
                 let _ = query.reply_tx.try_send((seq, load_report.into()));
             }
         }
+        Datagram::Allowances(datagram) => allowance_exchange::handle_datagram(node, datagram),
     }
 }
--- a/crates/fescuemux-sidecar/src/metrics.rs
+++ b/crates/fescuemux-sidecar/src/metrics.rs
@@ -3,7 +3,8 @@
 //! Must not know how the values of the metrics are determined.
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    TextEncoder,
 };
 use std::time::Duration;
 
@@ -28,6 +29,8 @@
     pub(crate) peers: IntGauge,
     /// Number of requests from callers in flight.
     pub(crate) in_flight: IntGauge,
+    /// Requests of the busiest customers that the instance counts, by rank.
+    pub(crate) allowance_use: IntGaugeVec,
 }
 
 impl Metrics {
@@ -56,7 +59,16 @@
             &["service"],
         )?;
         registry.register(Box::new(request_seconds.clone()))?;
+        let allowance_use = IntGaugeVec::new(
+            Opts::new(
+                "fescuemux_allowance_requests",
+                "Requests in the last window of the busiest customers counted here, by rank",
+            ),
+            &["rank", "value"],
+        )?;
+        registry.register(Box::new(allowance_use.clone()))?;
         Ok(Metrics {
+            allowance_use,
             requests: register_counter(
                 "fescuemux_requests_total",
                 "Requests of callers by service, status and reason of a refusal or failure",
--- a/crates/fescuemux-sidecar/src/node.rs
+++ b/crates/fescuemux-sidecar/src/node.rs
@@ -6,6 +6,7 @@
 use crate::metrics::Metrics;
 use crate::{Dialect, FleetConfig, NodeSettings};
 use anyhow::Result;
+use fescuemux_core::allowances::AllowanceExchange;
 use fescuemux_core::base::{Clock, Cx, Generation, HashMap, Incarnation};
 use fescuemux_core::placement::{
     Admission, AdmissionController, ConfigFreshness, ConfigRole, Departure, FailedRequests,
@@ -83,6 +84,10 @@
     pub(crate) deferred_report: RefCell<Option<ServerReport>>,
     pub(crate) hop_pool: HopPool,
     pub(crate) load_queries: LoadQueries,
+    /// Allowances of customers, for the ingress and for the customers counted by this instance.
+    pub(crate) allowances: RefCell<AllowanceExchange>,
+    /// Wakes the requests that wait for a reply about an allowance.
+    pub(crate) allowance_notify: Notify,
     /// True once shutdown has begun.
     pub(crate) stopping: watch::Sender<bool>,
     /// Address of the instance from which to pull configuration and peers next.
@@ -111,6 +116,13 @@
         if settings.first_start {
             admission.on_first_start(now);
         }
+        let mut cx = Cx::new(now, rand::random());
+        let allowances = AllowanceExchange::new(
+            &mut cx,
+            settings.allowance_bounds,
+            settings.instance.clone(),
+            settings.first_start,
+        );
         let load_queries = LoadQueries::bind(settings.listen.peers)?;
         Ok(Node {
             metrics: Metrics::new()?,
@@ -139,11 +151,13 @@
             deferred_report: RefCell::default(),
             hop_pool: HopPool::default(),
             load_queries,
+            allowances: RefCell::new(allowances),
+            allowance_notify: Notify::new(),
             stopping: watch::Sender::new(false),
             pull_addr: RefCell::default(),
             pull_notify: Notify::new(),
             in_flight: Cell::new(0),
-            rng: RefCell::new(Cx::new(now, rand::random()).rng),
+            rng: RefCell::new(cx.rng),
             next_ticket: Cell::new(0),
             settings: RefCell::new(settings),
             dialect,
--- a/crates/fescuemux-sidecar/src/run.rs
+++ b/crates/fescuemux-sidecar/src/run.rs
@@ -3,7 +3,7 @@
 use crate::node::Node;
 use crate::serve::{accept_connections, bind, serve_simple};
 use crate::{Dialect, MetadataStore, NodeSettings, SettingsSource, supervise};
-use crate::{control, guard, hop, ingress, load_query, sync};
+use crate::{allowance_exchange, control, guard, hop, ingress, load_query, sync};
 use anyhow::Result;
 use fescuemux_clock::BootClock;
 use fescuemux_core::placement::ShutdownDeadlines;
@@ -52,6 +52,7 @@
     spawn_local(serve_peers(node.clone(), peer_listener));
     spawn_supervised("load_query", &node, load_query::serve);
     spawn_supervised("tick", &node, guard::tick);
+    spawn_supervised("allowances", &node, allowance_exchange::tick);
     spawn_supervised("pull", &node, sync::pull);
     spawn_supervised("gossip", &node, sync::gossip);
     let config_store = store.clone();
--- a/crates/fescuemux-sidecar/src/settings.rs
+++ b/crates/fescuemux-sidecar/src/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of a sidecar process.
 
 use anyhow::{Result, ensure};
+use fescuemux_core::allowances::AllowanceBounds;
 use fescuemux_core::base::{DomainId, InstanceId, ServiceId};
 use fescuemux_core::placement::RetryLimits;
 use std::net::SocketAddr;
@@ -9,6 +10,10 @@
 /// Minimum grace time; requests in flight could not be completed in a shorter time.
 const MIN_GRACE: Duration = Duration::from_secs(1);
 
+/// Minimum allowance window: leases last one second, and a counting instance that takes over hears
+/// of the last window within another one.
+const MIN_ALLOWANCE_WINDOW: Duration = Duration::from_secs(2);
+
 /// Listen addresses of the process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ListenAddresses {
@@ -41,6 +46,8 @@
     pub grace: Duration,
     /// Limits of the retry budget.
     pub retry_limits: RetryLimits,
+    /// Bounds of the requests of a customer with an allowance.
+    pub allowance_bounds: AllowanceBounds,
     /// Shortest lease TTL that the store grants.
     pub min_lease_ttl: Duration,
 }
@@ -66,6 +73,10 @@
         ensure!(self.retry_limits.ratio >= 0.0, "the retry ratio is negative");
         ensure!(self.retry_limits.slack >= 0.0, "the retry slack is negative");
         ensure!(!self.retry_limits.window.is_zero(), "the retry window is zero");
+        let AllowanceBounds { window, excess, slack } = self.allowance_bounds;
+        ensure!(window >= MIN_ALLOWANCE_WINDOW, "the allowance window of {window:?} is too short");
+        ensure!(excess >= 0.0, "the allowance excess is negative");
+        ensure!(slack >= 0.0, "the allowance slack is negative");
         Ok(())
     }
 }
