--- a/crates/fescuemux-core/tests/allowances/cases.rs
+++ b/crates/fescuemux-core/tests/allowances/cases.rs
@@ -14,7 +14,7 @@
 }
 
 /// Returns a customer at `factor` times its allowance beside 74 at their usual rate.
-fn one_beside_74(factor: f64, spread: Spread) -> Vec<Customer> {
+pub(crate) fn one_beside_74(factor: f64, spread: Spread) -> Vec<Customer> {
     let usual = |index: usize| {
         let rate = if index.is_multiple_of(12) { 40.0 } else { 1.0 + index as f64 / 20.0 };
         let spread = [Spread::Even, Spread::Uneven, Spread::Shifting][index % 3];
--- a/crates/fescuemux-core/tests/allowances/checker.rs
+++ b/crates/fescuemux-core/tests/allowances/checker.rs
@@ -21,7 +21,7 @@
 ) -> f64 {
     let sent: Vec<_> = sent.iter().filter(|at| **at >= from).collect();
     let mut first = 0;
-    let mut worst = f64::MIN;
+    let mut worst = 0.0_f64;
     for (last, at) in sent.iter().enumerate() {
         while **at - *sent[first] >= bounds.window {
             first += 1;
