--- a/crates/fescuemux-sidecar/src/ingress/reservation.rs
+++ b/crates/fescuemux-sidecar/src/ingress/reservation.rs
@@ -204,6 +204,7 @@
     let domain = node.settings.borrow().domain.clone();
     let query = LoadQuery {
         precedence: request.precedence(),
+        share: request.share(),
         route_hash: request.route_hash,
         expected_running_time: assumed_running_time(node, request),
     };
@@ -273,10 +274,11 @@
     let message = Message::Reserve(Reserve {
         addressee: peer.id.to_string(),
         service: request.service.to_string(),
-        priority: request.policy.priority,
+        priority: request.priority,
         idempotent: request.policy.class.is_idempotent(),
         nested: request.nested,
         tie_breaker: request.tie_breaker,
+        share: request.share().map(Into::into),
         is_retry: request.sent_attempts.get() > 0,
         nested_in_retry: request.nested_in_retry,
         route_hash: request.route_hash,
--- a/crates/fescuemux-sidecar/src/lib.rs
+++ b/crates/fescuemux-sidecar/src/lib.rs
@@ -13,6 +13,7 @@
 mod allowance_exchange;
 mod control;
 mod dialect;
+mod fair_share_record;
 mod fleet_config;
 mod guard;
 pub mod h1;
--- a/crates/fescuemux-sidecar/src/metrics.rs
+++ b/crates/fescuemux-sidecar/src/metrics.rs
@@ -3,8 +3,8 @@
 //! Must not know how the values of the metrics are determined.
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
-    TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 use std::time::Duration;
 
@@ -31,6 +31,10 @@
     pub(crate) in_flight: IntGauge,
     /// Requests of the busiest customers that the instance counts, by rank.
     pub(crate) allowance_use: IntGaugeVec,
+    /// Pipelined requests that started before their turn.
+    pub(crate) early_requests: IntCounter,
+    /// Number of connections with requests that started before their turn.
+    pub(crate) early_connections: IntGauge,
 }
 
 impl Metrics {
@@ -67,6 +71,11 @@
             &["rank", "value"],
         )?;
         registry.register(Box::new(allowance_use.clone()))?;
+        let early_requests = IntCounter::new(
+            "fescuemux_early_requests_total",
+            "Pipelined requests of callers that started before their turn",
+        )?;
+        registry.register(Box::new(early_requests.clone()))?;
         Ok(Metrics {
             allowance_use,
             requests: register_counter(
@@ -100,6 +109,11 @@
                 "fescuemux_requests_in_flight",
                 "Requests of callers under way",
             )?,
+            early_requests,
+            early_connections: register_gauge(
+                "fescuemux_early_connections",
+                "Connections of callers with pipelined requests that started before their turn",
+            )?,
             registry,
         })
     }
--- a/crates/fescuemux-sidecar/src/node.rs
+++ b/crates/fescuemux-sidecar/src/node.rs
@@ -8,11 +8,13 @@
 use anyhow::Result;
 use fescuemux_core::allowances::AllowanceExchange;
 use fescuemux_core::base::{Clock, Cx, Generation, HashMap, Incarnation};
+use fescuemux_core::caller_keys::{CallerKeys, UnfinishedParents};
+use fescuemux_core::pipelining::{EarlyStarts, PipelineLimits};
 use fescuemux_core::placement::{
     Admission, AdmissionController, ConfigFreshness, ConfigRole, Departure, FailedRequests,
     HeldDepartures, LocalServer, NoticeChange, OwnDepartures, Peer, PeerDirectory, RelayedNotice,
     RelayedNotices, RunningTimes, ServerNotice, ServerReport, ShutdownDeadlines, Ticket,
-    TrafficSplitter,
+    TrafficSplitter, is_nested_request_of,
 };
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -51,6 +53,8 @@
     pub(crate) logged_as_suspected: Cell<bool>,
     /// Requests that are running at the local backend server.
     pub(crate) running_requests: RefCell<Vec<RunningRequest>>,
+    /// Requests that may run at the local backend server without being in `running_requests`.
+    pub(crate) unfinished_parents: RefCell<UnfinishedParents>,
     /// Start time of the process.
     pub(crate) started_at: Instant,
     /// Time from which new requests are refused because they could outlast the process.
@@ -94,6 +98,8 @@
     pub(crate) pull_addr: RefCell<Option<SocketAddr>>,
     /// Wakes the task that pulls when `pull_addr` is set.
     pub(crate) pull_notify: Notify,
+    /// Pipelined requests that have started early at this ingress.
+    pub(crate) early_starts: RefCell<EarlyStarts>,
     /// Number of requests in flight at this ingress.
     pub(crate) in_flight: Cell<usize>,
     rng: RefCell<fescuemux_core::base::Rng>,
@@ -132,6 +138,7 @@
             idle_server_connections: RefCell::default(),
             logged_as_suspected: Cell::new(false),
             running_requests: RefCell::default(),
+            unfinished_parents: RefCell::new(UnfinishedParents::new(now, settings.first_start)),
             started_at: now,
             refuse_requests_from: Cell::new(None),
             shutdown_deadlines: Cell::new(None),
@@ -156,6 +163,7 @@
             stopping: watch::Sender::new(false),
             pull_addr: RefCell::default(),
             pull_notify: Notify::new(),
+            early_starts: RefCell::new(EarlyStarts::new(PipelineLimits::default())),
             in_flight: Cell::new(0),
             rng: RefCell::new(cx.rng),
             next_ticket: Cell::new(0),
@@ -192,6 +200,13 @@
         *self.stopping.borrow() || is_recent_start()
     }
 
+    /// Returns the request running at the local backend server in which the request `id` is nested,
+    /// if there is one.
+    pub(crate) fn running_parent(&self, id: &str) -> Option<RunningRequest> {
+        let running = self.running_requests.borrow();
+        running.iter().find(|parent| is_nested_request_of(id, &parent.id)).cloned()
+    }
+
     /// Returns a new ticket, which identifies a request at the local guard.
     pub(crate) fn next_ticket(&self) -> Ticket {
         self.next_ticket.set(self.next_ticket.get() + 1);
@@ -226,7 +241,9 @@
             version = config.version,
             previous = installed_version,
             source,
-            routes = config.routes.len()
+            routes = config.routes.len(),
+            customers = config.caller_keys.as_ref().map_or(0, CallerKeys::customer_count),
+            keys = config.caller_keys.as_ref().map_or(0, CallerKeys::key_count)
         );
         self.metrics.config_version.set(config.version as i64);
         // Drop the state of removed routes, as hundreds may be added and removed in a day.
