Ingress: admit requests within the allowance of their customer

Requests of a customer with an allowance were not limited.

The ingress decides before it reads the body: with its lease at once, or after a round trip to the counting instance. A request above the allowance gets 429 with a Retry-After; one that was not sent is taken back. Nested requests carry no account and do not count.

--- a/crates/fescuemux-sidecar/src/allowance_exchange.rs
+++ b/crates/fescuemux-sidecar/src/allowance_exchange.rs
@@ -236,3 +236,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/fescuemux-sidecar/src/ingress.rs
+++ b/crates/fescuemux-sidecar/src/ingress.rs
@@ -1,6 +1,7 @@
 //! Ingress: accepts requests from callers and from the local backend server, sends each to the
 //! guard of an instance and returns the response.
 
+mod allowance;
 mod attempt;
 mod authentication;
 mod caller_connection;
@@ -48,25 +49,37 @@
         Err(response) => return finish(&node, None, *response, &parts),
     };
     let disconnect_recorder = DisconnectRecorder { node: &node, request: &request };
+    let response = respond(&node, &request, body).await;
+    std::mem::forget(disconnect_recorder);
+    if !response.status.is_success() {
+        node.failed_requests.borrow_mut().add(node.now(), &request.request_id);
+    }
+    finish(&node, Some(&request), response, &parts)
+}
+
+/// Checks the allowance, reads the body and runs the attempts.
+async fn respond(node: &Node, request: &CallerRequest, body: Option<Incoming>) -> CallerResponse {
+    // Held until the response is known, so that a request that was not sent does not count.
+    let _counted_request = match &request.account {
+        Some(account) => match allowance::admit(node, request, account).await {
+            Ok(counted_request) => counted_request,
+            Err(response) => return *response,
+        },
+        None => None,
+    };
     let limits = node.config.borrow().as_ref().map(|config| config.limits);
     let max_body_bytes = limits.map_or(u64::MAX, |limits| limits.body_bytes);
-    let time_left = request.time_left(node.now());
     let read_body = async {
         match body {
             Some(body) => RequestBody::read(body, max_body_bytes).await,
             None => Ok(RequestBody::buffered(Bytes::new())),
         }
     };
-    let response = match tokio::time::timeout(time_left, read_body).await {
-        Ok(Ok(body)) => retry_loop::run(&node, &request, body).await,
+    match tokio::time::timeout(request.time_left(node.now()), read_body).await {
+        Ok(Ok(body)) => retry_loop::run(node, request, body).await,
         Ok(Err(response)) => response,
         Err(_) => CallerResponse::refused(StatusCode::REQUEST_TIMEOUT, "body_timeout", None),
-    };
-    std::mem::forget(disconnect_recorder);
-    if !response.status.is_success() {
-        node.failed_requests.borrow_mut().add(node.now(), &request.request_id);
     }
-    finish(&node, Some(&request), response, &parts)
 }
 
 /// Logs a response, counts it in the metrics and converts it to HTTP.
