Core: locality policy decides when requests leave their failure domain

Cause: the cost of leaving a domain was fixed (15 ms and 30 ms a kilobyte) at each load, and two of five load queries went to other domains even when home had free slots.

Change: locality/ compares the probability of missing the objective at home and elsewhere, with a cost that depends on relative size, on free servers at home and elsewhere and on the route. It asks other domains only if an offer would be accepted, and limits requests in flight in each domain. PeerDirectory::sample_domains samples with a limit of remote instances.

--- a/crates/fescuemux-core/src/lib.rs
+++ b/crates/fescuemux-core/src/lib.rs
@@ -61,6 +61,7 @@
 pub mod dedup;
 pub mod detect;
 pub mod eject;
+pub mod locality;
 pub mod member;
 pub mod placement;
 pub mod retry;
--- a/crates/fescuemux-core/src/placement.rs
+++ b/crates/fescuemux-core/src/placement.rs
@@ -43,6 +43,7 @@
 };
 pub use eviction_response::{EvictedAttempt, EvictionResponse};
 pub use failed_requests::{FailedRequests, is_nested_request_of};
+pub(crate) use fault_estimator::survival;
 pub use fault_estimator::{Evidence, FaultEstimator, InFlightRequest};
 pub use load_report::{LoadReport, Readiness};
 pub use local_server::{LocalServer, ServerPhase, ServerReport};
--- a/crates/fescuemux-core/src/placement/fault_estimator.rs
+++ b/crates/fescuemux-core/src/placement/fault_estimator.rs
@@ -177,7 +177,7 @@
 /// Returns the probability that a request on a healthy server runs longer than `ratio` times the
 /// mean. The distribution is log-logistic, close to a log-normal distribution with a standard
 /// deviation of 0.8 (of the logarithm), the widest of the users' routes.
-fn survival(ratio: f64) -> f64 {
+pub(crate) fn survival(ratio: f64) -> f64 {
     const SCALE: f64 = 1.97;
     const SHAPE: f64 = 2.13;
     1.0 / (1.0 + SCALE * ratio.max(0.0).powf(SHAPE))
--- a/crates/fescuemux-core/src/placement/peer_directory.rs
+++ b/crates/fescuemux-core/src/placement/peer_directory.rs
@@ -149,6 +149,45 @@
         limit: usize,
         excluded: &[InstanceId],
     ) -> Vec<Peer> {
+        let [local, remote, backing_off] = self.shuffled(cx, service, domain, excluded);
+        let remote_count = remote.len().min(limit - (limit * 2 / 3).min(local.len()));
+        let local_count = limit - remote_count;
+        let preferred =
+            local.into_iter().take(local_count).chain(remote.into_iter().take(remote_count));
+        preferred.chain(backing_off).take(limit).map(|entry| entry.peer.clone()).collect()
+    }
+
+    /// Returns up to `limit` random instances of `service` that are not in `excluded`, of which up to
+    /// `remote_limit` are in other domains than `domain`. Instances in backoff are used only when
+    /// there are too few others.
+    pub fn sample_domains(
+        &self,
+        cx: &mut Cx,
+        service: &str,
+        domain: &str,
+        limit: usize,
+        remote_limit: usize,
+        excluded: &[InstanceId],
+    ) -> Vec<Peer> {
+        let [local, remote, backing_off] = self.shuffled(cx, service, domain, excluded);
+        let (local_off, remote_off): (Vec<_>, Vec<_>) =
+            backing_off.into_iter().partition(|entry| entry.peer.domain == domain);
+        let remote: Vec<_> =
+            remote.into_iter().chain(remote_off).take(remote_limit.min(limit)).collect();
+        let local_count = limit - remote.len();
+        let local = local.into_iter().chain(local_off).take(local_count);
+        local.chain(remote).map(|entry| entry.peer.clone()).collect()
+    }
+
+    /// Returns the instances of `service` that are not in `excluded` in random order: those of
+    /// `domain`, those of other domains, and those in backoff.
+    fn shuffled(
+        &self,
+        cx: &mut Cx,
+        service: &str,
+        domain: &str,
+        excluded: &[InstanceId],
+    ) -> [Vec<&Entry>; 3] {
         let mut all: Vec<&Entry> = self.by_service.get(service).map_or(Vec::new(), |ids| {
             let usable = ids.iter().filter(|id| !excluded.contains(id));
             usable.filter_map(|id| self.entries.get(id)).collect()
@@ -156,13 +195,8 @@
         all.shuffle(&mut cx.rng);
         let (available, backing_off): (Vec<_>, Vec<_>) =
             all.into_iter().partition(|entry| entry.backoff_until <= cx.now);
-        let (local, remote): (Vec<_>, Vec<_>) =
-            available.into_iter().partition(|entry| entry.peer.domain == domain);
-        let remote_count = remote.len().min(limit - (limit * 2 / 3).min(local.len()));
-        let local_count = limit - remote_count;
-        let preferred =
-            local.into_iter().take(local_count).chain(remote.into_iter().take(remote_count));
-        preferred.chain(backing_off).take(limit).map(|entry| entry.peer.clone()).collect()
+        let (local, remote) = available.into_iter().partition(|entry| entry.peer.domain == domain);
+        [local, remote, backing_off]
     }
 
     /// Returns up to `limit` random instances other than `own_id`, regardless of backoff.
