Sidecar: the locality policy selects guards and ranks their offers

Cause: sampling and ranking of guards used fixed costs of leaving the failure domain.

Change: ingress/locality.rs connects reservation and attempts to core locality/. Metrics fescuemux_domain_requests_total and fescuemux_domain_bytes_total by domain and reason; log fields domain and left_home. With the policy, the time-out of further replies to load queries includes the round-trip time to the queried domains: 8 ms after a reply from home is too short for a path of 5.4 ms in each direction.

--- a/crates/fescuemux-sidecar/src/ingress.rs
+++ b/crates/fescuemux-sidecar/src/ingress.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod caller_connection;
 mod exchange;
+mod locality;
 mod request;
 mod request_body;
 mod reservation;
@@ -14,6 +15,7 @@
 mod tests;
 
 use crate::node::Node;
+use fescuemux_core::locality::LeaveReason;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use request::CallerRequest;
@@ -73,6 +75,8 @@
     let elapsed = arrival.map_or(Duration::ZERO, |at| node.now().saturating_duration_since(at));
     let last_tried_instance =
         request.and_then(|request| request.tried_instances.borrow().last().cloned());
+    let peer = response.peer.clone().or(last_tried_instance).unwrap_or_default();
+    let domain = node.directory.borrow().get(&peer).map(|peer| peer.domain.clone());
     info!(
         event = "request",
         request = request_id,
@@ -84,7 +88,9 @@
         status,
         reason,
         verdict = %response.verdict,
-        peer = response.peer.as_deref().or(last_tried_instance.as_deref()).unwrap_or_default(),
+        peer = %peer,
+        domain = domain.as_deref().unwrap_or_default(),
+        left_home = response.left_home.map_or("", LeaveReason::as_str),
         sent = request.map_or(0, |request| request.sent_attempts.get()),
         failure_probability = request.map_or(0.0, |request| request.failure_probability.get()),
         ms = elapsed.as_millis() as u64,
--- a/crates/fescuemux-sidecar/src/ingress/attempt.rs
+++ b/crates/fescuemux-sidecar/src/ingress/attempt.rs
@@ -1,6 +1,7 @@
 //! A single attempt: reserves a slot, sends the request and receives the response.
 
 use super::exchange::Exchange;
+use super::locality::DomainAttempt;
 use super::request::CallerRequest;
 use super::request_body::RequestBody;
 use super::reservation::{Reservation, reserve_slot};
@@ -10,6 +11,7 @@
 use crate::node::Node;
 use bytes::BytesMut;
 use fescuemux_core::base::Verdict;
+use fescuemux_core::locality::RemoteOutcome;
 use fescuemux_core::placement::{EvictedAttempt, Peer, Refusal};
 use std::cell::Cell;
 use std::time::{Duration, Instant};
@@ -77,14 +79,15 @@
     may_wait: bool,
     state: &AttemptState,
 ) -> AttemptOutcome {
-    let reservation = match reserve_slot(node, request, body.buffered.len(), may_wait).await {
+    let request_bytes = body.len.unwrap_or(body.buffered.len() as u64);
+    let reservation = match reserve_slot(node, request, request_bytes, may_wait).await {
         Ok(reservation) => reservation,
         Err(refusal) => return AttemptOutcome::NoSlot(refusal),
     };
     let sent_at = node.now();
     request.sent_attempts.set(request.sent_attempts.get() + 1);
     request.may_have_run.set(true);
-    request.failure_probability.set(reservation.failure_probability);
+    request.failure_probability.set(reservation.load_report.failure_probability);
     request.tried_instances.borrow_mut().push(reservation.peer.id.clone());
     request.hedge_at.set(Some(
         sent_at + reservation.expected_running_time.mul_f64(HEDGE_FACTOR).max(MIN_HEDGE_DELAY),
@@ -93,7 +96,8 @@
         sent_at + EvictedAttempt::presumed_lost_after(reservation.expected_running_time);
     state.phase.set(AttemptPhase::Sent { presumed_lost_at });
     request.attempt_notify.notify_one();
-    let Reservation { hop, peer, expected_running_time, .. } = reservation;
+    let domain_attempt = DomainAttempt::start(node, &reservation, request_bytes);
+    let Reservation { hop, peer, expected_running_time, left_home, .. } = reservation;
     let mut exchange = Exchange::start(hop, commit(node, request, body), body);
     let outcome = match receive_head(request, &mut exchange, state).await {
         Ok(GuardReply::Head(head)) => {
@@ -106,7 +110,10 @@
                 expected_running_time,
             );
             match ServerResponseHead::try_from(head) {
-                Ok(head) => receive_body(node, request, &peer, exchange, head).await,
+                Ok(head) => {
+                    let on_size = |bytes| domain_attempt.on_response(request_bytes, bytes);
+                    receive_body(node, request, &peer, exchange, head, on_size).await
+                }
                 Err(e) => broken_response(&e),
             }
         }
@@ -122,12 +129,32 @@
             AttemptOutcome::MayHaveRun { reason: "peer_lost" }
         }
     };
+    domain_attempt.end(domain_outcome(&outcome));
     node.metrics.record_attempt(match &outcome {
         AttemptOutcome::Responded(_) => "answered",
         AttemptOutcome::NoSlot(_) => "no_slot",
         AttemptOutcome::NotRun { reason, .. } | AttemptOutcome::MayHaveRun { reason } => reason,
     });
-    outcome
+    match outcome {
+        AttemptOutcome::Responded(response) => {
+            AttemptOutcome::Responded(CallerResponse { left_home, ..response })
+        }
+        outcome => outcome,
+    }
+}
+
+/// Returns what an outcome says about the failure domain of the server.
+fn domain_outcome(outcome: &AttemptOutcome) -> RemoteOutcome {
+    match outcome {
+        AttemptOutcome::Responded(response) if !response.is_server_error() => {
+            RemoteOutcome::Answered
+        }
+        AttemptOutcome::MayHaveRun { reason } if *reason == Failure::Evicted.as_str() => {
+            RemoteOutcome::Canceled
+        }
+        AttemptOutcome::Responded(_) | AttemptOutcome::MayHaveRun { .. } => RemoteOutcome::Failed,
+        AttemptOutcome::NotRun { .. } | AttemptOutcome::NoSlot(_) => RemoteOutcome::Canceled,
+    }
 }
 
 fn failure_outcome(request: &CallerRequest, failure: Failure) -> AttemptOutcome {
@@ -193,6 +220,7 @@
     peer: &Peer,
     mut exchange: Exchange,
     head: ServerResponseHead,
+    on_size: impl FnOnce(u64),
 ) -> AttemptOutcome {
     exchange.expect_body(head.body_len);
     let mut buffered = BytesMut::new();
@@ -207,7 +235,9 @@
             Err(e) => return broken_response(&e),
         }
     }
-    record_response_size(node, request.route_hash, head.body_len.unwrap_or(buffered.len() as u64));
+    let response_bytes = head.body_len.unwrap_or(buffered.len() as u64);
+    record_response_size(node, request.route_hash, response_bytes);
+    on_size(response_bytes);
     let body = if complete {
         if let Some(hop) = exchange.into_connection(node.now()) {
             node.hop_pool.put(peer.addr, node.now(), hop);
@@ -224,6 +254,7 @@
         verdict: Verdict::Ran,
         retry_after: None,
         peer: Some(peer.id.clone()),
+        left_home: None,
     })
 }
 
--- a/crates/fescuemux-sidecar/src/ingress/reservation.rs
+++ b/crates/fescuemux-sidecar/src/ingress/reservation.rs
@@ -1,19 +1,15 @@
 //! Reservation of a slot for a request at one of the guards.
 
 use super::DEFAULT_RETRY_AFTER;
+use super::locality::Search;
 use super::request::CallerRequest;
 use crate::hop::{HopConnection, HopError, Message, Reserve};
 use crate::load_query::{self, LoadQuery, LoadReply};
 use crate::node::Node;
 use fescuemux_core::base::InstanceId;
-use fescuemux_core::placement::{
-    Peer, PlacementCost, Refusal, SlotRefusalReason, UnplacedRequest, rank, should_query_more,
-};
-use std::time::Duration;
-
-/// Number of guards queried at once. At most two thirds are in the local failure domain if other
-/// domains have guards, so there is a choice both among local and among remote guards.
-const GUARDS_PER_BATCH: usize = 5;
+use fescuemux_core::locality::LeaveReason;
+use fescuemux_core::placement::{LoadReport, Peer, Refusal, SlotRefusalReason, UnplacedRequest};
+use std::time::{Duration, Instant};
 
 /// Number of query rounds without a slot or queue place after which a request is refused, unless
 /// [`should_keep_looking`] allows more rounds.
@@ -41,8 +37,22 @@
     pub(super) peer: Peer,
     /// Expected running time at the backend server.
     pub(super) expected_running_time: Duration,
-    /// Failure probability of the backend server when the guard was queried.
-    pub(super) failure_probability: f64,
+    /// Load report of the guard.
+    pub(super) load_report: LoadReport,
+    /// Why the guard is in another failure domain, if it is.
+    pub(super) left_home: Option<LeaveReason>,
+    /// Time of the reservation.
+    reserved_at: Instant,
+}
+
+impl Reservation {
+    /// Returns the load report with the remaining wait of the queued request. A wait that is longer
+    /// than expected is expected to last as long again as it exceeds the estimate.
+    pub(super) fn waiting(&self, now: Instant) -> LoadReport {
+        let elapsed = now.saturating_duration_since(self.reserved_at);
+        let expected_wait = self.load_report.expected_wait.abs_diff(elapsed);
+        LoadReport { expected_wait, ..self.load_report }
+    }
 }
 
 /// Reply to a reservation.
@@ -62,7 +72,7 @@
 pub(super) async fn reserve_slot(
     node: &Node,
     request: &CallerRequest,
-    body_len: usize,
+    body_len: u64,
     may_wait: bool,
 ) -> Result<Reservation, Refusal> {
     let mut queued_reservation: Option<Reservation> = None;
@@ -77,16 +87,21 @@
             let reason = SlotRefusalReason::Stopping;
             return Err(Refusal { reason, retry_in: DEFAULT_RETRY_AFTER });
         }
-        let load_replies =
-            query_load_replies(node, request, body_len, &skipped, queued_reservation.as_ref())
-                .await;
+        let queued = queued_reservation.as_ref();
+        let search = Search::new(node, request, body_len, rounds > 0 && queued.is_none(), queued);
+        let (load_replies, leave_reason) =
+            query_load_replies(&search, request, &skipped, queued).await;
         for load_reply in load_replies {
             if queued_reservation.is_some() && !load_reply.load_report.is_better_than_queueing() {
                 continue;
             }
-            match try_reserve(node, request, &load_reply, may_wait && queued_reservation.is_none())
-                .await
-            {
+            let leave_reason = match refused_by.is_empty() {
+                true => leave_reason,
+                false => LeaveReason::Refused,
+            };
+            let left_home = (load_reply.peer.domain != search.placed.home).then_some(leave_reason);
+            let may_wait = may_wait && queued_reservation.is_none();
+            match try_reserve(node, request, &load_reply, left_home, may_wait).await {
                 ReserveReply::Granted(reservation) => return Ok(reservation),
                 ReserveReply::Queued(reservation) => {
                     queued_reservation = Some(reservation);
@@ -192,55 +207,45 @@
 /// Queries several guards and returns their replies, best first. A request that waits already is
 /// only moved to a free slot, so it queries a single batch.
 async fn query_load_replies(
-    node: &Node,
+    search: &Search<'_>,
     request: &CallerRequest,
-    body_len: usize,
     skipped: &[InstanceId],
     queued_reservation: Option<&Reservation>,
-) -> Vec<LoadReply> {
+) -> (Vec<LoadReply>, LeaveReason) {
     let mut excluded = request.tried_instances.borrow().clone();
     excluded.extend_from_slice(skipped);
     excluded.extend(queued_reservation.map(|reservation| reservation.peer.id.clone()));
-    let domain = node.settings.borrow().domain.clone();
     let query = LoadQuery {
         precedence: request.precedence(),
         route_hash: request.route_hash,
-        expected_running_time: assumed_running_time(node, request),
+        expected_running_time: search.placed.running_time,
     };
     let mut load_replies: Vec<LoadReply> = Vec::new();
-    for batch_count in 1.. {
-        let peers = node.with_cx(|cx| {
-            let directory = node.directory.borrow();
-            directory.sample(cx, &request.service, &domain, GUARDS_PER_BATCH, &excluded)
-        });
+    for batch_count in 0.. {
+        let peers = search.sample(batch_count, &load_replies, &excluded);
         if peers.is_empty() {
             break;
         }
         excluded.extend(peers.iter().map(|peer| peer.id.clone()));
-        load_replies.extend(load_query::query_peers(node, peers, query).await);
-        let reports = load_replies.iter().map(|load_reply| load_reply.load_report);
-        if queued_reservation.is_some() || !should_query_more(batch_count, reports) {
+        load_replies.extend(load_query::query_peers(search.node, peers, query).await);
+        if queued_reservation.is_some() || !search.should_query_more(batch_count + 1, &load_replies)
+        {
             break;
         }
     }
-    let mean_response_kb =
-        node.mean_response_kb.borrow().get(&request.route_hash).copied().unwrap_or(1.0);
-    let transfer_kb = mean_response_kb + body_len as f64 / 1024.0;
-    let idempotent = request.policy.class.is_idempotent();
-    rank(&mut load_replies, &PlacementCost::default(), transfer_kb, idempotent, |load_reply| {
-        (load_reply.peer.domain == domain, load_reply.load_report)
-    });
-    load_replies
+    let leave_reason = search.order(&mut load_replies);
+    (load_replies, leave_reason)
 }
 
 async fn try_reserve(
     node: &Node,
     request: &CallerRequest,
     load_reply: &LoadReply,
+    left_home: Option<LeaveReason>,
     may_wait: bool,
 ) -> ReserveReply {
-    let reserving =
-        tokio::time::timeout(RESERVE_TIMEOUT, send_reserve(node, request, load_reply, may_wait));
+    let sending = send_reserve(node, request, load_reply, left_home, may_wait);
+    let reserving = tokio::time::timeout(RESERVE_TIMEOUT, sending);
     let peer = &load_reply.peer;
     let result = reserving.await.unwrap_or(Err(HopError::TimedOut));
     match result {
@@ -264,6 +269,7 @@
     node: &Node,
     request: &CallerRequest,
     load_reply: &LoadReply,
+    left_home: Option<LeaveReason>,
     may_wait: bool,
 ) -> Result<ReserveReply, HopError> {
     let peer = load_reply.peer.clone();
@@ -289,22 +295,15 @@
     hop.send(message).await?;
     let response = hop.next_message().await?;
     let expected_running_time = expected_running_time(node, request, load_reply);
-    let failure_probability = load_reply.load_report.failure_probability;
+    let load_report = load_reply.load_report;
+    let reserved_at = node.now();
+    let reservation =
+        |hop| Reservation { hop, peer, expected_running_time, load_report, left_home, reserved_at };
     match response {
-        Message::Granted => Ok(ReserveReply::Granted(Reservation {
-            hop,
-            peer,
-            expected_running_time,
-            failure_probability,
-        })),
-        Message::Queued(_) => Ok(ReserveReply::Queued(Reservation {
-            hop,
-            peer,
-            expected_running_time,
-            failure_probability,
-        })),
+        Message::Granted => Ok(ReserveReply::Granted(reservation(hop))),
+        Message::Queued(_) => Ok(ReserveReply::Queued(reservation(hop))),
         Message::Refused(refused) => {
-            node.hop_pool.put(peer.addr, node.now(), hop);
+            node.hop_pool.put(load_reply.peer.addr, node.now(), hop);
             Ok(ReserveReply::Refused(refused.into()))
         }
         _ => Err(HopError::UnexpectedMessage),
@@ -322,7 +321,7 @@
 
 /// Returns the mean running time of the route measured at this ingress, or else a value derived
 /// from the route's objective.
-fn assumed_running_time(node: &Node, request: &CallerRequest) -> Duration {
+pub(super) fn assumed_running_time(node: &Node, request: &CallerRequest) -> Duration {
     let known = node.running_times.borrow().route_mean(request.route_hash);
     known.unwrap_or_else(|| request.policy.default_running_time())
 }
--- a/crates/fescuemux-sidecar/src/ingress/response.rs
+++ b/crates/fescuemux-sidecar/src/ingress/response.rs
@@ -4,6 +4,7 @@
 use crate::hop::{HopError, HopResponseHead};
 use bytes::Bytes;
 use fescuemux_core::base::{InstanceId, Verdict};
+use fescuemux_core::locality::LeaveReason;
 use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode, header};
 use std::time::Duration;
 
@@ -50,6 +51,8 @@
     pub(super) retry_after: Option<Duration>,
     /// Instance whose backend server responded.
     pub(super) peer: Option<InstanceId>,
+    /// Why that instance is in another failure domain, if it is.
+    pub(super) left_home: Option<LeaveReason>,
 }
 
 impl CallerResponse {
@@ -68,6 +71,7 @@
             retry_after: retry_after
                 .map(|retry| retry.clamp(RETRY_AFTER_RANGE.0, RETRY_AFTER_RANGE.1)),
             peer: None,
+            left_home: None,
         }
     }
 
--- a/crates/fescuemux-sidecar/src/load_query.rs
+++ b/crates/fescuemux-sidecar/src/load_query.rs
@@ -5,6 +5,7 @@
 
 use crate::node::Node;
 use fescuemux_core::base::HashMap;
+use fescuemux_core::locality::Offered;
 use fescuemux_core::placement::{LoadReport, Peer, Precedence, Readiness, ReportedAge};
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
@@ -23,6 +24,9 @@
 /// Timeout of all further replies, from the first reply on.
 const MORE_REPLIES_TIMEOUT: Duration = Duration::from_millis(8);
 
+/// Round-trip time assumed to another failure domain before the first reply from there.
+const UNKNOWN_RTT: Duration = Duration::from_millis(20);
+
 /// Maximum datagram size, below the usual MTU.
 const MAX_DATAGRAM_BYTES: usize = 1_200;
 
@@ -238,6 +242,8 @@
             (seq, peer)
         })
         .collect();
+    let sent_at = node.now();
+    let more_replies_timeout = more_replies_timeout(node, queried.iter().map(|(_, peer)| peer));
     let pending = PendingQueries { node, seqs: queried.iter().map(|(seq, _)| *seq).collect() };
     let mut replies = Vec::with_capacity(queried.len());
     let mut deadline = Instant::now() + FIRST_REPLY_TIMEOUT;
@@ -247,9 +253,10 @@
             break;
         };
         if replies.is_empty() {
-            deadline = deadline.min(Instant::now() + MORE_REPLIES_TIMEOUT);
+            deadline = deadline.min(Instant::now() + more_replies_timeout);
         }
         if let Some((_, peer)) = queried.iter().find(|(other, _)| *other == seq) {
+            on_reply(node, peer, load_report, sent_at);
             replies.push(LoadReply { peer: peer.clone(), load_report });
         }
     }
@@ -258,10 +265,33 @@
         queried.iter().filter(|(_, peer)| replies.iter().all(|reply| reply.peer.id != peer.id));
     for (_, peer) in unresponsive {
         node.directory.borrow_mut().on_timeout(node.now(), &peer.id);
+        node.locality.borrow_mut().on_no_reply(node.now(), &peer.domain);
     }
     replies
 }
 
+/// Records a reply for the locality policy.
+fn on_reply(node: &Node, peer: &Peer, report: LoadReport, sent_at: std::time::Instant) {
+    let now = node.now();
+    let offered = Offered { domain: &peer.domain, report };
+    let rtt = now.saturating_duration_since(sent_at);
+    node.locality.borrow_mut().on_reply(now, &peer.service, offered, rtt);
+}
+
+/// Returns the timeout of all replies after the first. With a locality policy it includes the
+/// round-trip time to the domains that are queried; a reply from the own domain may arrive earlier
+/// than one from another domain by more than [`MORE_REPLIES_TIMEOUT`].
+fn more_replies_timeout<'a>(node: &Node, peers: impl Iterator<Item = &'a Peer>) -> Duration {
+    let settings = node.settings.borrow();
+    if !settings.locality {
+        return MORE_REPLIES_TIMEOUT;
+    }
+    let locality = node.locality.borrow();
+    let others = peers.filter(|peer| peer.domain != settings.domain);
+    let rtt = others.map(|peer| locality.rtt(&peer.domain).unwrap_or(UNKNOWN_RTT)).max();
+    (MORE_REPLIES_TIMEOUT + rtt.unwrap_or(Duration::ZERO)).min(FIRST_REPLY_TIMEOUT)
+}
+
 /// Pending queries of one call of [`query_peers`], removed when the call ends or is cancelled.
 struct PendingQueries<'a> {
     node: &'a Node,
--- a/crates/fescuemux-sidecar/src/metrics.rs
+++ b/crates/fescuemux-sidecar/src/metrics.rs
@@ -2,6 +2,7 @@
 //!
 //! Must not know how the values of the metrics are determined.
 
+use fescuemux_core::locality::LeaveReason;
 use prometheus::{
     Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
 };
@@ -20,6 +21,8 @@
     attempts: IntCounterVec,
     admissions: IntCounterVec,
     store_calls: IntCounterVec,
+    domain_requests: IntCounterVec,
+    domain_bytes: IntCounterVec,
     /// Version of the current configuration.
     pub(crate) config_version: IntGauge,
     /// Age of the confirmation that the configuration is the latest, in milliseconds.
@@ -78,6 +81,17 @@
                 "Calls to the store by kind and result",
                 &["call", "result"],
             )?,
+            domain_requests: register_counter(
+                "fescuemux_domain_requests_total",
+                "Attempts by failure domain of the backend server, and why they left their domain",
+                &["domain", "reason"],
+            )?,
+            domain_bytes: register_counter(
+                "fescuemux_domain_bytes_total",
+                "Bytes of request and response bodies by failure domain of the backend server, and \
+                 why they left their domain",
+                &["domain", "reason"],
+            )?,
             config_version: register_gauge("fescuemux_config_version", "Configuration in force")?,
             config_age_ms: register_gauge(
                 "fescuemux_config_age_milliseconds",
@@ -119,6 +133,16 @@
         self.store_calls.with_label_values(&[call, if ok { "ok" } else { "error" }]).inc();
     }
 
+    /// Counts an attempt that is sent to a backend server in `domain`.
+    pub(crate) fn record_sent(&self, domain: &str, left_home: Option<LeaveReason>) {
+        self.domain_requests.with_label_values(&[domain, domain_reason(left_home)]).inc();
+    }
+
+    /// Counts bytes to or from a backend server in `domain`.
+    pub(crate) fn record_bytes(&self, domain: &str, left_home: Option<LeaveReason>, bytes: u64) {
+        self.domain_bytes.with_label_values(&[domain, domain_reason(left_home)]).inc_by(bytes);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     ///
     /// # Errors
@@ -129,3 +153,8 @@
         Ok(buf)
     }
 }
+
+/// Returns the reason for which requests are in the domain of their server.
+fn domain_reason(left_home: Option<LeaveReason>) -> &'static str {
+    left_home.map_or("home", LeaveReason::as_str)
+}
--- a/crates/fescuemux-sidecar/src/node.rs
+++ b/crates/fescuemux-sidecar/src/node.rs
@@ -7,6 +7,7 @@
 use crate::{Dialect, FleetConfig, NodeSettings};
 use anyhow::Result;
 use fescuemux_core::base::{Clock, Cx, Generation, HashMap, Incarnation};
+use fescuemux_core::locality::LocalityPolicy;
 use fescuemux_core::placement::{
     Admission, AdmissionController, ConfigFreshness, ConfigRole, Departure, FailedRequests,
     HeldDepartures, LocalServer, NoticeChange, OwnDepartures, Peer, PeerDirectory, RelayedNotice,
@@ -81,6 +82,8 @@
     pub(crate) departures_changed: watch::Sender<()>,
     /// Last report that came before [`Node::knows_departures`].
     pub(crate) deferred_report: RefCell<Option<ServerReport>>,
+    /// Decides when requests leave the failure domain.
+    pub(crate) locality: RefCell<LocalityPolicy>,
     pub(crate) hop_pool: HopPool,
     pub(crate) load_queries: LoadQueries,
     /// True once shutdown has begun.
@@ -137,6 +140,7 @@
             held_departures: RefCell::default(),
             departures_changed: watch::Sender::new(()),
             deferred_report: RefCell::default(),
+            locality: RefCell::default(),
             hop_pool: HopPool::default(),
             load_queries,
             stopping: watch::Sender::new(false),
--- a/crates/fescuemux-sidecar/src/settings.rs
+++ b/crates/fescuemux-sidecar/src/settings.rs
@@ -43,6 +43,9 @@
     pub retry_limits: RetryLimits,
     /// Shortest lease TTL that the store grants.
     pub min_lease_ttl: Duration,
+    /// Whether the locality policy decides when requests leave the failure domain, and not fixed
+    /// costs.
+    pub locality: bool,
 }
 
 impl NodeSettings {
