--- a/crates/fescuemux-core/src/lib.rs
+++ b/crates/fescuemux-core/src/lib.rs
@@ -62,6 +62,7 @@
 pub mod detect;
 pub mod eject;
 pub mod fair_queue;
+pub mod locality;
 pub mod member;
 pub mod pipelining;
 pub mod placement;
--- a/crates/fescuemux-sidecar/src/node.rs
+++ b/crates/fescuemux-sidecar/src/node.rs
@@ -9,6 +9,7 @@
 use fescuemux_core::allowances::AllowanceExchange;
 use fescuemux_core::base::{Clock, Cx, Generation, HashMap, Incarnation};
 use fescuemux_core::caller_keys::{CallerAccount, CallerKeys, FrequentCallers, UnfinishedParents};
+use fescuemux_core::locality::LocalityPolicy;
 use fescuemux_core::pipelining::{EarlyStarts, PipelineLimits};
 use fescuemux_core::placement::{
     Admission, AdmissionController, ConfigFreshness, ConfigRole, Departure, FailedRequests,
@@ -88,6 +89,8 @@
     pub(crate) departures_changed: watch::Sender<()>,
     /// Last report that came before [`Node::knows_departures`].
     pub(crate) deferred_report: RefCell<Option<ServerReport>>,
+    /// Decides when requests leave the failure domain.
+    pub(crate) locality: RefCell<LocalityPolicy>,
     pub(crate) hop_pool: HopPool,
     pub(crate) load_queries: LoadQueries,
     /// Allowances of customers, for the ingress and for the customers counted by this instance.
@@ -159,6 +162,7 @@
             held_departures: RefCell::default(),
             departures_changed: watch::Sender::new(()),
             deferred_report: RefCell::default(),
+            locality: RefCell::default(),
             hop_pool: HopPool::default(),
             load_queries,
             allowances: RefCell::new(allowances),
