Tests: clients that exhaust the memory or descriptors of a sidecar

Cause: nothing in a sidecar accounts for the bytes and descriptors that clients make it hold. Change: crowds of clients with bodies, frames, heads and idle connections, against real processes with limits in their settings. The checks: the process lives, its peak memory and its descriptors stay within the settings, and an ordinary request is answered afterwards.

--- a/crates/fescuemux-standins/src/raw.rs
+++ b/crates/fescuemux-standins/src/raw.rs
@@ -2,6 +2,7 @@
 
 pub mod broken;
 mod caller;
+mod crowd;
 pub mod requests;
 mod sound;
 
@@ -11,6 +12,7 @@
 use std::time::Duration;
 
 pub use caller::{CallerAnswer, call};
+pub use crowd::{Behaviour, Crowd, Section};
 pub use sound::{SOUND_BODY, early_answers, sound_answers};
 
 /// Part of [`RawAnswer::bytes`] that stands for the header lines with which a sound server proves
