--- a/crates/fescuemux-core/src/lib.rs
+++ b/crates/fescuemux-core/src/lib.rs
@@ -62,6 +62,7 @@
 pub mod detect;
 pub mod eject;
 pub mod member;
+pub mod memory;
 pub mod placement;
 pub mod retry;
 pub mod route;
