Sidecar: keep memory and connections within the limits of the settings

Cause: bodies, held responses, frames and connections grew with the number of clients. A chunked body was never cut at body_bytes. Change: settings memory_mb and max_fds (absent: no limit). Bodies are read as the budget allows, and may have to give it up: 503 if nothing was sent to a guard, else 502. Chunked bodies are cut at the limit: 413 if nothing was sent, else 502 (also without limits in the settings). Responses are buffered as far as memory allows and streamed beyond; they count until the HTTP library has taken them, in parts of 16 KiB. At the limit of connections an idle one is closed, or one whose client does not read for 2 s; a caller that sends without pause gets Connection: close. Frames to a guard are bounded. Metrics and one log line a second report what was released. An upload whose memory is released ends as a whole, so that no server takes its beginning for the request. Heads that trickle hold connections until others need them; their timeout is not part of this change. Uploads of 64 MiB with a length and chunked, and a response of 128 MiB, are served with memory_mb 96 (large_bodies).

--- a/crates/fescuemux-sidecar/src/control.rs
+++ b/crates/fescuemux-sidecar/src/control.rs
@@ -118,6 +118,7 @@
 pub(crate) async fn handle_metrics(node: &Node, _: &Request<()>, _: &[u8]) -> SimpleResponse {
     let age_ms = node.config_age().map_or(i64::MAX, |age| age.as_millis() as i64);
     node.metrics.config_age_ms.set(age_ms);
+    node.memory.update_metrics();
     match node.metrics.encode_text() {
         Ok(buf) => Response::new(Full::new(Bytes::from(buf))),
         Err(e) => {
--- a/crates/fescuemux-sidecar/src/guard.rs
+++ b/crates/fescuemux-sidecar/src/guard.rs
@@ -7,6 +7,7 @@
 use crate::hop::{
     Frame, HopConnection, HopError, Message, OwnerDepartures, PeerRecord, Pull, Reserve, State,
 };
+use crate::memory::ConnectionPermit;
 use crate::node::Node;
 use fescuemux_core::placement::{
     Admission, AttemptKind, Refusal, SlotRefusalReason, SlotRequest, Ticket,
@@ -26,9 +27,11 @@
 pub(crate) use server_connections::is_hop_by_hop;
 
 /// Serves a connection from an instance, which may be this one, until the connection ends.
-pub(crate) async fn serve(node: Rc<Node>, mut hop: HopConnection) {
+pub(crate) async fn serve(node: Rc<Node>, mut hop: HopConnection, permit: Rc<ConnectionPermit>) {
     loop {
-        let result = match hop.next_message().await {
+        let message = hop.next_message().await;
+        let _active = permit.begin_request();
+        let result = match message {
             Ok(Message::Reserve(reserve)) => handle_reserve(&node, &mut hop, reserve).await,
             Ok(Message::Pull(pull)) => handle_pull(&node, &mut hop, pull).await,
             Ok(Message::HoldDepartures(departures)) => {
--- a/crates/fescuemux-sidecar/src/hop/codec.rs
+++ b/crates/fescuemux-sidecar/src/hop/codec.rs
@@ -9,6 +9,9 @@
 /// size.
 const MAX_FRAME_BYTES: usize = 4 << 20;
 
+/// Maximum size of a frame to a guard: a part of a body, or the head of a request.
+const MAX_REQUEST_FRAME_BYTES: usize = 128 << 10;
+
 const BODY_TAG: u8 = 0;
 const MESSAGE_TAG: u8 = 1;
 
@@ -24,14 +27,26 @@
 /// Codec of [`Frame`]s.
 #[derive(Debug)]
 pub(crate) struct HopCodec {
-    inner: LengthDelimitedCodec,
+    decoder: LengthDelimitedCodec,
+    encoder: LengthDelimitedCodec,
 }
 
 impl Default for HopCodec {
     fn default() -> HopCodec {
-        HopCodec {
-            inner: LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec(),
-        }
+        HopCodec::with_max_received(MAX_FRAME_BYTES)
+    }
+}
+
+impl HopCodec {
+    /// Returns a codec of connections on which requests with heads of up to `max_head_bytes` arrive.
+    pub(crate) fn of_requests(max_head_bytes: usize) -> HopCodec {
+        let max_received = MAX_REQUEST_FRAME_BYTES.max(max_head_bytes.saturating_mul(4));
+        HopCodec::with_max_received(max_received.min(MAX_FRAME_BYTES))
+    }
+
+    fn with_max_received(max_received: usize) -> HopCodec {
+        let codec = |max_len| LengthDelimitedCodec::builder().max_frame_length(max_len).new_codec();
+        HopCodec { decoder: codec(max_received), encoder: codec(MAX_FRAME_BYTES) }
     }
 }
 
@@ -40,7 +55,7 @@
     type Error = io::Error;
 
     fn decode(&mut self, src: &mut BytesMut) -> io::Result<Option<Frame>> {
-        let Some(mut frame) = self.inner.decode(src)? else { return Ok(None) };
+        let Some(mut frame) = self.decoder.decode(src)? else { return Ok(None) };
         if frame.is_empty() {
             return Err(invalid_frame("empty frame"));
         }
@@ -73,7 +88,7 @@
                 buf.put_slice(&encoded);
             }
         }
-        self.inner.encode(buf.freeze(), dst)
+        self.encoder.encode(buf.freeze(), dst)
     }
 }
 
--- a/crates/fescuemux-sidecar/src/hop/connection.rs
+++ b/crates/fescuemux-sidecar/src/hop/connection.rs
@@ -27,6 +27,9 @@
     /// The exchange has ended before the request was complete, so its rest may still arrive.
     #[error("request not complete")]
     IncompleteRequest,
+    /// The ingress has broken off the request body, for the named reason.
+    #[error("request broken off: {0}")]
+    RequestAborted(&'static str),
     /// The peer did not reply in time.
     #[error("timed out")]
     TimedOut,
@@ -56,7 +59,22 @@
         HopConnection::from_stream(stream, now)
     }
 
-    /// Returns a connection over a connected or accepted stream.
+    /// Returns a connection over a stream that another instance has opened. With `max_head_bytes`, the
+    /// frames that it sends are bounded by what a request needs; only replies carry configurations.
+    ///
+    /// # Errors
+    /// Fails if the stream cannot be configured, for example because it is already closed.
+    pub(crate) fn accepted(
+        stream: TcpStream,
+        now: Instant,
+        max_head_bytes: Option<usize>,
+    ) -> Result<HopConnection, HopError> {
+        let codec = max_head_bytes.map_or_else(HopCodec::default, HopCodec::of_requests);
+        stream.set_nodelay(true)?;
+        Ok(HopConnection { frames: Framed::new(stream, codec), idle_since: now })
+    }
+
+    /// Returns a connection over a connected stream.
     ///
     /// # Errors
     /// Fails if the stream cannot be configured, for example because it is already closed.
--- a/crates/fescuemux-sidecar/src/ingress.rs
+++ b/crates/fescuemux-sidecar/src/ingress.rs
@@ -13,11 +13,13 @@
 #[cfg(test)]
 mod tests;
 
+use crate::memory::MemoryHold;
 use crate::node::Node;
+use fescuemux_core::memory::MemoryClass;
 use http::{Request, Response, StatusCode};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use request::CallerRequest;
-use request_body::RequestBody;
+use request_body::{RequestBody, memory_exhausted};
 use response::CallerResponse;
 use response_body::ResponseBody;
 use std::rc::Rc;
@@ -43,10 +45,16 @@
     let limits = node.config.borrow().as_ref().map(|config| config.limits);
     let max_body_bytes = limits.map_or(u64::MAX, |limits| limits.body_bytes);
     let time_left = request.time_left(node.now());
-    let read_result =
-        tokio::time::timeout(time_left, RequestBody::read(body, max_body_bytes)).await;
-    let response = match read_result {
-        Ok(Ok(body)) => retry_loop::run(&node, &request, body).await,
+    let hold = Rc::new(hold_body(&node, &request, body.size_hint().exact()));
+    let reading = RequestBody::read(body, max_body_bytes, hold.clone());
+    let response = match tokio::time::timeout(time_left, reading).await {
+        Ok(Ok(body)) => {
+            tokio::select! {
+                biased;
+                response = retry_loop::run(&node, &request, body) => response,
+                () = hold.released() => memory_released(&request),
+            }
+        }
         Ok(Err(response)) => response,
         Err(_) => CallerResponse::refused(StatusCode::REQUEST_TIMEOUT, "body_timeout", None),
     };
@@ -57,6 +65,24 @@
     finish(&node, Some(&request), response, &parts)
 }
 
+/// Returns the holder of a request body of `len` bytes, if known.
+fn hold_body(node: &Node, request: &CallerRequest, len: Option<u64>) -> MemoryHold {
+    let class = match len {
+        _ if request.nested => MemoryClass::Own,
+        Some(len) if len <= MemoryClass::MAX_SMALL_BYTES => MemoryClass::Small,
+        _ => MemoryClass::Bulk,
+    };
+    node.memory.hold(class, len)
+}
+
+/// Returns the response to a request that must give up its memory while it is under way.
+fn memory_released(request: &CallerRequest) -> CallerResponse {
+    if request.may_have_run.get() {
+        return CallerResponse::outcome_unknown(StatusCode::BAD_GATEWAY, "memory");
+    }
+    memory_exhausted()
+}
+
 /// Logs a response, counts it in the metrics and converts it to HTTP.
 fn finish(
     node: &Node,
--- a/crates/fescuemux-sidecar/src/ingress/attempt.rs
+++ b/crates/fescuemux-sidecar/src/ingress/attempt.rs
@@ -7,9 +7,10 @@
 use super::response::ServerResponseHead;
 use super::{CallerResponse, ResponseBody};
 use crate::hop::{Commit, Failure, Frame, HopError, HopResponseHead, Message};
+use crate::memory::HeldBuffer;
 use crate::node::Node;
-use bytes::BytesMut;
 use fescuemux_core::base::Verdict;
+use fescuemux_core::memory::MemoryClass;
 use fescuemux_core::placement::{EvictedAttempt, Peer, Refusal};
 use std::cell::Cell;
 use std::time::{Duration, Instant};
@@ -58,7 +59,7 @@
 /// Outcome of an attempt.
 pub(super) enum AttemptOutcome {
     /// The backend server responded, possibly with an error.
-    Responded(CallerResponse),
+    Responded(Box<CallerResponse>),
     /// No guard granted a slot.
     NoSlot(Refusal),
     /// The request was committed but did not run. `reached_server` is whether it was sent to a
@@ -111,6 +112,7 @@
             }
         }
         Ok(GuardReply::Failed(failure)) => failure_outcome(request, failure),
+        Err(e @ HopError::RequestAborted(_)) => broken_response(&e),
         Err(e) => {
             tracing::info!(
                 event = "attempt_broken",
@@ -185,8 +187,8 @@
     }
 }
 
-/// Receives the response body up to [`MAX_BUFFERED_BYTES`]. The rest of a longer body is streamed
-/// to the caller.
+/// Receives the response body up to [`MAX_BUFFERED_BYTES`], or up to the memory that is available.
+/// The rest of a longer body is streamed to the caller.
 async fn receive_body(
     node: &Node,
     request: &CallerRequest,
@@ -195,11 +197,17 @@
     head: ServerResponseHead,
 ) -> AttemptOutcome {
     exchange.expect_body(head.body_len);
-    let mut buffered = BytesMut::new();
+    let hold = node.memory.hold(MemoryClass::Response, head.body_len);
+    let mut buffered = HeldBuffer::default();
     let mut complete = false;
-    while buffered.len() <= MAX_BUFFERED_BYTES {
+    let mut has_memory = true;
+    while has_memory && buffered.len() <= MAX_BUFFERED_BYTES {
         match exchange.next_chunk().await {
-            Ok(Some(chunk)) => buffered.extend_from_slice(&chunk),
+            Ok(Some(chunk)) => {
+                let growth = buffered.growth(chunk.len(), head.body_len);
+                has_memory = hold.try_grow(growth);
+                buffered.extend(growth, &chunk);
+            }
             Ok(None) => {
                 complete = true;
                 break;
@@ -212,24 +220,25 @@
         if let Some(hop) = exchange.into_connection(node.now()) {
             node.hop_pool.put(peer.addr, node.now(), hop);
         }
-        ResponseBody::complete(buffered.freeze())
+        ResponseBody::complete(buffered.into_bytes())
     } else {
-        ResponseBody::streaming(buffered.freeze(), head.body_len, exchange)
+        ResponseBody::streaming(buffered.into_bytes(), head.body_len, exchange)
     };
-    AttemptOutcome::Responded(CallerResponse {
+    AttemptOutcome::Responded(Box::new(CallerResponse {
         status: head.status,
         headers: head.headers,
-        body,
+        body: body.with_hold(hold),
         reason: None,
         verdict: Verdict::Ran,
         retry_after: None,
         peer: Some(peer.id.clone()),
-    })
+    }))
 }
 
 fn broken_response(e: &HopError) -> AttemptOutcome {
     let reason = match e {
         HopError::BrokenResponse => Failure::Broken.as_str(),
+        HopError::RequestAborted(reason) => reason,
         _ => "peer_lost",
     };
     AttemptOutcome::MayHaveRun { reason }
--- a/crates/fescuemux-sidecar/src/ingress/caller_connection.rs
+++ b/crates/fescuemux-sidecar/src/ingress/caller_connection.rs
@@ -1,8 +1,10 @@
 //! HTTP connections from callers.
 
-use super::handle;
+use super::{ResponseBody, handle};
+use crate::memory::ConnectionPermit;
 use crate::node::Node;
 use crate::serve::accept_connections;
+use fescuemux_core::memory::ConnectionKind;
 use http::Request;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -23,13 +25,11 @@
 
 /// Serves connections from callers until the process ends.
 pub(crate) async fn serve(node: Rc<Node>, listener: TcpListener) {
-    accept_connections(listener, move |stream| {
-        tokio::task::spawn_local(serve_connection(node.clone(), stream));
-    })
-    .await;
+    let serve = |stream, permit| serve_connection(node.clone(), stream, permit);
+    accept_connections(&node, ConnectionKind::Caller, listener, serve).await;
 }
 
-async fn serve_connection(node: Rc<Node>, stream: TcpStream) {
+async fn serve_connection(node: Rc<Node>, stream: TcpStream, permit: Rc<ConnectionPermit>) {
     let activity = Rc::new(Activity {
         active_requests: Cell::new(0),
         last_activity: Cell::new(node.now()),
@@ -37,13 +37,14 @@
     });
     let service = service_fn(|req: Request<Incoming>| {
         let (node, activity) = (node.clone(), activity.clone());
+        let active = permit.begin_request();
         async move {
             activity.active_requests.set(activity.active_requests.get() + 1);
             activity.request_started.notify_one();
             let response = handle(node.clone(), req).await;
             activity.active_requests.set(activity.active_requests.get() - 1);
             activity.last_activity.set(node.now());
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(ResponseBody::keep_active(response, active))
         }
     });
     let mut http = http1::Builder::new();
--- a/crates/fescuemux-sidecar/src/ingress/exchange.rs
+++ b/crates/fescuemux-sidecar/src/ingress/exchange.rs
@@ -1,6 +1,6 @@
 //! Exchange of a request and its response with a guard.
 
-use super::request_body::RequestBody;
+use super::request_body::{RequestBody, frame_len};
 use crate::hop::{Commit, Frame, HopCodec, HopConnection, HopError, Message};
 use bytes::Bytes;
 use futures::future::LocalBoxFuture;
@@ -96,7 +96,15 @@
         {
             // A guard that cannot complete the request reports the failure and closes the
             // connection. Sending may fail first, so the report is still received.
-            self.upload = sent.map_or_else(|e| Upload::Failed(Some(e)), Upload::Sent);
+            match sent {
+                Ok(sink) => self.upload = Upload::Sent(sink),
+                // The guard would wait for the rest of the request.
+                Err(e @ HopError::RequestAborted(_)) => {
+                    self.upload = Upload::Failed(None);
+                    return Poll::Ready(Err(e));
+                }
+                Err(e) => self.upload = Upload::Failed(Some(e)),
+            }
         }
         match futures::ready!(self.frames.poll_next_unpin(cx)) {
             Some(frame) => Poll::Ready(frame.map_err(HopError::from)),
@@ -133,6 +141,8 @@
 ) -> impl Future<Output = Result<FrameSink, HopError>> + use<> {
     let mut buffered = body.buffered.clone();
     let remaining = body.take_remaining();
+    let hold = body.hold.clone();
+    let mut left = body.max_remaining;
     async move {
         sink.feed(Frame::Message(Message::Commit(commit))).await?;
         while !buffered.is_empty() {
@@ -140,10 +150,18 @@
             sink.feed(Frame::Body(chunk)).await?;
         }
         if let Some(mut remaining) = remaining {
-            while let Some(frame) = remaining.frame().await {
+            loop {
+                let frame = hold.read(remaining.frame(), frame_len).await;
+                let frame = frame.map_err(|_| HopError::RequestAborted("memory"))?;
+                let Some(frame) = frame else { break };
                 let frame = frame.map_err(std::io::Error::other)?;
-                if let Ok(chunk) = frame.into_data() {
-                    sink.send(Frame::Body(chunk)).await?;
+                let Ok(mut chunk) = frame.into_data() else { continue };
+                left = left
+                    .checked_sub(chunk.len() as u64)
+                    .ok_or(HopError::RequestAborted("body_too_large"))?;
+                while !chunk.is_empty() {
+                    let part = chunk.split_to(chunk.len().min(BODY_CHUNK_BYTES));
+                    sink.send(Frame::Body(part)).await?;
                 }
             }
         }
--- a/crates/fescuemux-sidecar/src/ingress/request_body.rs
+++ b/crates/fescuemux-sidecar/src/ingress/request_body.rs
@@ -1,12 +1,14 @@
 //! Bodies of requests from callers.
 
-use super::CallerResponse;
-use bytes::{Bytes, BytesMut};
+use super::{CallerResponse, DEFAULT_RETRY_AFTER};
+use crate::memory::{HeldBuffer, MemoryHold};
+use bytes::Bytes;
 use fescuemux_http::DiscardRest;
 use http::StatusCode;
 use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::{Body, Frame, Incoming};
 use std::cell::RefCell;
+use std::rc::Rc;
 use tracing::info;
 
 /// Number of body bytes buffered before a slot is reserved. A body within this size can be sent
@@ -20,6 +22,10 @@
     pub(super) buffered: Bytes,
     /// Length of the complete body in bytes, if known.
     pub(super) len: Option<u64>,
+    /// Memory of `buffered`.
+    pub(super) hold: Rc<MemoryHold>,
+    /// Maximum length of the unbuffered rest.
+    pub(super) max_remaining: u64,
     remaining: RefCell<Option<DiscardRest>>,
     is_streamed: bool,
 }
@@ -28,35 +34,48 @@
     /// Reads a body until its end or until the buffer is full.
     ///
     /// # Errors
-    /// Returns the response to send if the body breaks off or its `Content-Length` exceeds
-    /// `max_len`. The length of a chunked body is not checked.
+    /// Returns the response to send if the body breaks off, is longer than `max_len`, or must give up
+    /// its memory.
     pub(super) async fn read(
         mut body: Incoming,
         max_len: u64,
+        hold: Rc<MemoryHold>,
     ) -> Result<RequestBody, CallerResponse> {
+        let too_large =
+            || CallerResponse::refused(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large", None);
         let len = body.size_hint().exact();
         if len.is_some_and(|len| len > max_len) {
-            return Err(CallerResponse::refused(
-                StatusCode::PAYLOAD_TOO_LARGE,
-                "body_too_large",
-                None,
-            ));
+            return Err(too_large());
         }
-        let mut buffered = BytesMut::new();
+        let mut buffered = HeldBuffer::default();
         loop {
             if buffered.len() > MAX_BUFFERED_BYTES {
-                let remaining = RefCell::new(Some(DiscardRest::new(body)));
                 return Ok(RequestBody {
-                    buffered: buffered.freeze(),
+                    max_remaining: max_len - buffered.len() as u64,
+                    buffered: buffered.into_bytes(),
                     len,
-                    remaining,
+                    hold,
+                    remaining: RefCell::new(Some(DiscardRest::new(body))),
                     is_streamed: true,
                 });
             }
-            match body.frame().await {
+            let frame = hold.read(body.frame(), frame_len).await;
+            match frame.map_err(|_| memory_exhausted())? {
                 None => break,
                 Some(Ok(frame)) => {
-                    buffered.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new()));
+                    let chunk = frame.data_ref().map_or(&[][..], |chunk| chunk);
+                    let growth = buffered.growth(chunk.len(), len);
+                    let refusal = if (buffered.len() + chunk.len()) as u64 > max_len {
+                        Some(too_large())
+                    } else {
+                        hold.grow(growth).await.is_err().then(memory_exhausted)
+                    };
+                    if let Some(refusal) = refusal {
+                        // The client would lose the refusal if the rest were not read.
+                        drop(DiscardRest::new(body));
+                        return Err(refusal);
+                    }
+                    buffered.extend(growth, chunk);
                 }
                 Some(Err(e)) => {
                     info!(event = "body_broken", error = %e);
@@ -68,13 +87,20 @@
                 }
             }
         }
-        Ok(RequestBody::buffered(buffered.freeze()))
+        Ok(RequestBody::buffered(buffered.into_bytes(), hold))
     }
 
     /// Returns a body that is completely buffered.
-    pub(super) fn buffered(buffered: Bytes) -> RequestBody {
+    pub(super) fn buffered(buffered: Bytes, hold: Rc<MemoryHold>) -> RequestBody {
         let len = Some(buffered.len() as u64);
-        RequestBody { buffered, len, remaining: RefCell::new(None), is_streamed: false }
+        RequestBody {
+            buffered,
+            len,
+            hold,
+            max_remaining: 0,
+            remaining: RefCell::new(None),
+            is_streamed: false,
+        }
     }
 
     /// Takes the unbuffered rest of the body. Only the first call can return it.
@@ -88,3 +114,17 @@
         !self.is_streamed || self.remaining.borrow().is_some()
     }
 }
+
+/// Returns the response to a request that gave up its memory before it was sent to a guard.
+pub(super) fn memory_exhausted() -> CallerResponse {
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    CallerResponse::refused(status, "memory", Some(DEFAULT_RETRY_AFTER))
+}
+
+/// Returns the number of body bytes that a read has returned.
+pub(super) fn frame_len<E>(frame: &Option<Result<Frame<Bytes>, E>>) -> usize {
+    match frame {
+        Some(Ok(frame)) => frame.data_ref().map_or(0, Bytes::len),
+        Some(Err(_)) | None => 0,
+    }
+}
--- a/crates/fescuemux-sidecar/src/ingress/retry_loop.rs
+++ b/crates/fescuemux-sidecar/src/ingress/retry_loop.rs
@@ -104,9 +104,9 @@
             });
             let retry = match outcome {
                 Some(AttemptOutcome::Responded(response)) if !response.is_server_error() => {
-                    return response;
+                    return *response;
                 }
-                Some(AttemptOutcome::Responded(response)) => self.on_server_error(response),
+                Some(AttemptOutcome::Responded(response)) => self.on_server_error(*response),
                 Some(AttemptOutcome::NoSlot(refusal)) => {
                     self.on_no_slot(&refusal, running_attempts.is_empty())
                 }
--- a/crates/fescuemux-sidecar/src/ingress/tests.rs
+++ b/crates/fescuemux-sidecar/src/ingress/tests.rs
@@ -4,10 +4,23 @@
 use super::request_body::RequestBody;
 use super::response::ServerResponseHead;
 use crate::hop::{Commit, Frame, HopConnection, HopResponseHead, Message};
+use crate::memory::{Memory, MemoryHold};
+use crate::metrics::Metrics;
 use bytes::Bytes;
+use fescuemux_clock::BootClock;
+use fescuemux_core::memory::{MemoryClass, ProcessLimits};
+use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 
+fn unlimited_hold() -> Rc<MemoryHold> {
+    let metrics = Metrics::new().expect("metrics");
+    let clock = Arc::new(BootClock::new());
+    let memory = Rc::new(Memory::new(ProcessLimits::default(), clock, metrics));
+    Rc::new(memory.hold(MemoryClass::Small, Some(0)))
+}
+
 /// Sends the frames of a guard to an exchange, closes the connection, and returns the response body
 /// if the exchange takes it for complete.
 async fn receive(frames: Vec<Frame>, body_len: Option<u64>) -> Option<Vec<u8>> {
@@ -27,7 +40,7 @@
         time_left_ms: 1_000,
         body_len: Some(0),
     };
-    let body = RequestBody::buffered(Bytes::new());
+    let body = RequestBody::buffered(Bytes::new(), unlimited_hold());
     let mut exchange = Exchange::start(hop.expect("a connection"), commit, &body);
     exchange.expect_body(body_len);
     let play = async {
--- a/crates/fescuemux-sidecar/src/lib.rs
+++ b/crates/fescuemux-sidecar/src/lib.rs
@@ -19,6 +19,7 @@
 mod ingress;
 mod load_query;
 mod logs;
+mod memory;
 mod metrics;
 mod node;
 mod run;
--- a/crates/fescuemux-sidecar/src/metrics.rs
+++ b/crates/fescuemux-sidecar/src/metrics.rs
@@ -3,7 +3,8 @@
 //! Must not know how the values of the metrics are determined.
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    TextEncoder,
 };
 use std::time::Duration;
 
@@ -20,6 +21,9 @@
     attempts: IntCounterVec,
     admissions: IntCounterVec,
     store_calls: IntCounterVec,
+    releases: IntCounterVec,
+    held_bytes: IntGaugeVec,
+    connections: IntGaugeVec,
     /// Version of the current configuration.
     pub(crate) config_version: IntGauge,
     /// Age of the confirmation that the configuration is the latest, in milliseconds.
@@ -47,6 +51,11 @@
             registry.register(Box::new(metric.clone()))?;
             Ok::<_, prometheus::Error>(metric)
         };
+        let register_gauges = |name: &str, help: &str, label: &str| {
+            let metric = IntGaugeVec::new(Opts::new(name, help), &[label])?;
+            registry.register(Box::new(metric.clone()))?;
+            Ok::<_, prometheus::Error>(metric)
+        };
         let seconds_opts = HistogramOpts::new(
             "fescuemux_request_seconds",
             "Time from the head of a caller's request to the head of its answer",
@@ -78,6 +87,21 @@
                 "Calls to the store by kind and result",
                 &["call", "result"],
             )?,
+            releases: register_counter(
+                "fescuemux_released_total",
+                "Bodies and connections released because of a limit, by reason",
+                &["reason"],
+            )?,
+            held_bytes: register_gauges(
+                "fescuemux_held_bytes",
+                "Bytes of bodies and answers held, by class",
+                "class",
+            )?,
+            connections: register_gauges(
+                "fescuemux_accepted_connections",
+                "Connections accepted and open, by kind",
+                "kind",
+            )?,
             config_version: register_gauge("fescuemux_config_version", "Configuration in force")?,
             config_age_ms: register_gauge(
                 "fescuemux_config_age_milliseconds",
@@ -119,6 +143,21 @@
         self.store_calls.with_label_values(&[call, if ok { "ok" } else { "error" }]).inc();
     }
 
+    /// Counts a body or connection that was released because of a limit.
+    pub(crate) fn record_release(&self, reason: &str) {
+        self.releases.with_label_values(&[reason]).inc();
+    }
+
+    /// Sets the number of bytes held by a class.
+    pub(crate) fn set_held_bytes(&self, class: &str, bytes: u64) {
+        self.held_bytes.with_label_values(&[class]).set(bytes as i64);
+    }
+
+    /// Sets the number of open connections of a kind.
+    pub(crate) fn set_connections(&self, kind: &str, count: usize) {
+        self.connections.with_label_values(&[kind]).set(count as i64);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     ///
     /// # Errors
--- a/crates/fescuemux-sidecar/src/node.rs
+++ b/crates/fescuemux-sidecar/src/node.rs
@@ -3,6 +3,7 @@
 use crate::h1::Connection;
 use crate::hop::HopPool;
 use crate::load_query::LoadQueries;
+use crate::memory::Memory;
 use crate::metrics::Metrics;
 use crate::{Dialect, FleetConfig, NodeSettings};
 use anyhow::Result;
@@ -39,6 +40,7 @@
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) incarnation: Incarnation,
     pub(crate) metrics: Metrics,
+    pub(crate) memory: Rc<Memory>,
     pub(crate) admission: RefCell<AdmissionController>,
     /// Channels that deliver the admission decision to queued requests.
     pub(crate) admission_senders: RefCell<HashMap<Ticket, oneshot::Sender<Admission>>>,
@@ -112,8 +114,11 @@
             admission.on_first_start(now);
         }
         let load_queries = LoadQueries::bind(settings.listen.peers)?;
+        let metrics = Metrics::new()?;
+        let memory = Memory::new(settings.process_limits, clock.clone(), metrics.clone());
         Ok(Node {
-            metrics: Metrics::new()?,
+            metrics,
+            memory: Rc::new(memory),
             admission: RefCell::new(admission),
             admission_senders: RefCell::default(),
             eviction_senders: RefCell::default(),
--- a/crates/fescuemux-sidecar/src/run.rs
+++ b/crates/fescuemux-sidecar/src/run.rs
@@ -3,9 +3,10 @@
 use crate::node::Node;
 use crate::serve::{accept_connections, bind, serve_simple};
 use crate::{Dialect, MetadataStore, NodeSettings, SettingsSource, supervise};
-use crate::{control, guard, hop, ingress, load_query, sync};
+use crate::{control, guard, hop, ingress, load_query, memory, sync};
 use anyhow::Result;
 use fescuemux_clock::BootClock;
+use fescuemux_core::memory::ConnectionKind;
 use fescuemux_core::placement::ShutdownDeadlines;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -45,11 +46,27 @@
     info!(event = "started", instance = %node.own_peer().id, incarnation = node.incarnation);
 
     let peer_listener = bind(addresses.peers).await?;
-    serve_simple(node.clone(), bind(addresses.control).await?, control::handle_control);
-    serve_simple(node.clone(), bind(addresses.ready).await?, control::handle_ready);
-    serve_simple(node.clone(), bind(addresses.metrics).await?, control::handle_metrics);
+    serve_simple(
+        node.clone(),
+        ConnectionKind::Control,
+        bind(addresses.control).await?,
+        control::handle_control,
+    );
+    serve_simple(
+        node.clone(),
+        ConnectionKind::Ready,
+        bind(addresses.ready).await?,
+        control::handle_ready,
+    );
+    serve_simple(
+        node.clone(),
+        ConnectionKind::Metrics,
+        bind(addresses.metrics).await?,
+        control::handle_metrics,
+    );
     spawn_local(ingress::serve(node.clone(), bind(addresses.callers).await?));
     spawn_local(serve_peers(node.clone(), peer_listener));
+    spawn_supervised("memory", &node, memory::advance);
     spawn_supervised("load_query", &node, load_query::serve);
     spawn_supervised("tick", &node, guard::tick);
     spawn_supervised("pull", &node, sync::pull);
@@ -86,14 +103,20 @@
 }
 
 async fn serve_peers(node: Rc<Node>, listener: tokio::net::TcpListener) {
-    let clock_node = node.clone();
-    accept_connections(listener, move |stream| {
-        match hop::HopConnection::from_stream(stream, clock_node.now()) {
-            Ok(hop) => drop(spawn_local(guard::serve(node.clone(), hop))),
-            Err(e) => info!(event = "connection_lost", error = %e),
+    let serve = |stream, permit| {
+        let node = node.clone();
+        async move {
+            let is_limited = node.settings.borrow().process_limits.memory_bytes.is_some();
+            let max_head_bytes =
+                node.config.borrow().as_ref().map_or(0, |config| config.limits.head_bytes);
+            let max_head_bytes = is_limited.then_some(max_head_bytes);
+            match hop::HopConnection::accepted(stream, node.now(), max_head_bytes) {
+                Ok(hop) => guard::serve(node, hop, permit).await,
+                Err(e) => info!(event = "connection_lost", error = %e),
+            }
         }
-    })
-    .await;
+    };
+    accept_connections(&node, ConnectionKind::Peer, listener, serve).await;
 }
 
 /// Reports the process as not ready, so that callers leave, and lets the guard admit only requests
--- a/crates/fescuemux-sidecar/src/serve.rs
+++ b/crates/fescuemux-sidecar/src/serve.rs
@@ -1,7 +1,9 @@
 //! TCP accept loop, and simple HTTP endpoints, which buffer requests and responses completely.
 
+use crate::memory::ConnectionPermit;
 use crate::node::Node;
 use bytes::Bytes;
+use fescuemux_core::memory::ConnectionKind;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -17,6 +19,9 @@
 /// Pause after a failed accept, to avoid a busy loop when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Receive buffer of a connection while many are open; the kernel doubles it.
+const CROWDED_RECEIVE_BUFFER_BYTES: usize = 8 * 1024;
+
 /// Maximum request body size of a simple endpoint.
 const MAX_SIMPLE_BODY_BYTES: usize = 64 * 1024;
 
@@ -34,14 +39,33 @@
 {
 }
 
-/// Accepts connections and passes each to `on_connection`. Runs until the process ends.
-pub(crate) async fn accept_connections(listener: TcpListener, on_connection: impl Fn(TcpStream)) {
+/// Accepts connections and serves each with `serve` until it ends or the process must close it
+/// because it is idle and others need its place. Runs until the process ends.
+pub(crate) async fn accept_connections<F: Future<Output = ()> + 'static>(
+    node: &Node,
+    kind: ConnectionKind,
+    listener: TcpListener,
+    serve: impl Fn(TcpStream, Rc<ConnectionPermit>) -> F,
+) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => match stream.set_nodelay(true) {
-                Ok(()) => on_connection(stream),
-                Err(e) => info!(event = "connection_lost", error = %e),
-            },
+            Ok((stream, _)) => {
+                let permit = Rc::new(node.memory.admit_connection(kind).await);
+                if node.memory.is_crowded(kind) {
+                    bound_receive_buffer(&stream);
+                }
+                if let Err(e) = stream.set_nodelay(true) {
+                    info!(event = "connection_lost", error = %e);
+                    continue;
+                }
+                let served = serve(stream, permit.clone());
+                tokio::task::spawn_local(async move {
+                    tokio::select! {
+                        () = served => {}
+                        () = permit.closed() => {}
+                    }
+                });
+            }
             Err(e) => {
                 warn!(event = "accept_failed", error = %e);
                 tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -50,11 +74,25 @@
     }
 }
 
+/// Bounds what the kernel receives for a connection that is not read.
+fn bound_receive_buffer(stream: &TcpStream) {
+    let socket = socket2::SockRef::from(stream);
+    if let Err(e) = socket.set_recv_buffer_size(CROWDED_RECEIVE_BUFFER_BYTES) {
+        info!(event = "receive_buffer_not_set", error = %e);
+    }
+}
+
 /// Spawns an HTTP server whose requests are handled by `handler`.
-pub(crate) fn serve_simple(node: Rc<Node>, listener: TcpListener, handler: impl SimpleHandler) {
-    tokio::task::spawn_local(accept_connections(listener, move |stream| {
-        let node = node.clone();
-        tokio::task::spawn_local(async move {
+pub(crate) fn serve_simple(
+    node: Rc<Node>,
+    kind: ConnectionKind,
+    listener: TcpListener,
+    handler: impl SimpleHandler,
+) {
+    let serve_node = node.clone();
+    let serve = move |stream, _permit| {
+        let node = serve_node.clone();
+        async move {
             let service = service_fn(|req: Request<Incoming>| {
                 let node = node.clone();
                 async move { Ok::<_, hyper::Error>(handle_simple(&node, req, handler).await) }
@@ -63,8 +101,11 @@
             if let Err(e) = served.await {
                 info!(event = "connection_ended", error = %e);
             }
-        });
-    }));
+        }
+    };
+    tokio::task::spawn_local(async move {
+        accept_connections(&node, kind, listener, serve).await;
+    });
 }
 
 async fn handle_simple(
--- a/crates/fescuemux-sidecar/src/settings.rs
+++ b/crates/fescuemux-sidecar/src/settings.rs
@@ -2,6 +2,7 @@
 
 use anyhow::{Result, ensure};
 use fescuemux_core::base::{DomainId, InstanceId, ServiceId};
+use fescuemux_core::memory::ProcessLimits;
 use fescuemux_core::placement::RetryLimits;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -41,6 +42,9 @@
     pub grace: Duration,
     /// Limits of the retry budget.
     pub retry_limits: RetryLimits,
+    /// Limits of the memory and the descriptors of the process. A change takes effect at the next
+    /// start.
+    pub process_limits: ProcessLimits,
     /// Shortest lease TTL that the store grants.
     pub min_lease_ttl: Duration,
 }
