--- a/crates/fescuemux-sidecar/src/lib.rs
+++ b/crates/fescuemux-sidecar/src/lib.rs
@@ -21,6 +21,7 @@
 mod ingress;
 mod load_query;
 mod logs;
+mod memory;
 mod metrics;
 mod node;
 mod run;
