--- a/crates/fescuemux-sidecar/src/hop/message.rs
+++ b/crates/fescuemux-sidecar/src/hop/message.rs
@@ -3,6 +3,7 @@
 use fescuemux_core::base::Verdict;
 use fescuemux_core::placement::{Departure, Peer, Refusal, RelayedNotice, SlotRefusalReason};
 use serde::{Deserialize, Serialize};
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -249,8 +250,9 @@
     pub(crate) all_peers: bool,
 }
 
-/// Configuration and membership known to an instance.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+/// Configuration and membership known to an instance. `Debug` does not show the configuration, which
+/// may contain the keys of customers.
+#[derive(Clone, Serialize, Deserialize)]
 pub(crate) struct State {
     /// Encoded configuration, if it is newer than the requester's configuration.
     pub(crate) config: Option<Vec<u8>>,
@@ -258,6 +260,15 @@
     pub(crate) peers: Vec<PeerRecord>,
 }
 
+impl fmt::Debug for State {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("State")
+            .field("config_bytes", &self.config.as_ref().map(Vec::len))
+            .field("peers", &self.peers)
+            .finish()
+    }
+}
+
 /// Encoded [`Departure`], in messages and in the store.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct DepartureRecord {
--- a/crates/fescuemux-sidecar/src/ingress/request.rs
+++ b/crates/fescuemux-sidecar/src/ingress/request.rs
@@ -212,15 +212,19 @@
         .flat_map(|value| value.split(','))
         .map(|name| name.trim().to_ascii_lowercase())
         .collect();
-    let overwritten =
-        [header_names.caller_service, header_names.deadline_ms, header_names.target_server];
-    let has_customers = config.caller_keys.is_some();
-    let about_customer = [header_names.caller_account, header::AUTHORIZATION.as_str()];
+    let overwritten = [
+        header_names.caller_service,
+        header_names.deadline_ms,
+        header_names.target_server,
+        header_names.caller_account,
+        header::AUTHORIZATION.as_str(),
+    ];
+    // The last two concern customers only.
+    let overwritten = &overwritten[..if config.caller_keys.is_some() { 5 } else { 3 }];
     let forwarded = headers.iter().filter(|(name, _)| {
         let name = name.as_str();
         !is_hop_by_hop(name)
             && !overwritten.contains(&name)
-            && !(has_customers && about_customer.contains(&name))
             && !connection_options.iter().any(|option| option == name)
     });
     let mut forwarded: Vec<_> =
--- a/crates/fescuemux-sidecar/src/store.rs
+++ b/crates/fescuemux-sidecar/src/store.rs
@@ -1,6 +1,7 @@
 //! Interface of the metadata store, which holds the configuration and the list of instances.
 
 use bytes::Bytes;
+use std::fmt;
 use std::time::Duration;
 use thiserror::Error;
 
@@ -9,8 +10,8 @@
 /// Id of a lease.
 pub type LeaseId = u64;
 
-/// Key-value pair.
-#[derive(Clone, Debug, PartialEq, Eq)]
+/// Key-value pair. `Debug` does not show the value, which may contain the keys of customers.
+#[derive(Clone, PartialEq, Eq)]
 pub struct Entry {
     /// Key.
     pub key: String,
@@ -20,6 +21,16 @@
     pub revision: Revision,
 }
 
+impl fmt::Debug for Entry {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Entry")
+            .field("key", &self.key)
+            .field("value_bytes", &self.value.len())
+            .field("revision", &self.revision)
+            .finish()
+    }
+}
+
 /// One change under a watched prefix.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
