Allowances: a token bucket in place of a window, and requests wait for a new counting instance

A token bucket that begins almost empty keeps the bound without knowing the past, so reports of past use are gone. A formula that assumed a decaying use of the last window broke the bound by up to 44 requests in the case of a restart of all and was dropped.

--- a/crates/fescuemux-core/examples/allowance_cost.rs
+++ b/crates/fescuemux-core/examples/allowance_cost.rs
@@ -38,7 +38,7 @@
             cx.now += Duration::from_millis(30);
             let caller =
                 LimitedCaller { hash: u64::from(round) % CUSTOMERS, allowance, version: 1 };
-            let decision = exchanges[0].decide(&mut cx, &caller, true, &mut outbox);
+            let decision = exchanges[0].decide(&mut cx, &caller, None, &mut outbox);
             while let Some((to, message)) = outbox.pop() {
                 let to_index = index_of(&to).expect("an index");
                 let mut replies = Outbox::new();
@@ -51,7 +51,7 @@
                 }
             }
             if matches!(decision, AllowanceDecision::Wait(_)) {
-                black_box(exchanges[0].decide(&mut cx, &caller, false, &mut outbox));
+                black_box(exchanges[0].decide(&mut cx, &caller, Some(cx.now), &mut outbox));
             }
         }
         let lease = timer.elapsed() / ROUNDS;
@@ -60,7 +60,7 @@
         let timer = Instant::now();
         for _ in 0..ROUNDS {
             cx.now += Duration::from_micros(1);
-            black_box(exchanges[0].decide(&mut cx, &caller, true, &mut outbox));
+            black_box(exchanges[0].decide(&mut cx, &caller, None, &mut outbox));
             outbox.clear();
         }
         let held = timer.elapsed() / ROUNDS;
--- a/crates/fescuemux-core/src/allowances/bounds.rs
+++ b/crates/fescuemux-core/src/allowances/bounds.rs
@@ -32,11 +32,11 @@
         self.allowed(allowance) * self.excess + self.slack
     }
 
-    /// Returns what the counting instance grants in one window: more than the allowance, because it
-    /// counts in slots and holds back granted requests that are not sent. Without this part it
-    /// refused 3 of 100 requests within small allowances.
-    pub(super) fn granted(&self, allowance: &Allowance) -> f64 {
-        self.allowed(allowance) + self.margin(allowance) * 0.3
+    /// Returns what the counting instance grants at once after a pause: more than the burst, because
+    /// it holds back granted requests that are not sent. Without this part it refused 3 of 100
+    /// requests within small allowances.
+    pub(super) fn granted_burst(&self, allowance: &Allowance) -> f64 {
+        allowance.burst + self.margin(allowance) * 0.4
     }
 
     /// Returns the requests in one window that all instances together send without a counting
@@ -50,8 +50,7 @@
         self.margin(allowance) * 0.1
     }
 
-    /// Returns the requests that a counting instance grants although it does not know the last
-    /// window.
+    /// Returns what a counting instance that does not know the last window grants at once.
     pub(super) fn granted_unknown(&self, allowance: &Allowance) -> f64 {
         self.margin(allowance) * 0.1
     }
--- a/crates/fescuemux-core/src/allowances/exchange.rs
+++ b/crates/fescuemux-core/src/allowances/exchange.rs
@@ -5,7 +5,7 @@
 use super::{AccountUsage, AllowanceBounds, AllowanceMessage, CallerHash, Members, UsageLedger};
 use crate::base::{Cx, InstanceId};
 use rand::Rng;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Messages to send, each with its receiver.
 pub type Outbox = Vec<(InstanceId, AllowanceMessage)>;
@@ -35,7 +35,7 @@
         AllowanceExchange {
             members: Members::new(own_id),
             reachability: Reachability::default(),
-            limiter: AllowanceLimiter::new(bounds, complete_from, cx.rng.random()),
+            limiter: AllowanceLimiter::new(bounds, cx.rng.random()),
             ledger: UsageLedger::new(bounds, complete_from),
         }
     }
@@ -50,20 +50,21 @@
         self.members.is_known()
     }
 
-    /// Decides about a request. `is_new` is false when the decision follows a
+    /// Decides about a request. `waiting_since` is the time of the first decision about it if that was
     /// [`AllowanceDecision::Wait`].
     pub fn decide(
         &mut self,
         cx: &mut Cx,
         caller: &LimitedCaller,
-        is_new: bool,
+        waiting_since: Option<Instant>,
         out: &mut Outbox,
     ) -> AllowanceDecision {
-        let mut is_new = is_new;
+        let mut waiting_since = waiting_since;
         loop {
             let mut messages = Outbox::new();
-            let decision = self.limiter.decide(cx, &self.members, caller, is_new, &mut messages);
-            is_new = false;
+            let decision =
+                self.limiter.decide(cx, &self.members, caller, waiting_since, &mut messages);
+            waiting_since = waiting_since.or(Some(cx.now));
             let asked_itself = messages.iter().any(|(to, _)| to == self.members.own_id());
             self.deliver(cx, messages, out);
             if !(asked_itself && matches!(decision, AllowanceDecision::Wait(_))) {
@@ -87,43 +88,30 @@
         out: &mut Outbox,
     ) -> bool {
         match message {
-            AllowanceMessage::LeaseReply { .. }
-            | AllowanceMessage::UsageReport(_)
-            | AllowanceMessage::ProbeReply => self.reachability.on_reply(from),
-            AllowanceMessage::LeaseRequest(_)
-            | AllowanceMessage::UsageQuery(_)
-            | AllowanceMessage::Probe => {}
+            AllowanceMessage::LeaseReply { .. } | AllowanceMessage::ProbeReply => {
+                self.reachability.on_reply(from);
+            }
+            AllowanceMessage::LeaseRequest(_) | AllowanceMessage::Probe => {}
         }
         match message {
             AllowanceMessage::LeaseRequest(request) => {
-                let mut messages = Outbox::new();
                 let reply = self.ledger.on_request(
                     cx.now,
                     &self.members,
                     &mut self.reachability,
                     from,
                     &request,
-                    &mut messages,
                 );
                 if request.wanted > 0 {
                     let (caller, seq) = (request.caller, request.seq);
                     let reply = AllowanceMessage::LeaseReply { caller, seq, reply };
-                    messages.push((from.clone(), reply));
+                    self.deliver(cx, vec![(from.clone(), reply)], out);
                 }
-                self.deliver(cx, messages, out);
             }
             AllowanceMessage::LeaseReply { caller, seq, reply } => {
                 self.limiter.on_reply(cx.now, from, caller, seq, reply);
                 return true;
             }
-            AllowanceMessage::UsageQuery(caller) => {
-                let report = self.limiter.usage_report(cx.now, caller);
-                let messages = vec![(from.clone(), AllowanceMessage::UsageReport(report))];
-                self.deliver(cx, messages, out);
-            }
-            AllowanceMessage::UsageReport(report) => {
-                self.ledger.on_report(cx.now, from, &report);
-            }
             AllowanceMessage::Probe => out.push((from.clone(), AllowanceMessage::ProbeReply)),
             AllowanceMessage::ProbeReply => {}
         }
@@ -134,7 +122,7 @@
     pub fn tick(&mut self, cx: &mut Cx, out: &mut Outbox) {
         let returned = self.limiter.tick(cx.now, &self.members);
         self.deliver(cx, returned, out);
-        self.ledger.tick(cx.now, &self.members, out);
+        self.ledger.tick(cx.now);
         if self.ledger.is_active() || self.limiter.is_active() {
             out.extend(self.reachability.tick(cx, &self.members));
         } else {
--- a/crates/fescuemux-core/src/allowances/ledger.rs
+++ b/crates/fescuemux-core/src/allowances/ledger.rs
@@ -1,19 +1,19 @@
 //! Count of the requests of customers at their counting instance.
 
 use super::limiter::LEASE_TTL;
-use super::message::{CallerHash, LeaseReply, LeaseRequest, UsageReport};
+use super::message::{CallerHash, LeaseReply, LeaseRequest};
 use super::reachability::Reachability;
 use super::usage_window::UsageWindow;
-use super::{Allowance, AllowanceBounds, AllowanceMessage, Members};
-use crate::base::{Generation, HashMap, HashSet, InstanceId};
+use super::{Allowance, AllowanceBounds, Members};
+use crate::base::{Generation, HashMap, InstanceId};
 use std::time::{Duration, Instant};
 
-/// Time from which a new counting instance no longer waits for reports.
-const REPORT_TIME: Duration = Duration::from_millis(250);
+/// Interval between two ticks from which the process was suspended, so that another instance may have
+/// counted meanwhile.
+const SUSPENDED_AFTER: Duration = Duration::from_secs(1);
 
-/// Time in which it takes late reports. They contain requests that it has granted itself, which
-/// then count twice.
-const LATE_REPORT_TIME: Duration = Duration::from_secs(1);
+/// Minimum rate, in requests per second, for the time until there is room.
+const MIN_RATE: f64 = 0.01;
 
 /// Last lease of one ingress.
 #[derive(Clone, Copy, Debug)]
@@ -23,25 +23,16 @@
     replied_at: Instant,
 }
 
-/// Use before this instance began to count, as far as it is known.
-#[derive(Debug)]
-struct History {
-    began_at: Instant,
-    heard: HashSet<InstanceId>,
-    /// Number of instances that reported the use of a whole window.
-    complete: usize,
-    /// Requests that were granted before the reports had arrived.
-    granted: u32,
-}
-
 #[derive(Debug)]
 struct Account {
     allowance: Allowance,
     version: Generation,
+    /// Requests granted in the last window.
     usage: UsageWindow,
+    /// Requests that may be granted now. They grow at the rate of the allowance up to its burst.
+    tokens: f64,
+    refilled_at: Instant,
     holders: HashMap<InstanceId, Holder>,
-    /// `None` if this instance has counted for the whole window.
-    history: Option<History>,
     refused: u64,
     last_request: Instant,
 }
@@ -59,7 +50,11 @@
     pub refused: u64,
 }
 
-/// Requests of the customers that this instance counts.
+/// Requests of the customers that this instance counts, with a token bucket for each.
+///
+/// An instance that does not know the last window begins with an almost empty bucket. Whatever the
+/// instances before it granted in a part of a window is at most the burst and the rate for that part,
+/// and this one grants the rate for the rest, so that together they keep the allowance.
 #[derive(Debug)]
 pub struct UsageLedger {
     bounds: AllowanceBounds,
@@ -67,15 +62,22 @@
     complete_from: Instant,
     /// Part of an allowance that this instance granted last.
     weight: f64,
+    ticked_at: Option<Instant>,
 }
 
 impl UsageLedger {
     /// Returns an empty ledger. `complete_from` is the time from which it knows a whole window.
     pub(super) fn new(bounds: AllowanceBounds, complete_from: Instant) -> UsageLedger {
-        UsageLedger { bounds, accounts: HashMap::default(), complete_from, weight: 1.0 }
+        UsageLedger {
+            bounds,
+            accounts: HashMap::default(),
+            complete_from,
+            weight: 1.0,
+            ticked_at: None,
+        }
     }
 
-    /// Decides about a lease request. Messages to send are added to `out`.
+    /// Decides about a lease request.
     pub(super) fn on_request(
         &mut self,
         now: Instant,
@@ -83,16 +85,15 @@
         reachability: &mut Reachability,
         from: &InstanceId,
         request: &LeaseRequest,
-        out: &mut Vec<(InstanceId, AllowanceMessage)>,
     ) -> LeaseReply {
+        self.check_suspension(now);
         let candidates = members.candidates(request.caller);
         let position = candidates.iter().position(|id| *id == members.own_id());
         let weight = reachability.weight(members);
         let mut earlier = candidates.iter().take(position.unwrap_or(0));
         if weight > self.weight {
             // Others may have counted for the part of the fleet that is reachable again.
-            self.accounts.clear();
-            self.complete_from = self.complete_from.max(now + self.bounds.window);
+            self.forget(now);
         }
         self.weight = weight;
         let must_count = position.is_some() && earlier.all(|id| reachability.is_lost(now, id));
@@ -103,24 +104,18 @@
         let is_complete = position == Some(0)
             && now >= self.complete_from
             && members.changed_at().is_none_or(|at| now >= at + window);
-        let account = self.accounts.entry(request.caller).or_insert_with(|| {
-            if !is_complete {
-                let query = AllowanceMessage::UsageQuery(request.caller);
-                out.extend(
-                    members.others().chain([members.own_id()]).cloned().map(|id| (id, query)),
-                );
-            }
-            let history =
-                History { began_at: now, heard: HashSet::default(), complete: 0, granted: 0 };
-            Account {
-                allowance: request.allowance,
-                version: request.version,
-                usage: UsageWindow::new(now, window),
-                holders: HashMap::default(),
-                history: (!is_complete).then_some(history),
-                refused: 0,
-                last_request: now,
-            }
+        let account = self.accounts.entry(request.caller).or_insert_with(|| Account {
+            allowance: request.allowance,
+            version: request.version,
+            usage: UsageWindow::new(now, window),
+            tokens: match is_complete {
+                true => self.bounds.granted_burst(&request.allowance),
+                false => self.bounds.granted_unknown(&request.allowance),
+            },
+            refilled_at: now,
+            holders: HashMap::default(),
+            refused: 0,
+            last_request: now,
         });
         account.last_request = now;
         if let Some(holder) = account.holders.get(from).filter(|holder| holder.seq == request.seq) {
@@ -130,44 +125,38 @@
             (account.allowance, account.version) = (request.allowance, request.version);
         }
         account.usage.remove(now, request.returned);
-        let reply = account.reply(now, &self.bounds, members.len(), weight, from, request.wanted);
+        account.tokens += f64::from(request.returned);
+        let reply = account.reply(now, &self.bounds, weight, from, request.wanted);
         account.holders.insert(from.clone(), Holder { seq: request.seq, reply, replied_at: now });
         reply
     }
 
-    /// Takes the use of a customer at another instance before this one began to count.
-    pub(super) fn on_report(&mut self, now: Instant, from: &InstanceId, report: &UsageReport) {
-        let Some(account) = self.accounts.get_mut(&report.caller) else { return };
-        let Some(history) = &mut account.history else { return };
-        let in_time = now < history.began_at + LATE_REPORT_TIME;
-        if in_time && history.heard.insert(from.clone()) {
-            history.complete += usize::from(report.complete);
-            account.usage.add_parts(now, &report.parts);
-        }
-    }
-
-    /// Forgets customers without requests, and repeats queries whose reports are missing.
-    pub(super) fn tick(
-        &mut self,
-        now: Instant,
-        members: &Members,
-        out: &mut Vec<(InstanceId, AllowanceMessage)>,
-    ) {
+    /// Forgets customers without requests.
+    pub(super) fn tick(&mut self, now: Instant) {
+        self.check_suspension(now);
         let kept = self.bounds.window + 2 * LEASE_TTL;
         self.accounts
             .retain(|_, account| now.saturating_duration_since(account.last_request) < kept);
-        for (caller, account) in &mut self.accounts {
-            if let Some(history) = &account.history
-                && now < history.began_at + LATE_REPORT_TIME
-            {
-                let missing = members.others().filter(|id| !history.heard.contains(*id));
-                out.extend(missing.map(|id| (id.clone(), AllowanceMessage::UsageQuery(*caller))));
-            }
+        for account in self.accounts.values_mut() {
             let is_recent = |at: Instant| now.saturating_duration_since(at) < LEASE_TTL;
             account.holders.retain(|_, holder| is_recent(holder.replied_at));
         }
     }
 
+    /// Begins anew if the process was suspended, because another instance may have counted meanwhile.
+    fn check_suspension(&mut self, now: Instant) {
+        let ticked_at = self.ticked_at.replace(now);
+        if ticked_at.is_some_and(|at| now.saturating_duration_since(at) >= SUSPENDED_AFTER) {
+            self.forget(now);
+        }
+    }
+
+    /// Begins anew with almost empty buckets.
+    fn forget(&mut self, now: Instant) {
+        self.accounts.clear();
+        self.complete_from = self.complete_from.max(now + self.bounds.window);
+    }
+
     /// Returns whether this instance counts any customer.
     pub(super) fn is_active(&self) -> bool {
         !self.accounts.is_empty()
@@ -199,28 +188,19 @@
         &mut self,
         now: Instant,
         bounds: &AllowanceBounds,
-        member_count: usize,
         weight: f64,
         from: &InstanceId,
         wanted: u32,
     ) -> LeaseReply {
-        let allowed = bounds.granted(&self.allowance);
-        self.history.take_if(|history| now >= history.began_at + bounds.window);
-        let used = f64::from(self.usage.count(now));
-        let mut room = allowed * weight - used;
-        if let Some(history) = &self.history {
-            // Instances that have not reported may have used their part until this one began.
-            let unknown = 1.0 - (history.complete.min(member_count)) as f64 / member_count as f64;
-            let is_settled = unknown == 0.0 || now >= history.began_at + REPORT_TIME;
-            room = if is_settled { room - unknown * allowed } else { 0.0 };
-            let granted_unknown = bounds.granted_unknown(&self.allowance);
-            room = room.max(granted_unknown - f64::from(history.granted));
-        }
-        if room < 1.0 && wanted > 0 {
+        let elapsed = now.saturating_duration_since(self.refilled_at).as_secs_f64();
+        let rate = self.allowance.rate * weight;
+        let burst = bounds.granted_burst(&self.allowance) * weight;
+        self.tokens = (self.tokens + rate * elapsed).min(burst.max(1.0));
+        self.refilled_at = now;
+        if self.tokens < 1.0 && wanted > 0 {
             self.refused += 1;
-            let missing = used + 1.0 - allowed * weight;
-            let wait = self.usage.time_until_freed(now, missing.max(1.0));
-            return LeaseReply::Refused(wait);
+            let wait = (1.0 - self.tokens) / rate.max(MIN_RATE);
+            return LeaseReply::Refused(Duration::from_secs_f64(wait));
         }
         let outstanding: u32 = self
             .holders
@@ -234,13 +214,11 @@
         // The request that waits for the reply is sent at once; only further ones can be late. Of a
         // small remainder nothing is granted ahead, because another ingress may need it sooner.
         let ahead = (bounds.granted_ahead(&self.allowance) - f64::from(outstanding))
-            .min(room / 8.0)
+            .min(self.tokens / 8.0)
             .max(0.0);
-        let count = f64::from(wanted).min(room).min(1.0 + ahead) as u32;
+        let count = f64::from(wanted).min(self.tokens).min(1.0 + ahead) as u32;
         self.usage.add(now, count);
-        if let Some(history) = &mut self.history {
-            history.granted += count;
-        }
+        self.tokens -= f64::from(count);
         LeaseReply::Granted(count)
     }
 }
--- a/crates/fescuemux-core/src/allowances/limiter.rs
+++ b/crates/fescuemux-core/src/allowances/limiter.rs
@@ -1,6 +1,6 @@
 //! Decisions of an ingress about the requests of customers with an allowance.
 
-use super::message::{CallerHash, LeaseReply, LeaseRequest, UsageReport};
+use super::message::{CallerHash, LeaseReply, LeaseRequest};
 use super::usage_window::UsageWindow;
 use super::{Allowance, AllowanceBounds, AllowanceMessage, Members};
 use crate::base::{Cx, Generation, HashMap, InstanceId};
@@ -23,6 +23,11 @@
 /// Time for which an instance that does not count is not asked.
 const NOT_COUNTING_BACKOFF: Duration = Duration::from_millis(300);
 
+/// Time for which a request waits for a counting instance while none is known to count. After the
+/// loss of an instance, the next one in the order counts within about a second; most objectives leave
+/// that time, and a refusal would lose requests within the allowance.
+const MAX_HANDOVER_WAIT: Duration = Duration::from_millis(1_200);
+
 /// Times for which a refusal holds without another lease request, minimum and maximum. The maximum
 /// keeps room that becomes free in use; the minimum bounds the messages of a customer that sends
 /// many times its allowance.
@@ -73,7 +78,6 @@
 
 #[derive(Debug)]
 struct CallerState {
-    usage: UsageWindow,
     fixed_share_usage: UsageWindow,
     leased: u32,
     leased_until: Instant,
@@ -97,36 +101,33 @@
     callers: HashMap<CallerHash, CallerState>,
     backoff: HashMap<InstanceId, Instant>,
     next_seq: u32,
-    complete_from: Instant,
 }
 
 impl AllowanceLimiter {
-    /// Returns a limiter without leases. `complete_from` is the time from which it knows the use of
-    /// a whole window. Sequence numbers start at `first_seq`, which should differ between processes.
-    pub(super) fn new(bounds: AllowanceBounds, complete_from: Instant, first_seq: u32) -> Self {
+    /// Returns a limiter without leases. Sequence numbers start at `first_seq`, which should differ
+    /// between processes.
+    pub(super) fn new(bounds: AllowanceBounds, first_seq: u32) -> Self {
         AllowanceLimiter {
             bounds,
             callers: HashMap::default(),
             backoff: HashMap::default(),
             next_seq: first_seq,
-            complete_from,
         }
     }
 
-    /// Decides about a request. `is_new` is false when the decision follows a
+    /// Decides about a request. `waiting_since` is the time of the first decision about it if that was
     /// [`AllowanceDecision::Wait`]. Messages to send are added to `out`.
     pub(super) fn decide(
         &mut self,
         cx: &mut Cx,
         members: &Members,
         caller: &LimitedCaller,
-        is_new: bool,
+        waiting_since: Option<Instant>,
         out: &mut Vec<(InstanceId, AllowanceMessage)>,
     ) -> AllowanceDecision {
         let now = cx.now;
         let bounds = self.bounds;
         let state = self.callers.entry(caller.hash).or_insert_with(|| CallerState {
-            usage: UsageWindow::new(now, bounds.window),
             fixed_share_usage: UsageWindow::new(now, bounds.window),
             leased: 0,
             leased_until: now,
@@ -140,7 +141,7 @@
             version: caller.version,
         });
         (state.allowance, state.version) = (caller.allowance, caller.version);
-        if is_new {
+        if waiting_since.is_none() {
             let elapsed = now.saturating_duration_since(state.last_request).as_secs_f64();
             state.demand = state.demand * (-elapsed / DEMAND_TIME).exp() + 1.0;
             state.last_request = now;
@@ -148,7 +149,6 @@
         state.expire_lease(now);
         if state.leased > 0 {
             state.leased -= 1;
-            state.usage.add(now, 1);
             let is_low =
                 state.demand >= MIN_DEMAND_AHEAD && f64::from(state.leased) < state.demand / 4.0;
             if is_low && state.pending.is_none() && now >= state.refused_until {
@@ -185,9 +185,12 @@
         let share = members.fixed_share(caller.hash, bounds.unleased(&caller.allowance));
         if state.fixed_share_usage.count(now) < share {
             state.fixed_share_usage.add(now, 1);
-            state.usage.add(now, 1);
             return AllowanceDecision::Admitted { leased: false };
         }
+        let waited = waiting_since.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        if waited < MAX_HANDOVER_WAIT {
+            return AllowanceDecision::Wait(now + REPEAT_INTERVAL);
+        }
         AllowanceDecision::Refused(NOT_COUNTING_BACKOFF + state.retry_in(cx))
     }
 
@@ -224,7 +227,6 @@
     /// Takes back an admitted request that was not sent.
     pub(super) fn give_back(&mut self, now: Instant, caller: CallerHash, leased: bool) {
         let Some(state) = self.callers.get_mut(&caller) else { return };
-        state.usage.remove(now, 1);
         match leased {
             true if now < state.leased_until => state.leased += 1,
             true => state.returned += 1,
@@ -232,18 +234,6 @@
         }
     }
 
-    /// Returns the use of a customer in the last window.
-    pub(super) fn usage_report(&mut self, now: Instant, caller: CallerHash) -> UsageReport {
-        let complete = now >= self.complete_from;
-        let mut parts = Default::default();
-        if let Some(state) = self.callers.get_mut(&caller) {
-            state.expire_lease(now);
-            parts = state.usage.parts(now);
-            parts[0] += state.leased;
-        }
-        UsageReport { caller, parts, complete }
-    }
-
     /// Returns leases that were not used, and forgets customers without requests.
     pub(super) fn tick(
         &mut self,
--- a/crates/fescuemux-core/src/allowances/message.rs
+++ b/crates/fescuemux-core/src/allowances/message.rs
@@ -1,7 +1,6 @@
 //! Messages between instances about allowances.
 
 use super::Allowance;
-use super::usage_window::REPORTED_PARTS;
 use crate::base::{Generation, stable_hash};
 use std::time::Duration;
 
@@ -41,17 +40,6 @@
     NotCounting,
 }
 
-/// Use of one customer at one ingress.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct UsageReport {
-    /// Customer.
-    pub caller: CallerHash,
-    /// Requests in each part of the last window, newest first, including those of valid leases.
-    pub parts: [u32; REPORTED_PARTS],
-    /// Whether the ingress has run for the whole window.
-    pub complete: bool,
-}
-
 /// Message between two instances.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum AllowanceMessage {
@@ -66,10 +54,6 @@
         /// Answer.
         reply: LeaseReply,
     },
-    /// Asks for the use of a customer, sent by an instance that starts counting.
-    UsageQuery(CallerHash),
-    /// Answers [`AllowanceMessage::UsageQuery`].
-    UsageReport(UsageReport),
     /// Checks whether an instance is reachable.
     Probe,
     /// Answers [`AllowanceMessage::Probe`].
--- a/crates/fescuemux-core/src/allowances/usage_window.rs
+++ b/crates/fescuemux-core/src/allowances/usage_window.rs
@@ -5,9 +5,6 @@
 /// Slots of a window. One more is kept, so that a request counts for at least the whole window.
 const SLOTS: usize = 50;
 
-/// Parts of a window in which an instance reports its use.
-pub(super) const REPORTED_PARTS: usize = 5;
-
 /// Count of requests in a sliding window, with a resolution of 1/50 of the window.
 #[derive(Clone, Debug)]
 pub(super) struct UsageWindow {
@@ -30,15 +27,6 @@
         self.slots[0] += count;
     }
 
-    /// Adds the use that another instance reported in parts of the window, newest first. Each part
-    /// counts from its end, so that it expires late rather than early.
-    pub(super) fn add_parts(&mut self, now: Instant, parts: &[u32; REPORTED_PARTS]) {
-        self.advance(now);
-        for (index, count) in parts.iter().enumerate() {
-            self.slots[index * SLOTS / REPORTED_PARTS] += count;
-        }
-    }
-
     /// Removes up to `count` requests that were not sent, the oldest first, so that the others
     /// expire late rather than early.
     pub(super) fn remove(&mut self, now: Instant, mut count: u32) {
@@ -56,29 +44,6 @@
         self.slots.iter().sum()
     }
 
-    /// Returns the number of requests in each part of the window, newest first.
-    pub(super) fn parts(&mut self, now: Instant) -> [u32; REPORTED_PARTS] {
-        self.advance(now);
-        let mut parts = [0; REPORTED_PARTS];
-        for (index, count) in self.slots.iter().enumerate() {
-            parts[(index * REPORTED_PARTS / SLOTS).min(REPORTED_PARTS - 1)] += count;
-        }
-        parts
-    }
-
-    /// Returns the time until the count has fallen by `count`.
-    pub(super) fn time_until_freed(&mut self, now: Instant, count: f64) -> Duration {
-        self.advance(now);
-        let mut freed = 0.0;
-        for (age, slot) in self.slots.iter().enumerate().rev() {
-            freed += f64::from(*slot);
-            if freed >= count {
-                return self.slot_length * (SLOTS + 1 - age) as u32;
-            }
-        }
-        self.slot_length * (SLOTS + 1) as u32
-    }
-
     fn advance(&mut self, now: Instant) {
         let elapsed = now.saturating_duration_since(self.origin);
         let newest = (elapsed.as_nanos() / self.slot_length.as_nanos().max(1)) as u64;
--- a/crates/fescuemux-core/tests/allowances/world.rs
+++ b/crates/fescuemux-core/tests/allowances/world.rs
@@ -249,7 +249,10 @@
             version: instance.version,
         };
         let mut out = Outbox::new();
-        let decision = instance.exchange.decide(&mut self.cx, &caller, is_new, &mut out);
+        let decision = {
+            let waiting_since = (!is_new).then_some(self.started_at + since);
+            instance.exchange.decide(&mut self.cx, &caller, waiting_since, &mut out)
+        };
         match decision {
             AllowanceDecision::Admitted { .. } => self.records[customer].sent.push(now),
             AllowanceDecision::Refused(_) => self.records[customer].refused.push(now),
--- a/crates/fescuemux-sidecar/src/allowance_exchange.rs
+++ b/crates/fescuemux-sidecar/src/allowance_exchange.rs
@@ -4,7 +4,7 @@
 use crate::node::Node;
 use fescuemux_core::allowances::{
     Allowance, AllowanceExchange, AllowanceMessage, CallerHash, LeaseReply, LeaseRequest, Outbox,
-    UsageReport, caller_hash,
+    caller_hash,
 };
 use fescuemux_core::base::{CallerId, HashMap, InstanceId};
 use serde::{Deserialize, Serialize};
@@ -60,14 +60,6 @@
         caller: u64,
         seq: u32,
     },
-    UsageQuery {
-        caller: u64,
-    },
-    UsageReport {
-        caller: u64,
-        parts: [u32; 5],
-        complete: bool,
-    },
     Probe,
     ProbeReply,
 }
@@ -92,10 +84,6 @@
                 }
                 LeaseReply::NotCounting => AllowanceRecord::NotCounting { caller, seq },
             },
-            AllowanceMessage::UsageQuery(caller) => AllowanceRecord::UsageQuery { caller },
-            AllowanceMessage::UsageReport(UsageReport { caller, parts, complete }) => {
-                AllowanceRecord::UsageReport { caller, parts, complete }
-            }
             AllowanceMessage::Probe => AllowanceRecord::Probe,
             AllowanceMessage::ProbeReply => AllowanceRecord::ProbeReply,
         }
@@ -138,10 +126,6 @@
             AllowanceRecord::NotCounting { caller, seq } => {
                 reply(caller, seq, LeaseReply::NotCounting)
             }
-            AllowanceRecord::UsageQuery { caller } => AllowanceMessage::UsageQuery(caller),
-            AllowanceRecord::UsageReport { caller, parts, complete } => {
-                AllowanceMessage::UsageReport(UsageReport { caller, parts, complete })
-            }
             AllowanceRecord::Probe => AllowanceMessage::Probe,
             AllowanceRecord::ProbeReply => AllowanceMessage::ProbeReply,
         })
--- a/crates/fescuemux-sidecar/src/ingress/allowance.rs
+++ b/crates/fescuemux-sidecar/src/ingress/allowance.rs
@@ -67,15 +67,16 @@
 /// # Errors
 /// Fails if the allowance is used up, with the time until there is room.
 async fn decide(node: &Node, caller: &LimitedCaller) -> Result<bool, Duration> {
-    let mut is_new = true;
+    let mut waiting_since = None;
     loop {
         // Registered before the decision, so that no reply is missed.
         let replied = node.allowance_notify.notified();
         let mut outbox = Outbox::new();
-        let decision =
-            node.with_cx(|cx| node.allowances.borrow_mut().decide(cx, caller, is_new, &mut outbox));
+        let decision = node.with_cx(|cx| {
+            node.allowances.borrow_mut().decide(cx, caller, waiting_since, &mut outbox)
+        });
         allowance_exchange::send(node, outbox);
-        is_new = false;
+        waiting_since = waiting_since.or(Some(node.now()));
         match decision {
             AllowanceDecision::Admitted { leased } => return Ok(leased),
             AllowanceDecision::Refused(retry_after) => return Err(retry_after),
