--- a/crates/fescuemux-core/src/placement/traffic_splitter.rs
+++ b/crates/fescuemux-core/src/placement/traffic_splitter.rs
@@ -10,7 +10,7 @@
 
 /// Chooses the service of each request. Each ingress starts at a random position, so that the sum
 /// over many ingresses with few requests each follows the weights.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct TrafficSplitter {
     /// Position of the latest request of each route, as a share of the sum of the weights.
     positions: HashMap<RouteId, f64>,
--- a/crates/fescuemux-sidecar/src/control.rs
+++ b/crates/fescuemux-sidecar/src/control.rs
@@ -1,12 +1,14 @@
 //! Endpoints for reports of the local backend server, readiness checks and metrics.
 
 use crate::ControlCall;
+use crate::ingress;
 use crate::node::Node;
 use crate::serve::{SimpleResponse, text_response};
 use bytes::Bytes;
 use fescuemux_core::placement::{Departure, ServerPhase, ServerReport};
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::Full;
+use std::cell::Cell;
 use std::time::Duration;
 use tracing::{info, warn};
 
@@ -114,8 +116,60 @@
     text_response(StatusCode::OK, "ready")
 }
 
+/// Handles a call of an operator: an explanation of a request, or else all metrics.
+pub(crate) async fn handle_operator(node: &Node, req: &Request<()>, body: &[u8]) -> SimpleResponse {
+    match req.uri().path() {
+        "/explain" => handle_explain(node, body).await,
+        _ => handle_metrics(node),
+    }
+}
+
+/// Responds where the request that `body` describes would be sent. Only one explanation is made at a
+/// time, because each asks up to 15 guards.
+async fn handle_explain(node: &Node, body: &[u8]) -> SimpleResponse {
+    let Ok(query) = serde_json::from_slice(body) else {
+        return error_response(400, "expected JSON with host and path");
+    };
+    if node.is_explaining.replace(true) {
+        return error_response(429, "another explanation is being made");
+    }
+    let _reset = ResetOnDrop(&node.is_explaining);
+    match ingress::explain(node, query).await {
+        Ok(explanation) => match serde_json::to_vec(&explanation) {
+            Ok(buf) => json_response(StatusCode::OK, buf),
+            Err(e) => {
+                warn!(event = "explanation_not_encoded", error = %e);
+                error_response(500, "the explanation cannot be encoded")
+            }
+        },
+        Err(not_placed) => error_response(not_placed.status, &not_placed.error),
+    }
+}
+
+/// Resets a flag when it is dropped, also if the operator disconnects.
+struct ResetOnDrop<'a>(&'a Cell<bool>);
+
+impl Drop for ResetOnDrop<'_> {
+    fn drop(&mut self) {
+        self.0.set(false);
+    }
+}
+
+fn error_response(status: u16, error: &str) -> SimpleResponse {
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    json_response(status, serde_json::json!({ "error": error }).to_string().into_bytes())
+}
+
+fn json_response(status: StatusCode, buf: Vec<u8>) -> SimpleResponse {
+    let mut response = Response::new(Full::new(Bytes::from(buf)));
+    *response.status_mut() = status;
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    response
+}
+
 /// Responds with all metrics.
-pub(crate) async fn handle_metrics(node: &Node, _: &Request<()>, _: &[u8]) -> SimpleResponse {
+fn handle_metrics(node: &Node) -> SimpleResponse {
     let age_ms = node.config_age().map_or(i64::MAX, |age| age.as_millis() as i64);
     node.metrics.config_age_ms.set(age_ms);
     match node.metrics.encode_text() {
--- a/crates/fescuemux-sidecar/src/ingress.rs
+++ b/crates/fescuemux-sidecar/src/ingress.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod caller_connection;
 mod exchange;
+mod explain;
 mod locality;
 mod request;
 mod request_body;
@@ -27,6 +28,7 @@
 use tracing::info;
 
 pub(crate) use caller_connection::serve;
+pub(crate) use explain::explain;
 
 /// `Retry-After` of a refusal whose wait cannot be estimated: about the time in which a server
 /// restarts, or in which the other instances take over the load of a failed instance.
--- a/crates/fescuemux-sidecar/src/ingress/locality.rs
+++ b/crates/fescuemux-sidecar/src/ingress/locality.rs
@@ -106,6 +106,15 @@
     /// Sorts the replies, best first, and returns why the request leaves its domain if it is sent to
     /// another one.
     pub(super) fn order(&self, replies: &mut Vec<LoadReply>) -> LeaveReason {
+        let jitter = match self.has_policy() {
+            true => self.node.with_cx(LocalityPolicy::jitter),
+            false => 1.0,
+        };
+        self.order_with(jitter, replies)
+    }
+
+    /// Sorts as [`Search::order`] does, with `jitter` as the random factor of the cost of leaving.
+    pub(super) fn order_with(&self, jitter: f64, replies: &mut Vec<LoadReply>) -> LeaveReason {
         if !self.has_policy() {
             let cost = PlacementCost::default();
             let PlacedRequest { home, kilobytes, idempotent, .. } = &self.placed;
@@ -115,7 +124,6 @@
             return LeaveReason::Cost;
         }
         let reports: Vec<_> = self.home_reports(replies).chain(self.waiting).collect();
-        let jitter = self.node.with_cx(LocalityPolicy::jitter);
         self.node.locality.borrow().order(
             self.node.now(),
             jitter,
--- a/crates/fescuemux-sidecar/src/load_query.rs
+++ b/crates/fescuemux-sidecar/src/load_query.rs
@@ -230,6 +230,29 @@
 /// Queries `peers` and returns the replies that arrive in time. Peers that do not reply are put
 /// into backoff, in which they are queried only if too few other peers are known.
 pub(crate) async fn query_peers(node: &Node, peers: Vec<Peer>, query: LoadQuery) -> Vec<LoadReply> {
+    let Answers { replies, silent } = ask_peers(node, peers, query).await;
+    for peer in silent {
+        node.directory.borrow_mut().on_timeout(node.now(), &peer.id);
+        node.locality.borrow_mut().on_no_reply(node.now(), &peer.domain);
+    }
+    let record = |(reply, rtt): (LoadReply, Duration)| {
+        let offered = Offered { domain: &reply.peer.domain, report: reply.load_report };
+        node.locality.borrow_mut().on_reply(node.now(), &reply.peer.service, offered, rtt);
+        reply
+    };
+    replies.into_iter().map(record).collect()
+}
+
+/// Replies to load queries, and the peers that did not reply.
+#[derive(Debug)]
+pub(crate) struct Answers {
+    /// Replies with their round-trip times.
+    pub(crate) replies: Vec<(LoadReply, Duration)>,
+    pub(crate) silent: Vec<Peer>,
+}
+
+/// Queries `peers` without recording the result.
+pub(crate) async fn ask_peers(node: &Node, peers: Vec<Peer>, query: LoadQuery) -> Answers {
     let (tx, rx) = flume::bounded(peers.len().max(1));
     let queried: Vec<(u64, Peer)> = peers
         .into_iter()
@@ -256,26 +279,15 @@
             deadline = deadline.min(Instant::now() + more_replies_timeout);
         }
         if let Some((_, peer)) = queried.iter().find(|(other, _)| *other == seq) {
-            on_reply(node, peer, load_report, sent_at);
-            replies.push(LoadReply { peer: peer.clone(), load_report });
+            let rtt = node.now().saturating_duration_since(sent_at);
+            replies.push((LoadReply { peer: peer.clone(), load_report }, rtt));
         }
     }
     drop(pending);
-    let unresponsive =
-        queried.iter().filter(|(_, peer)| replies.iter().all(|reply| reply.peer.id != peer.id));
-    for (_, peer) in unresponsive {
-        node.directory.borrow_mut().on_timeout(node.now(), &peer.id);
-        node.locality.borrow_mut().on_no_reply(node.now(), &peer.domain);
-    }
-    replies
-}
-
-/// Records a reply for the locality policy.
-fn on_reply(node: &Node, peer: &Peer, report: LoadReport, sent_at: std::time::Instant) {
-    let now = node.now();
-    let offered = Offered { domain: &peer.domain, report };
-    let rtt = now.saturating_duration_since(sent_at);
-    node.locality.borrow_mut().on_reply(now, &peer.service, offered, rtt);
+    let is_silent =
+        |peer: &Peer| replies.iter().all(|(reply, _): &(LoadReply, _)| reply.peer.id != peer.id);
+    let silent = queried.into_iter().map(|(_, peer)| peer).filter(is_silent).collect();
+    Answers { replies, silent }
 }
 
 /// Returns the timeout of all replies after the first. With a locality policy it includes the
--- a/crates/fescuemux-sidecar/src/node.rs
+++ b/crates/fescuemux-sidecar/src/node.rs
@@ -82,6 +82,8 @@
     pub(crate) departures_changed: watch::Sender<()>,
     /// Last report that came before [`Node::knows_departures`].
     pub(crate) deferred_report: RefCell<Option<ServerReport>>,
+    /// Whether an explanation is being made.
+    pub(crate) is_explaining: Cell<bool>,
     /// Decides when requests leave the failure domain.
     pub(crate) locality: RefCell<LocalityPolicy>,
     pub(crate) hop_pool: HopPool,
@@ -140,6 +142,7 @@
             held_departures: RefCell::default(),
             departures_changed: watch::Sender::new(()),
             deferred_report: RefCell::default(),
+            is_explaining: Cell::new(false),
             locality: RefCell::default(),
             hop_pool: HopPool::default(),
             load_queries,
@@ -170,6 +173,17 @@
         result
     }
 
+    /// Calls `f` and restores the random number generator and the traffic split, so that an
+    /// explanation does not change later decisions.
+    pub(crate) fn without_effects<T>(&self, f: impl FnOnce() -> T) -> T {
+        let rng = self.rng.borrow().clone();
+        let traffic_splitter = self.traffic_splitter.borrow().clone();
+        let result = f();
+        *self.rng.borrow_mut() = rng;
+        *self.traffic_splitter.borrow_mut() = traffic_splitter;
+        result
+    }
+
     /// Returns whether a planned stop of this instance is under way or may just be over. Requests that
     /// were taken meanwhile are not broken off while their servers work on them. A process does not
     /// know whether an earlier one was stopped or killed before it started.
--- a/crates/fescuemux-sidecar/src/run.rs
+++ b/crates/fescuemux-sidecar/src/run.rs
@@ -47,7 +47,7 @@
     let peer_listener = bind(addresses.peers).await?;
     serve_simple(node.clone(), bind(addresses.control).await?, control::handle_control);
     serve_simple(node.clone(), bind(addresses.ready).await?, control::handle_ready);
-    serve_simple(node.clone(), bind(addresses.metrics).await?, control::handle_metrics);
+    serve_simple(node.clone(), bind(addresses.metrics).await?, control::handle_operator);
     spawn_local(ingress::serve(node.clone(), bind(addresses.callers).await?));
     spawn_local(serve_peers(node.clone(), peer_listener));
     spawn_supervised("load_query", &node, load_query::serve);
