--- a/crates/fescuemux-cli/src/main.rs
+++ b/crates/fescuemux-cli/src/main.rs
@@ -3,6 +3,7 @@
 mod api;
 mod check;
 mod demo;
+mod explain;
 mod load;
 mod measure;
 mod operate;
@@ -72,6 +73,8 @@
         /// Settings file
         file: PathBuf,
     },
+    /// Explains where an instance would send a request, without sending it
+    Explain(explain::Args),
     /// Runs a small fleet on loopback and checks its guarantees
     Demo(demo::Args),
     /// Sends load at a fixed rate and reports latency and failed checks
@@ -101,6 +104,7 @@
         Command::Dump { api } => operate::dump(&api),
         Command::LogLevel { api, level } => operate::log_level(&api, &level),
         Command::Check { file } => Ok(check::check(&file)),
+        Command::Explain(args) => explain::explain(&args),
         Command::Demo(args) => demo::run(&args),
         Command::Load(args) => load::run(*args),
         Command::Measure(measurement) => measure::measure(&measurement),
