--- a/crates/fescuemux-sidecar/src/ingress.rs
+++ b/crates/fescuemux-sidecar/src/ingress.rs
@@ -8,6 +8,7 @@
 mod caller_stream;
 mod early_requests;
 mod exchange;
+mod explain;
 mod locality;
 mod message_tracker;
 mod pipelined_head;
@@ -37,6 +38,7 @@
 use tracing::info;
 
 pub(crate) use caller_connection::serve;
+pub(crate) use explain::explain;
 
 /// `Retry-After` of a refusal whose wait cannot be estimated: about the time in which a server
 /// restarts, or in which the other instances take over the load of a failed instance.
--- a/crates/fescuemux-sidecar/src/run.rs
+++ b/crates/fescuemux-sidecar/src/run.rs
@@ -62,7 +62,7 @@
         node.clone(),
         ConnectionKind::Metrics,
         bind(addresses.metrics).await?,
-        control::handle_metrics,
+        control::handle_operator,
     );
     spawn_local(ingress::serve(node.clone(), bind(addresses.callers).await?));
     spawn_local(serve_peers(node.clone(), peer_listener));
