--- a/crates/fescuemux-core/src/lib.rs
+++ b/crates/fescuemux-core/src/lib.rs
@@ -64,6 +64,7 @@
 pub mod fair_queue;
 pub mod locality;
 pub mod member;
+pub mod memory;
 pub mod pipelining;
 pub mod placement;
 pub mod retry;
--- a/crates/fescuemux-sidecar/src/allowance_exchange.rs
+++ b/crates/fescuemux-sidecar/src/allowance_exchange.rs
@@ -3,9 +3,10 @@
 use crate::load_query;
 use crate::node::Node;
 use fescuemux_core::allowances::{
-    Allowance, AllowanceExchange, AllowanceMessage, LeaseReply, LeaseRequest, Outbox, UsageReport,
+    Allowance, AllowanceExchange, AllowanceMessage, CallerHash, LeaseReply, LeaseRequest, Outbox,
+    caller_hash,
 };
-use fescuemux_core::base::{HashMap, InstanceId};
+use fescuemux_core::base::{CallerId, HashMap, InstanceId};
 use serde::{Deserialize, Serialize};
 use std::rc::Rc;
 use std::time::Duration;
@@ -59,14 +60,6 @@
         caller: u64,
         seq: u32,
     },
-    UsageQuery {
-        caller: u64,
-    },
-    UsageReport {
-        caller: u64,
-        parts: [u32; 5],
-        complete: bool,
-    },
     Probe,
     ProbeReply,
 }
@@ -91,10 +84,6 @@
                 }
                 LeaseReply::NotCounting => AllowanceRecord::NotCounting { caller, seq },
             },
-            AllowanceMessage::UsageQuery(caller) => AllowanceRecord::UsageQuery { caller },
-            AllowanceMessage::UsageReport(UsageReport { caller, parts, complete }) => {
-                AllowanceRecord::UsageReport { caller, parts, complete }
-            }
             AllowanceMessage::Probe => AllowanceRecord::Probe,
             AllowanceMessage::ProbeReply => AllowanceRecord::ProbeReply,
         }
@@ -137,10 +126,6 @@
             AllowanceRecord::NotCounting { caller, seq } => {
                 reply(caller, seq, LeaseReply::NotCounting)
             }
-            AllowanceRecord::UsageQuery { caller } => AllowanceMessage::UsageQuery(caller),
-            AllowanceRecord::UsageReport { caller, parts, complete } => {
-                AllowanceMessage::UsageReport(UsageReport { caller, parts, complete })
-            }
             AllowanceRecord::Probe => AllowanceMessage::Probe,
             AllowanceRecord::ProbeReply => AllowanceMessage::ProbeReply,
         })
@@ -213,6 +198,15 @@
     }
 }
 
+/// Returns the name of a customer, or an empty one if the configuration no longer contains it.
+fn caller_name(node: &Node, caller: CallerHash) -> CallerId {
+    let config = node.config.borrow();
+    let keys = config.as_ref().and_then(|config| config.caller_keys.as_ref());
+    let mut accounts = keys.into_iter().flat_map(|keys| keys.accounts());
+    let account = accounts.find(|account| caller_hash(&account.id) == caller);
+    account.map(|account| account.id.clone()).unwrap_or_default()
+}
+
 /// Updates the metrics of the busiest customers that this instance counts.
 fn update_metrics(node: &Node, is_logged: bool) {
     let busiest = node.with_cx(|cx| node.allowances.borrow_mut().busiest(cx, BUSIEST_COUNT));
@@ -228,7 +222,7 @@
         if is_logged {
             info!(
                 event = "allowance_use",
-                caller = format!("{:016x}", usage.caller),
+                caller = %caller_name(node, usage.caller),
                 used = usage.used,
                 allowed = usage.allowed,
                 refused = usage.refused
--- a/crates/fescuemux-sidecar/src/ingress.rs
+++ b/crates/fescuemux-sidecar/src/ingress.rs
@@ -8,6 +8,7 @@
 mod caller_stream;
 mod early_requests;
 mod exchange;
+mod explain;
 mod locality;
 mod message_tracker;
 mod pipelined_head;
@@ -20,14 +21,16 @@
 #[cfg(test)]
 mod tests;
 
+use crate::memory::MemoryHold;
 use crate::node::Node;
 use bytes::Bytes;
 use fescuemux_core::base::Verdict;
 use fescuemux_core::locality::LeaveReason;
+use fescuemux_core::memory::MemoryClass;
 use http::{Response, StatusCode};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use request::CallerRequest;
-use request_body::RequestBody;
+use request_body::{RequestBody, memory_exhausted};
 use response::CallerResponse;
 use response_body::ResponseBody;
 use std::rc::Rc;
@@ -35,6 +38,7 @@
 use tracing::info;
 
 pub(crate) use caller_connection::serve;
+pub(crate) use explain::explain;
 
 /// `Retry-After` of a refusal whose wait cannot be estimated: about the time in which a server
 /// restarts, or in which the other instances take over the load of a failed instance.
@@ -72,19 +76,45 @@
     };
     let limits = node.config.borrow().as_ref().map(|config| config.limits);
     let max_body_bytes = limits.map_or(u64::MAX, |limits| limits.body_bytes);
+    let body_len = body.as_ref().map_or(Some(0), |body| body.size_hint().exact());
+    let hold = Rc::new(hold_body(node, request, body_len));
     let read_body = async {
         match body {
-            Some(body) => RequestBody::read(body, max_body_bytes).await,
-            None => Ok(RequestBody::buffered(Bytes::new())),
+            Some(body) => RequestBody::read(body, max_body_bytes, hold.clone()).await,
+            None => Ok(RequestBody::buffered(Bytes::new(), hold.clone())),
         }
     };
     match tokio::time::timeout(request.time_left(node.now()), read_body).await {
-        Ok(Ok(body)) => retry_loop::run(node, request, body).await,
+        Ok(Ok(body)) => {
+            tokio::select! {
+                biased;
+                response = retry_loop::run(node, request, body) => response,
+                () = hold.released() => memory_released(request),
+            }
+        }
         Ok(Err(response)) => response,
         Err(_) => CallerResponse::refused(StatusCode::REQUEST_TIMEOUT, "body_timeout", None),
     }
 }
 
+/// Returns the holder of a request body of `len` bytes, if known.
+fn hold_body(node: &Node, request: &CallerRequest, len: Option<u64>) -> MemoryHold {
+    let class = match len {
+        _ if request.nested => MemoryClass::Own,
+        Some(len) if len <= MemoryClass::MAX_SMALL_BYTES => MemoryClass::Small,
+        _ => MemoryClass::Bulk,
+    };
+    node.memory.hold(class, len)
+}
+
+/// Returns the response to a request that must give up its memory while it is under way.
+fn memory_released(request: &CallerRequest) -> CallerResponse {
+    if request.may_have_run.get() {
+        return CallerResponse::outcome_unknown(StatusCode::BAD_GATEWAY, "memory");
+    }
+    memory_exhausted()
+}
+
 /// Logs a response, counts it in the metrics and converts it to HTTP.
 fn finish(
     node: &Node,
--- a/crates/fescuemux-sidecar/src/ingress/caller_connection.rs
+++ b/crates/fescuemux-sidecar/src/ingress/caller_connection.rs
@@ -3,9 +3,11 @@
 use super::caller_stream::CallerStream;
 use super::early_requests::{ConnectionError, Pipeline, Turn};
 use super::{InFlightCount, ResponseBody, handle};
+use crate::memory::ConnectionPermit;
 use crate::node::Node;
 use crate::serve::accept_connections;
 use bytes::Bytes;
+use fescuemux_core::memory::ConnectionKind;
 use http::{HeaderValue, Request, header};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::server::conn::http1;
@@ -33,19 +35,18 @@
 
 /// Serves connections from callers until the process ends.
 pub(crate) async fn serve(node: Rc<Node>, listener: TcpListener) {
-    accept_connections(listener, move |stream| {
-        tokio::task::spawn_local(serve_connection(node.clone(), stream));
-    })
-    .await;
+    let serve = |stream, permit| serve_connection(node.clone(), stream, permit);
+    accept_connections(&node, ConnectionKind::Caller, listener, serve).await;
 }
 
-async fn serve_connection(node: Rc<Node>, stream: TcpStream) {
+async fn serve_connection(node: Rc<Node>, stream: TcpStream, permit: Rc<ConnectionPermit>) {
     let pipeline = Rc::new(Pipeline::new(node.clone()));
     let activity =
         Rc::new(Activity { active_requests: Cell::new(0), last_activity: Cell::new(node.now()) });
     let service = service_fn(|req: Request<Incoming>| {
         let (node, activity, pipeline) = (node.clone(), activity.clone(), pipeline.clone());
         let (parts, body) = req.into_parts();
+        let active = permit.begin_request();
         let turn = pipeline.on_request(&parts, &body);
         activity.active_requests.set(activity.active_requests.get() + 1);
         pipeline.changed.notify_one();
@@ -68,6 +69,7 @@
             };
             activity.active_requests.set(activity.active_requests.get() - 1);
             activity.last_activity.set(node.now());
+            let response = ResponseBody::keep_active(response, active);
             Ok::<_, ConnectionError>(response.map(|body| OrderedBody { body, pipeline }))
         }
     });
--- a/crates/fescuemux-sidecar/src/node.rs
+++ b/crates/fescuemux-sidecar/src/node.rs
@@ -3,6 +3,7 @@
 use crate::h1::Connection;
 use crate::hop::HopPool;
 use crate::load_query::LoadQueries;
+use crate::memory::Memory;
 use crate::metrics::Metrics;
 use crate::{Dialect, FleetConfig, NodeSettings};
 use anyhow::Result;
@@ -43,6 +44,7 @@
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) incarnation: Incarnation,
     pub(crate) metrics: Metrics,
+    pub(crate) memory: Rc<Memory>,
     pub(crate) admission: RefCell<AdmissionController>,
     /// Channels that deliver the admission decision to queued requests.
     pub(crate) admission_senders: RefCell<HashMap<Ticket, oneshot::Sender<Admission>>>,
@@ -89,6 +91,8 @@
     pub(crate) departures_changed: watch::Sender<()>,
     /// Last report that came before [`Node::knows_departures`].
     pub(crate) deferred_report: RefCell<Option<ServerReport>>,
+    /// Whether an explanation is being made.
+    pub(crate) is_explaining: Cell<bool>,
     /// Decides when requests leave the failure domain.
     pub(crate) locality: RefCell<LocalityPolicy>,
     pub(crate) hop_pool: HopPool,
@@ -135,8 +139,11 @@
             settings.first_start,
         );
         let load_queries = LoadQueries::bind(settings.listen.peers)?;
+        let metrics = Metrics::new()?;
+        let memory = Memory::new(settings.process_limits, clock.clone(), metrics.clone());
         Ok(Node {
-            metrics: Metrics::new()?,
+            metrics,
+            memory: Rc::new(memory),
             admission: RefCell::new(admission),
             admission_senders: RefCell::default(),
             eviction_senders: RefCell::default(),
@@ -162,6 +169,7 @@
             held_departures: RefCell::default(),
             departures_changed: watch::Sender::new(()),
             deferred_report: RefCell::default(),
+            is_explaining: Cell::new(false),
             locality: RefCell::default(),
             hop_pool: HopPool::default(),
             load_queries,
@@ -195,6 +203,17 @@
         result
     }
 
+    /// Calls `f` and restores the random number generator and the traffic split, so that an
+    /// explanation does not change later decisions.
+    pub(crate) fn without_effects<T>(&self, f: impl FnOnce() -> T) -> T {
+        let rng = self.rng.borrow().clone();
+        let traffic_splitter = self.traffic_splitter.borrow().clone();
+        let result = f();
+        *self.rng.borrow_mut() = rng;
+        *self.traffic_splitter.borrow_mut() = traffic_splitter;
+        result
+    }
+
     /// Returns whether a planned stop of this instance is under way or may just be over. Requests that
     /// were taken meanwhile are not broken off while their servers work on them. A process does not
     /// know whether an earlier one was stopped or killed before it started.
--- a/crates/fescuemux-sidecar/src/settings.rs
+++ b/crates/fescuemux-sidecar/src/settings.rs
@@ -3,6 +3,7 @@
 use anyhow::{Result, ensure};
 use fescuemux_core::allowances::AllowanceBounds;
 use fescuemux_core::base::{DomainId, InstanceId, ServiceId};
+use fescuemux_core::memory::ProcessLimits;
 use fescuemux_core::placement::RetryLimits;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -48,6 +49,9 @@
     pub retry_limits: RetryLimits,
     /// Bounds of the requests of a customer with an allowance.
     pub allowance_bounds: AllowanceBounds,
+    /// Limits of the memory and the descriptors of the process. A change takes effect at the next
+    /// start.
+    pub process_limits: ProcessLimits,
     /// Shortest lease TTL that the store grants.
     pub min_lease_ttl: Duration,
     /// Whether the locality policy decides when requests leave the failure domain, and not fixed
