--- a/crates/fescuemux-core/examples/allowance_cost.rs
+++ b/crates/fescuemux-core/examples/allowance_cost.rs
@@ -51,7 +51,8 @@
                 }
             }
             if matches!(decision, AllowanceDecision::Wait(_)) {
-                black_box(exchanges[0].decide(&mut cx, &caller, Some(cx.now), &mut outbox));
+                let waiting_since = Some(cx.now);
+                black_box(exchanges[0].decide(&mut cx, &caller, waiting_since, &mut outbox));
             }
         }
         let lease = timer.elapsed() / ROUNDS;
--- a/crates/fescuemux-sidecar/src/allowance_exchange/tests.rs
+++ b/crates/fescuemux-sidecar/src/allowance_exchange/tests.rs
@@ -1,9 +1,7 @@
 //! Tests of the encoding of messages about allowances.
 
 use super::{AllowanceDatagram, AllowanceRecord, MAX_RECORDS};
-use fescuemux_core::allowances::{
-    Allowance, AllowanceMessage, LeaseReply, LeaseRequest, UsageReport,
-};
+use fescuemux_core::allowances::{Allowance, AllowanceMessage, LeaseReply, LeaseRequest};
 use std::time::Duration;
 
 fn lease_request(rate: f64) -> AllowanceMessage {
@@ -28,8 +26,6 @@
         reply(LeaseReply::Granted(30)),
         reply(LeaseReply::Refused(Duration::from_millis(160))),
         reply(LeaseReply::NotCounting),
-        AllowanceMessage::UsageQuery(caller),
-        AllowanceMessage::UsageReport(UsageReport { caller, parts: [300; 5], complete: true }),
         AllowanceMessage::Probe,
         AllowanceMessage::ProbeReply,
     ];
--- a/crates/fescuemux-sidecar/src/ingress/explain.rs
+++ b/crates/fescuemux-sidecar/src/ingress/explain.rs
@@ -91,6 +91,7 @@
     let search = Search::new(node, &request, query.bytes, false, None);
     let load_query = LoadQuery {
         precedence: request.precedence(),
+        share: request.share(),
         route_hash: request.route_hash,
         expected_running_time: search.placed.running_time,
     };
