--- a/crates/fescuemux-sidecar/src/ingress/explain.rs
+++ b/crates/fescuemux-sidecar/src/ingress/explain.rs
@@ -34,6 +34,13 @@
     config_version: u64,
     route: String,
     service: String,
+    /// Customer of the key; `None` if the request has no customer.
+    caller: Option<String>,
+    /// Allowance of the customer over all instances, in requests per second.
+    allowance_rate: Option<f64>,
+    /// Requests that the customer may send at once after a pause, besides the rate.
+    allowance_burst: Option<f64>,
+    /// Priority of the customer, or else of the route.
     priority: u8,
     idempotent: bool,
     objective_ms: u64,
@@ -117,13 +124,17 @@
     let placed = &search.placed;
     let best = replies.first();
     let left_home = best.filter(|best| best.peer.domain != placed.home).map(|_| leave_reason);
+    let allowance = request.account.as_ref().and_then(|account| account.allowance);
     Ok(Explanation {
         instance: node.settings.borrow().instance.to_string(),
         domain: placed.home.to_string(),
         config_version: node.config_version(),
         route: request.policy.id.to_string(),
         service: placed.service.to_string(),
-        priority: request.policy.priority,
+        caller: request.customer().map(str::to_owned),
+        allowance_rate: allowance.map(|allowance| allowance.rate),
+        allowance_burst: allowance.map(|allowance| allowance.burst),
+        priority: request.priority,
         idempotent: placed.idempotent,
         objective_ms: millis(request.policy.objective),
         deadline_ms: millis(request.deadline.saturating_duration_since(request.arrival)),
