--- a/crates/fescuemux-sidecar/src/node.rs
+++ b/crates/fescuemux-sidecar/src/node.rs
@@ -1,5 +1,7 @@
 //! State of one sidecar process.
 
+mod running_request;
+
 use crate::h1::Connection;
 use crate::hop::HopPool;
 use crate::load_query::LoadQueries;
@@ -16,8 +18,9 @@
     Admission, AdmissionController, ConfigFreshness, ConfigRole, Departure, FailedRequests,
     HeldDepartures, LocalServer, NoticeChange, OwnDepartures, Peer, PeerDirectory, RelayedNotice,
     RelayedNotices, RunningTimes, ServerNotice, ServerReport, ShutdownDeadlines, Ticket,
-    TrafficSplitter, is_nested_request_of,
+    TrafficSplitter,
 };
+pub(crate) use running_request::RunningRequest;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -29,14 +32,6 @@
 /// Time after the grace period of a planned stop in which lost requests are still attributed to it.
 const STOP_AFTERMATH: Duration = Duration::from_secs(1);
 
-/// Request that is running at the local backend server.
-#[derive(Clone, Debug)]
-pub(crate) struct RunningRequest {
-    pub(crate) id: String,
-    /// Whether the request is a retry or nested in a retry, also indirectly.
-    pub(crate) is_part_of_retry: bool,
-}
-
 /// State of one sidecar process, shared by the tasks of the process on a single thread.
 pub(crate) struct Node {
     pub(crate) settings: RefCell<NodeSettings>,
@@ -226,13 +221,6 @@
         *self.stopping.borrow() || is_recent_start()
     }
 
-    /// Returns the request running at the local backend server in which the request `id` is nested,
-    /// if there is one.
-    pub(crate) fn running_parent(&self, id: &str) -> Option<RunningRequest> {
-        let running = self.running_requests.borrow();
-        running.iter().find(|parent| is_nested_request_of(id, &parent.id)).cloned()
-    }
-
     /// Counts a request of a customer in the metrics.
     pub(crate) fn record_caller_request(&self, account: &CallerAccount, outcome: &str) {
         let mut callers = self.frequent_callers.borrow_mut();
