--- a/review/standins-2/src/pipelined_requests.rs
+++ b/review/standins-2/src/pipelined_requests.rs
@@ -15,7 +15,7 @@
 const MACHINE: usize = 0;
 
 /// Requesters that send requests behind one another, and how many each.
-const REQUESTERS: usize = 4;
+const REQUESTERS: usize = 6;
 const REQUESTS: usize = 4;
 
 /// Work of the first request of each, and of those behind it.
