--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -129,7 +129,7 @@
             fleet.start_process(index)?;
         }
         for index in 0..fleet.machines.len() {
-            fleet.start_server(index)?;
+            fleet.start_server(index, Duration::ZERO)?;
         }
         fleet.await_ready()?;
         Ok(fleet)
@@ -189,13 +189,21 @@
         self.machines[index].server.as_ref().expect("a server")
     }
 
-    pub fn start_server(&mut self, index: usize) -> io::Result<()> {
+    pub fn start_server(&mut self, index: usize, clock_ahead: Duration) -> io::Result<()> {
         let (record, slots) = (self.record.clone(), self.site.slots);
         let machine = &mut self.machines[index];
         let id = format!("i-{:08x}", 0x7f3a_91c0 + index);
         let (addr, control) = (machine.at(APP), machine.at(CONTROL));
-        let server =
-            Server::start(&id, &machine.service, &machine.zone, addr, control, slots, record)?;
+        let server = Server::start(
+            &id,
+            &machine.service,
+            &machine.zone,
+            addr,
+            control,
+            slots,
+            clock_ahead,
+            record,
+        )?;
         machine.server = Some(server);
         Ok(())
     }
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -1,10 +1,11 @@
-//! Stand-ins and checks of the scripts `review/N/run.sh`, N from 6 to 9.
+//! Stand-ins and checks of the scripts `review/N/run.sh`, N from 6 to 10.
 //!
 //! `review-standins-2 CASE FOLDER` runs a case from the top of the repository and writes `record.txt`
 //! into its folder. It exits with 1 if the rule was broken, with 0 if it held, and with 2 if the
 //! case could not run. With `TROUBLE=0` the disruption is left out.
 
 mod client;
+mod clock_back;
 mod fleet;
 mod http;
 mod json;
@@ -50,6 +51,7 @@
         "refused-after-run" => refused_after_run::run(&record, trouble),
         "stalled-bodies" => stalled_bodies::run(&record, trouble),
         "pipelined-requests" => pipelined_requests::run(&record, trouble),
+        "clock-back" => clock_back::run(&record, trouble),
         "slow-readers" => slow_readers::run(&record, trouble),
         _ => Err(std::io::Error::other("unknown case")),
     };
--- a/review/standins-2/src/server.rs
+++ b/review/standins-2/src/server.rs
@@ -2,12 +2,12 @@
 //! requests, and answers with what the query of a request asks for: `work` (milliseconds before
 //! the answer), `bytes` (of the body) and `over` (milliseconds over which the body is sent).
 //!
-//! A test can let it fail a part of its requests.
+//! A test can let it fail a part of its requests, or let it end or leave.
 
 use crate::http;
 use crate::record::{unix_ms, Record};
 use std::io::{self, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -27,7 +27,10 @@
     /// Whether it fails two requests in five after it ran them, with 503 and without `Not-Run`.
     failing: Arc<AtomicBool>,
     failing_count: Arc<AtomicU64>,
+    draining: Arc<AtomicBool>,
+    ended: Arc<AtomicBool>,
     runs: Arc<Mutex<Vec<Run>>>,
+    streams: Arc<Mutex<Vec<TcpStream>>>,
     record: Record,
 }
 
@@ -35,9 +38,12 @@
 #[derive(Clone, Debug)]
 pub struct Run {
     pub id: String,
+    pub at: Instant,
 }
 
 impl Server {
+    /// Starts a server. `clock_ahead` is by how much the time of day of its machine is ahead.
+    #[allow(clippy::too_many_arguments)]
     pub fn start(
         id: &str,
         service: &str,
@@ -45,6 +51,7 @@
         addr: SocketAddr,
         control: SocketAddr,
         slots: usize,
+        clock_ahead: Duration,
         record: Record,
     ) -> io::Result<Server> {
         let listener = TcpListener::bind(addr)?;
@@ -55,27 +62,35 @@
             addr,
             control,
             slots,
-            born: unix_ms(),
+            born: unix_ms() + clock_ahead.as_millis() as u64,
             seq: Arc::default(),
             failing: Arc::default(),
             failing_count: Arc::default(),
+            draining: Arc::default(),
+            ended: Arc::default(),
             runs: Arc::default(),
+            streams: Arc::default(),
             record,
         };
         let serving = server.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if serving.ended.load(Ordering::SeqCst) {
+                    return;
+                }
                 let server = serving.clone();
                 std::thread::spawn(move || drop(server.serve(stream)));
             }
         });
         let beating = server.clone();
-        std::thread::spawn(move || loop {
-            let pause = match beating.beat() {
-                Ok(()) => HEARTBEAT,
-                Err(_) => Duration::from_millis(200),
-            };
-            std::thread::sleep(pause);
+        std::thread::spawn(move || {
+            while !beating.ended.load(Ordering::SeqCst) {
+                let pause = match beating.beat() {
+                    Ok(()) => HEARTBEAT,
+                    Err(_) => Duration::from_millis(200),
+                };
+                std::thread::sleep(pause);
+            }
         });
         Ok(server)
     }
@@ -85,6 +100,25 @@
         self.failing.store(true, Ordering::SeqCst);
     }
 
+    /// Reports that the server is draining, and returns when that was acknowledged.
+    pub fn drain(&self) -> Instant {
+        self.draining.store(true, Ordering::SeqCst);
+        while self.beat().is_err() {
+            std::thread::sleep(Duration::from_millis(200));
+        }
+        Instant::now()
+    }
+
+    /// Lets the server end: its channels are closed, it accepts none and says nothing any more.
+    pub fn end(&self) {
+        self.ended.store(true, Ordering::SeqCst);
+        drop(TcpStream::connect_timeout(&self.addr, Duration::from_secs(1)));
+        for stream in self.streams.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        self.record.line(&format!("server {}, born {}, has ended", self.id, self.born));
+    }
+
     /// Returns the requests that the server ran.
     pub fn runs(&self) -> Vec<Run> {
         self.runs.lock().unwrap().clone()
@@ -92,12 +126,21 @@
 
     /// Sends a heartbeat, and succeeds if it is acknowledged within a second.
     fn beat(&self) -> io::Result<()> {
-        let Server { service, zone, addr, slots, born, .. } = self;
+        let Server { id, service, zone, addr, slots, born, .. } = self;
+        let draining = self.draining.load(Ordering::SeqCst);
+        let state = if draining { "draining" } else { "ready" };
         let seq = self.seq.fetch_add(1, Ordering::SeqCst) + 1;
         let body = format!(
-            r#"{{"service":"{service}","addr":"{addr}","zone":"{zone}","version":"v1","slots":{slots},"state":"ready","cold_left":"0ms","seq":{seq},"born":{born}}}"#
+            r#"{{"service":"{service}","addr":"{addr}","zone":"{zone}","version":"v1","slots":{slots},"state":"{state}","cold_left":"0ms","seq":{seq},"born":{born}}}"#
         );
-        self.send_heartbeat(&body)
+        let result = self.send_heartbeat(&body);
+        if draining || seq == 1 {
+            self.record.line(&format!(
+                "heartbeat of server {id}: {state}, seq {seq}, born {born}; acknowledged: {}",
+                result.is_ok()
+            ));
+        }
+        result
     }
 
     /// Sends the body of a heartbeat to the node on the same machine.
@@ -121,6 +164,7 @@
 
     fn serve(&self, stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
+        self.streams.lock().unwrap().push(stream.try_clone()?);
         let mut reader = BufReader::new(stream.try_clone()?);
         let mut stream = stream;
         while let Some(request) = http::read_request(&mut reader)? {
@@ -141,7 +185,7 @@
             let over = number("over").unwrap_or(0);
             let (method, target) = (&request.method, &request.target);
             let caller = request.header("caller").unwrap_or_default();
-            self.runs.lock().unwrap().push(Run { id: id.clone() });
+            self.runs.lock().unwrap().push(Run { id: id.clone(), at: Instant::now() });
             self.record.line(&format!(
                 "server {} ({}) runs request {id}: {method} {target}, Caller {caller}, body of {} bytes",
                 self.id,
@@ -149,6 +193,10 @@
                 request.body.len()
             ));
             std::thread::sleep(Duration::from_millis(work));
+            if self.ended.load(Ordering::SeqCst) {
+                self.record.line(&format!("server {} has ended; {id} was at work", self.id));
+                return Ok(());
+            }
             let fails = self.failing.load(Ordering::SeqCst)
                 && self.failing_count.fetch_add(1, Ordering::SeqCst) % 5 < 2;
             let status = if fails { "503 Service Unavailable" } else { "200 OK" };
