--- a/review/standins-2/src/slow_readers.rs
+++ b/review/standins-2/src/slow_readers.rs
@@ -14,7 +14,7 @@
 const MACHINE: usize = 0;
 
 /// Requesters that read slowly.
-const READERS: usize = 12;
+const READERS: usize = 20;
 
 /// Body of each answer, and how its requester reads: a step of so many bytes, then a pause.
 const BYTES: usize = 5_000_000;
