Do not relay a refusal that does not prove that the request has not run

Callers of fescuemux-node got a backend server's own 408, 429 or 503 although the server had run the request. These statuses promise that it has not run, so callers sent requests that are not idempotent again, and they ran twice.

Cause: the guard told a response with `Not-Run` apart and relayed all others with their status, and the ingress passed on whatever status a guard relayed. Nothing connected the status with what is known about the request: the log of such a request says status 503 and verdict `ran`.

Now a guard reports such a response as broken, like a success without a proof. The ingress answers 502 without the server's stamp, which promises nothing, or sends an idempotent request to another server. A head with such a status is invalid between instances as well, so a guard of an earlier version cannot make the promise either. The server counts as failing.

`refusals_without_a_proof_reach_no_caller` failed before: 408 to POST /book/1 reached the caller.

--- a/crates/fescuemux-core/src/base.rs
+++ b/crates/fescuemux-core/src/base.rs
@@ -8,6 +8,7 @@
 mod detection_preference;
 mod ids;
 mod phase;
+mod refusal_status;
 mod request_kind;
 mod server_health;
 mod stable_hash;
@@ -22,6 +23,7 @@
     ServiceId,
 };
 pub use phase::Phase;
+pub use refusal_status::is_refusal_status;
 pub use request_kind::RequestKind;
 pub use server_health::ServerHealth;
 pub(crate) use stable_hash::mix;
--- a/crates/fescuemux-sidecar/src/guard/relay/download.rs
+++ b/crates/fescuemux-sidecar/src/guard/relay/download.rs
@@ -8,6 +8,7 @@
 };
 use crate::hop::{Commit, Failure, Frame, HopResponseHead, Message};
 use crate::node::Node;
+use fescuemux_core::base::is_refusal_status;
 use fescuemux_core::placement::{RequestOutcome, ServerReport};
 use futures::SinkExt;
 use std::io;
@@ -47,7 +48,10 @@
     }
     let success = (200..300).contains(&head.status);
     let encoded = head.header("content-encoding").is_some();
-    if success && (head.header(header_names.response_stamp).is_none() || encoded) {
+    let unproved_success =
+        success && (head.header(header_names.response_stamp).is_none() || encoded);
+    // A server in trouble may run a request and then refuse it.
+    if unproved_success || is_refusal_status(head.status) {
         info!(event = "answer_unproved", request = commit.request_id, status = head.status);
         return RelayResult::failed(RequestOutcome::Failed, Failure::Broken);
     }
--- a/crates/fescuemux-sidecar/src/ingress/response.rs
+++ b/crates/fescuemux-sidecar/src/ingress/response.rs
@@ -3,7 +3,7 @@
 use super::ResponseBody;
 use crate::hop::{HopError, HopResponseHead};
 use bytes::Bytes;
-use fescuemux_core::base::{InstanceId, Verdict};
+use fescuemux_core::base::{InstanceId, Verdict, is_refusal_status};
 use fescuemux_core::locality::LeaveReason;
 use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode, header};
 use std::time::Duration;
@@ -25,8 +25,9 @@
     type Error = HopError;
 
     fn try_from(head: HopResponseHead) -> Result<ServerResponseHead, HopError> {
-        let status = StatusCode::from_u16(head.status).ok();
-        let status = status.filter(|status| (200..600).contains(&status.as_u16()));
+        // A guard reports a request that did not run as a failure, so a refusal proves nothing.
+        let valid = (200..600).contains(&head.status) && !is_refusal_status(head.status);
+        let status = StatusCode::from_u16(head.status).ok().filter(|_| valid);
         let mut headers = HeaderMap::with_capacity(head.headers.len());
         for (name, value) in head.headers {
             let name = HeaderName::try_from(name).map_err(|_| HopError::BrokenResponse)?;
--- a/crates/fescuemux-sidecar/src/ingress/tests.rs
+++ b/crates/fescuemux-sidecar/src/ingress/tests.rs
@@ -100,12 +100,21 @@
         value: &'static [u8],
         valid: bool,
     }
+    let with_status = |status, valid| Case { status, name: "x-tag", value: b"a", valid };
     let cases = [
         Case { status: 200, name: "x-tag", value: b"\xff", valid: true },
-        Case { status: 599, name: "x-tag", value: b"a", valid: true },
-        Case { status: 0, name: "x-tag", value: b"a", valid: false },
-        Case { status: 101, name: "x-tag", value: b"a", valid: false },
-        Case { status: 600, name: "x-tag", value: b"a", valid: false },
+        with_status(404, true),
+        with_status(500, true),
+        with_status(504, true),
+        with_status(599, true),
+        // A guard sends no head for a request that did not run.
+        with_status(408, false),
+        with_status(421, false),
+        with_status(429, false),
+        with_status(503, false),
+        with_status(0, false),
+        with_status(101, false),
+        with_status(600, false),
         Case { status: 200, name: "x tag", value: b"a", valid: false },
         Case { status: 200, name: "", value: b"a", valid: false },
         Case { status: 200, name: "x-tag", value: b"a\r\nb: c", valid: false },
--- a/crates/fescuemux-standins/src/raw.rs
+++ b/crates/fescuemux-standins/src/raw.rs
@@ -3,6 +3,7 @@
 pub mod broken;
 mod caller;
 mod crowd;
+mod refusals;
 pub mod requests;
 mod sound;
 
@@ -13,6 +14,7 @@
 
 pub use caller::{CallerAnswer, call};
 pub use crowd::{Behaviour, Crowd, Section};
+pub use refusals::{refusals, unproved_refusals};
 pub use sound::{SOUND_BODY, early_answers, sound_answers};
 
 /// Part of [`RawAnswer::bytes`] that stands for the header lines with which a sound server proves
