Take 421 for a proof only if it names another server

A server that had run a request and then answered 421 without `Not-Run` was believed not to have run it: the request was sent to a server again, also if it is not idempotent, or its caller got 503.

Cause: the guard took the status 421 alone for the statement that the request has not run. PROTOCOL.md: a response with `Not-Run` states this, and "no other response" does. The 421 of the users' own example has no `Not-Run` and names the server that has the address now in `Instance-Id`; there the request cannot have reached the server that it was for.

Now `Not-Run` counts as before, and 421 counts without it only if it names another server than the request's target. Any other 421 is broken like other refusals without a proof.

Evidence: with its rows for 421, `refusals_without_a_proof_reach_no_caller` failed before (the caller got 503 after a run) and holds now. `refusals_with_a_proof_are_believed` and `failures_of_servers_reach_their_callers` hold before and after: refusals with a proof are still believed, and failures that promise nothing pass unchanged.

--- a/crates/fescuemux-sidecar/src/dialect.rs
+++ b/crates/fescuemux-sidecar/src/dialect.rs
@@ -20,6 +20,8 @@
     pub caller_account: &'static str,
     /// Id of the only backend server that may run the request.
     pub target_server: &'static str,
+    /// Id of the backend server that responds.
+    pub server_id: &'static str,
     /// Set on a response if the backend server did not run the request.
     pub not_run: &'static str,
     /// Set by a backend server on a response, as proof that the response comes from the server.
--- a/crates/fescuemux-sidecar/src/guard/relay/download.rs
+++ b/crates/fescuemux-sidecar/src/guard/relay/download.rs
@@ -43,7 +43,7 @@
         }
     };
     node.on_server_notice(server, node.dialect.decode_notice(&head));
-    if head.header(header_names.not_run).is_some() || head.status == 421 {
+    if proves_not_run(&head, &header_names, server) {
         return RelayResult::failed(RequestOutcome::Shed, Failure::Shed);
     }
     let success = (200..300).contains(&head.status);
@@ -78,6 +78,13 @@
     }
 }
 
+/// Returns whether a response proves that the server did not run the request: it says so, or the
+/// address belongs to another server by now.
+fn proves_not_run(head: &ResponseHead, header_names: &HeaderNames, server: &ServerReport) -> bool {
+    let is_another_server = head.header(header_names.server_id).is_some_and(|id| *server.id != *id);
+    head.header(header_names.not_run).is_some() || (head.status == 421 && is_another_server)
+}
+
 /// Returns the response head that carries the request's id, and the decoder of its body. Responses
 /// with another id are skipped; they may be late responses to earlier requests on the connection.
 async fn read_matching_head(
--- a/crates/fescuemux-standins/src/raw/refusals.rs
+++ b/crates/fescuemux-standins/src/raw/refusals.rs
@@ -5,7 +5,7 @@
 use super::RawAnswer;
 
 /// Status codes that promise that the request has not run and never will.
-const REFUSAL_CODES: [&str; 3] = ["408", "429", "503"];
+const REFUSAL_CODES: [&str; 4] = ["408", "421", "429", "503"];
 
 /// Returns an answer with each of these status codes and with `lines`, header lines with their line
 /// ends. The name of an answer is its code.
