Send no refusal of a backend server for a request that it ran (fescuemuxd)

Callers of fescuemuxd got a backend server's own 408, 421, 429 or 503 for a request that had run, with the verdict `ran` beside it. The status promises the opposite; clients that look only at it send the request again.

The ingress relayed each response with the verdict `ran` and whatever status it had. The guard believed `not-run` of a server only with status 503, so a refusal with 408, 421 or 429 that stated `not-run` was passed on as one that ran.

Now the ingress answers 502 with the verdict `ran` and the server's status in `fescuemux-reason`, and the guard believes `not-run` with each of the four statuses. The key of such a request is recorded with status 502, so a resend still learns that it ran. Idempotent requests are tried again as after a 5xx.

Evidence: `refusals_without_a_proof_reach_no_caller`, for orders and idempotent reads, `refusals_with_a_proof_are_believed` and `a_key_is_used_up_by_a_refusal_without_a_proof` of `broken_answers` failed before this change and hold with it.

--- a/crates/fescuemux-daemon/src/guard/forward.rs
+++ b/crates/fescuemux-daemon/src/guard/forward.rs
@@ -9,7 +9,7 @@
     ConnectionReuse, HttpLimits, OutgoingBody, Pool, PooledResponse, RelayLimits, SendError, empty,
     full, is_replayable, read_all, relay,
 };
-use fescuemux_core::base::Verdict;
+use fescuemux_core::base::{Verdict, is_refusal_status};
 use fescuemux_core::detect::Outcome;
 use fescuemux_http::DiscardRest;
 use fescuemux_wire::headers;
@@ -188,11 +188,11 @@
     }
 }
 
-/// Returns whether the backend server refused the request because of its load, without running it.
+/// Returns whether the backend server refused the request and says that it has not run it. The
+/// status alone proves nothing: a server in trouble may run a request and then refuse it.
 fn is_load_shed(parts: &http::response::Parts) -> bool {
     let verdict = parts.headers.get(headers::VERDICT).map(|value| value.as_bytes());
-    parts.status == StatusCode::SERVICE_UNAVAILABLE
-        && verdict == Some(Verdict::NotRun.as_str().as_bytes())
+    is_refusal_status(parts.status.as_u16()) && verdict == Some(Verdict::NotRun.as_str().as_bytes())
 }
 
 fn outcome_for_status(status: StatusCode) -> Outcome {
--- a/crates/fescuemux-daemon/src/ingress/attempt.rs
+++ b/crates/fescuemux-daemon/src/ingress/attempt.rs
@@ -9,7 +9,7 @@
     ConnectionReuse, OutgoingBody, PooledResponse, RelayLimits, full, is_replayable, read_all,
     relay, strip_connection_headers, strip_fleet_headers,
 };
-use fescuemux_core::base::{InstanceId, ServerHealth, ServerId, Verdict};
+use fescuemux_core::base::{InstanceId, ServerHealth, ServerId, Verdict, is_refusal_status};
 use fescuemux_core::retry::{Attempt, RetryDecision};
 use fescuemux_core::route::{AttemptAnswer, Choice, RouteQuery, ServerLoad};
 use fescuemux_wire::headers;
@@ -285,16 +285,23 @@
         }
     }
 
-    /// Converts a hop response to the response to the caller. A body known to fit into
+    /// Converts a backend server's response to the response to the caller. A body known to fit into
     /// [`max_replay_bytes`](crate::http::HttpLimits::max_replay_bytes) is read completely first, so
     /// that a truncated body becomes an error response. Other bodies are streamed, and the caller's
     /// connection is aborted when the source fails.
+    ///
+    /// # Errors
+    /// Returns the error response to send instead if the body is truncated, or if the status would
+    /// promise that the request has not run.
     async fn relay_response(
         &self,
         req: &IncomingRequest,
         response: PooledResponse,
     ) -> Result<Response<OutgoingBody>, ErrorResponse> {
         let (mut parts, body) = response.into_parts();
+        if is_refusal_status(parts.status.as_u16()) {
+            return Err(ErrorResponse::refused_after_run(parts.status));
+        }
         let limits = &self.context.limits;
         let relay_limits =
             RelayLimits { idle_timeout: limits.idle_timeout, max_bytes: limits.max_body_bytes };
--- a/crates/fescuemux-daemon/src/ingress/failure.rs
+++ b/crates/fescuemux-daemon/src/ingress/failure.rs
@@ -75,6 +75,12 @@
         ErrorResponse::new(StatusCode::BAD_GATEWAY, Verdict::MayHaveRun, reason)
     }
 
+    /// Returns a 502 response to a request that a backend server ran and then refused with `status`.
+    pub(super) fn refused_after_run(status: StatusCode) -> ErrorResponse {
+        let reason = format!("the server answered {} after it ran the request", status.as_u16());
+        ErrorResponse::new(StatusCode::BAD_GATEWAY, Verdict::Ran, reason)
+    }
+
     /// Returns a 409 response to a request whose idempotency key was or may have been used before.
     pub(super) fn duplicate(
         verdict: Verdict,
--- a/crates/fescuemux-daemon/src/ingress/keyed.rs
+++ b/crates/fescuemux-daemon/src/ingress/keyed.rs
@@ -27,19 +27,19 @@
         let result = self.send_with_retries(req, body).await;
         let outcome = match &result {
             Ok(response) => Some(KeyOutcomeWire::Ran(response.status().as_u16())),
-            Err(error) => claim_outcome(error.verdict),
+            Err(error) => claim_outcome(error),
         };
         self.homes.settle(&req.service.id, key, req.id, outcome);
         result
     }
 }
 
-/// Returns the outcome to record for a request that ended in an error with `verdict`; `None`
-/// releases the claim.
-fn claim_outcome(verdict: Verdict) -> Option<KeyOutcomeWire> {
-    match verdict {
+/// Returns the outcome to record for a request that ended in an error; `None` releases the claim.
+fn claim_outcome(error: &ErrorResponse) -> Option<KeyOutcomeWire> {
+    match error.verdict {
         Verdict::NotRun => None,
-        Verdict::MayHaveRun | Verdict::Ran => Some(KeyOutcomeWire::Unknown),
+        Verdict::MayHaveRun => Some(KeyOutcomeWire::Unknown),
+        Verdict::Ran => Some(KeyOutcomeWire::Ran(error.status.as_u16())),
     }
 }
 
--- a/crates/fescuemux-daemon/tests/broken_answers.rs
+++ b/crates/fescuemux-daemon/tests/broken_answers.rs
@@ -4,14 +4,15 @@
 mod support;
 
 use fescuemux_standins::raw::{
-    CallerAnswer, RawAnswer, RawServer, SOUND_BODY, broken, call, early_answers, requests,
-    sound_answers,
+    CallerAnswer, RawAnswer, RawServer, SOUND_BODY, broken, call, early_answers, refusals,
+    requests, sound_answers, unproved_refusals,
 };
 use fescuemux_standins::store::StandInStore;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 use support::process::{Process, start};
 use support::{TEST_TIMEOUT, intent, post, send_raw};
+use uuid::Uuid;
 
 /// Size of an upload that neither the daemons nor the sockets can buffer.
 const UPLOAD_BYTES: usize = 24 << 20;
@@ -19,6 +20,9 @@
 /// Number of fleets that were started, which tells their processes apart.
 static FLEET_COUNT: AtomicUsize = AtomicUsize::new(0);
 
+/// Number of requests that were sent, which tells their paths apart.
+static REQUEST_COUNT: AtomicUsize = AtomicUsize::new(0);
+
 /// Fleet of two daemons. The only server is a raw one beside `guard`; callers use `ingress`.
 struct RawFleet {
     ingress: Process,
@@ -28,12 +32,18 @@
 }
 
 impl RawFleet {
+    /// Starts a fleet whose server plays answers to orders, which are not idempotent.
     fn start() -> RawFleet {
+        RawFleet::start_with("/orders")
+    }
+
+    /// Starts a fleet whose server plays answers to requests whose path begins with `prefix`.
+    fn start_with(prefix: &'static str) -> RawFleet {
         let number = FLEET_COUNT.fetch_add(1, Ordering::SeqCst);
         let store = StandInStore::start("127.0.0.1:0").expect("a store");
         let ingress = start(&format!("broken-ingress-{number}"), store.addr(), &[]);
         let guard = start(&format!("broken-guard-{number}"), store.addr(), &[ingress.rpc]);
-        let server = RawServer::start("/orders").expect("a server");
+        let server = RawServer::start(prefix).expect("a server");
         let fleet = RawFleet { ingress, guard, server, _store: store };
         let operators = fleet.ingress.operators;
         let plan = post(operators, "/v1/plans", intent().to_string().as_bytes());
@@ -64,32 +74,48 @@
         call(self.ingress.callers, head, vec![b'u'; body_len]).expect("the daemon accepts")
     }
 
-    /// Plays an answer to a request that is not idempotent, and returns what the caller got.
+    /// Plays an answer to a request that is not idempotent and runs, and returns what the caller got.
+    fn play(&self, answer: &RawAnswer, body_len: usize) -> Option<CallerAnswer> {
+        let got = self.play_answer(answer, "POST /orders", "", body_len);
+        assert!(!is_refusal(got.as_ref()), "{}: the request has run: {got:?}", answer.name);
+        got
+    }
+
+    /// Plays an answer to a request with these header lines, and returns what the caller got.
     /// Requests that did not reach the server, which may be avoided after broken answers, are
     /// repeated.
-    fn play(&self, answer: &RawAnswer, body_len: usize) -> Option<CallerAnswer> {
+    fn play_answer(
+        &self,
+        answer: &RawAnswer,
+        target: &str,
+        lines: &str,
+        body_len: usize,
+    ) -> Option<CallerAnswer> {
         self.server.set_answer(answer.clone());
         let started = Instant::now();
-        for round in 0.. {
+        loop {
             assert!(started.elapsed() < TEST_TIMEOUT, "{}: no request reaches it", answer.name);
             self.announce();
-            let path = format!("/orders/{}-{round}", answer.name.replace(' ', "-"));
-            let head =
-                format!("POST {path} HTTP/1.1\r\nhost: a\r\nfescuemux-deadline-ms: 4000\r\n");
-            let got = self.call(&head, body_len);
-            if self.server.answer_count(&path) > 0 {
-                let refused = got.as_ref().is_some_and(|got| {
-                    matches!(got.status, 408 | 421 | 429 | 503)
-                        || got.head.contains("fescuemux-verdict: not-run")
-                });
-                assert!(!refused, "{}: the request has run: {got:?}", answer.name);
+            let number = REQUEST_COUNT.fetch_add(1, Ordering::SeqCst);
+            let target = format!("{target}/{}-{number}", answer.name.replace(' ', "-"));
+            let head = format!("{target} HTTP/1.1\r\nhost: a\r\nfescuemux-deadline-ms: 4000\r\n");
+            let got = self.call(&(head + lines), body_len);
+            let path = target.split(' ').nth(1).expect("a path");
+            if self.server.answer_count(path) > 0 {
                 return got;
             }
         }
-        unreachable!("the loop ends in one of its rounds")
     }
 }
 
+/// Returns whether the caller is told that the request has not run.
+fn is_refusal(got: Option<&CallerAnswer>) -> bool {
+    got.is_some_and(|got| {
+        matches!(got.status, 408 | 421 | 429 | 503)
+            || got.head.contains("fescuemux-verdict: not-run")
+    })
+}
+
 /// Returns whether the caller got a failure that promises nothing, or no complete answer.
 fn is_true_failure(got: Option<&CallerAnswer>) -> bool {
     got.is_none_or(|got| matches!(got.status, 502 | 504))
@@ -144,6 +170,66 @@
     assert_reach_no_caller(broken::chunks());
 }
 
+/// The status of a refusal promises that the request has not run. Fails if that promise reaches the
+/// caller of a request that has run.
+#[test]
+fn refusals_without_a_proof_reach_no_caller() {
+    let (orders, slots) = (RawFleet::start(), RawFleet::start_with("/slots"));
+    let mut failures = Vec::new();
+    for answer in unproved_refusals() {
+        for (fleet, target) in [(&orders, "POST /orders"), (&slots, "GET /slots")] {
+            for body_len in [0, 9] {
+                let got = fleet.play_answer(&answer, target, "", body_len);
+                if !is_true_failure(got.as_ref()) || is_refusal(got.as_ref()) {
+                    failures.push(format!("{} to {target}, {body_len}: {got:?}", answer.name));
+                }
+            }
+        }
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
+
+/// A server that says that it has not run a request is believed, and the caller may send it again.
+#[test]
+fn refusals_with_a_proof_are_believed() {
+    let fleet = RawFleet::start();
+    for answer in refusals("fescuemux-verdict: not-run\r\n") {
+        let got = fleet.play_answer(&answer, "POST /orders", "", 0);
+        let got = got.unwrap_or_else(|| panic!("{}: no answer", answer.name));
+        let is_not_run = got.head.contains("fescuemux-verdict: not-run");
+        assert!(got.status == 503 && is_not_run, "{}: {got:?}", answer.name);
+    }
+}
+
+/// The key of a request that was refused after it ran is used up. Fails if the key runs again.
+#[test]
+fn a_key_is_used_up_by_a_refusal_without_a_proof() {
+    let fleet = RawFleet::start();
+    let answer = refusals("").into_iter().next_back().expect("a refusal");
+    fleet.server.set_answer(answer);
+    let send = |path: &str, key: Uuid| {
+        let head = format!("POST {path} HTTP/1.1\r\nhost: a\r\nidempotency-key: {key}\r\n");
+        fleet.call(&head, 0).expect("an answer")
+    };
+    let started = Instant::now();
+    let (key, first) = loop {
+        assert!(started.elapsed() < TEST_TIMEOUT, "no key is accepted");
+        fleet.announce();
+        // A home refuses keys that are older than its start.
+        let key = Uuid::now_v7();
+        let got = send("/orders/first", key);
+        if fleet.server.answer_count("/orders/first") > 0 {
+            break (key, got);
+        }
+        std::thread::sleep(Duration::from_millis(50));
+    };
+    assert!(first.status == 502 && first.head.contains("fescuemux-verdict: ran"), "{first:?}");
+    let second = send("/orders/again", key);
+    assert!(second.status == 409 && second.head.contains("fescuemux-verdict: ran"), "{second:?}");
+    assert!(second.head.contains("fescuemux-first-status: 502"), "{second:?}");
+    assert_eq!(fleet.server.answer_count("/orders/again"), 0);
+}
+
 /// Answers that are unusual and sound must still reach their callers.
 #[test]
 fn unusual_answers_reach_their_callers() {
