--- a/crates/fescuemux-daemon/src/ingress.rs
+++ b/crates/fescuemux-daemon/src/ingress.rs
@@ -9,6 +9,7 @@
 mod effective;
 mod failure;
 mod hedge;
+mod hop_request;
 mod incoming;
 mod keyed;
 mod path_probe;
--- a/crates/fescuemux-daemon/src/ingress/attempt.rs
+++ b/crates/fescuemux-daemon/src/ingress/attempt.rs
@@ -4,7 +4,7 @@
 use super::incoming::IncomingRequest;
 use super::sent::AttemptReport;
 use super::service_parts::ServiceState;
-use super::{ErrorResponse, Ingress, PeerEndpoint};
+use super::{ErrorResponse, Ingress};
 use crate::http::{
     ConnectionReuse, OutgoingBody, PooledResponse, RelayLimits, full, is_replayable, read_all,
     relay, strip_connection_headers, strip_fleet_headers,
@@ -13,19 +13,14 @@
 use fescuemux_core::retry::{Attempt, RetryDecision};
 use fescuemux_core::route::{AttemptAnswer, Choice, RouteQuery, ServerLoad};
 use fescuemux_wire::headers;
-use fescuemux_wire::hop::{HopHealth, HopRequest, HopResponse, sign_request, verify_response};
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri, Version, header};
+use fescuemux_wire::hop::{HopHealth, HopResponse, verify_response};
+use http::{HeaderMap, HeaderValue, Response, StatusCode, Version};
 use http_body_util::BodyExt;
 use hyper::body::Body;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tokio::sync::oneshot;
 use tokio::time::timeout_at;
 
-/// Time subtracted from the deadline passed to the guard, at most half of the remaining time, so
-/// that the guard's timeout response with its verdict still reaches the ingress.
-const HOP_DEADLINE_MARGIN: Duration = Duration::from_millis(10);
-
 /// Maximum number of reassignments of one request. A reassignment is a further attempt after
 /// [`AttemptOutcome::Declined`], counted as `redirected` in the metrics. It is not charged to the
 /// retry budget: the refusal causes the server no load and updates the router's view of the
@@ -323,66 +318,6 @@
         parts.version = Version::HTTP_11;
         Ok(Response::from_parts(parts, body))
     }
-
-    /// Builds the hop request and returns it with its MAC.
-    fn build_hop_request(
-        &self,
-        req: &IncomingRequest,
-        body: &CallerBody,
-        service: &ServiceState,
-        choice: &Choice,
-        peer: PeerEndpoint,
-        attempt: u8,
-    ) -> (Request<OutgoingBody>, String) {
-        let mut header_map = req.parts.headers.clone();
-        let caller = header_map.get(headers::CALLER).cloned();
-        strip_connection_headers(&mut header_map);
-        strip_fleet_headers(&mut header_map);
-        if let Some(caller) = caller {
-            header_map.insert(headers::CALLER, caller);
-        }
-        let remaining = req.deadline.saturating_duration_since(self.context.clock.now());
-        let hop = HopRequest {
-            id: req.id,
-            attempt,
-            server: choice.server.clone(),
-            incarnation: peer.incarnation,
-            deadline: remaining.saturating_sub(HOP_DEADLINE_MARGIN.min(remaining / 2)),
-            kind: choice.kind.into(),
-            idempotent: req.idempotent,
-            priority: req.service.priority,
-            baseline: service.baseline(),
-        };
-        hop.write(&mut header_map);
-        let (body, continue_tx) = body.outgoing_body();
-        let wall = self.context.clock.wall();
-        sign_request(&self.context.keys, wall, &req.parts.method, req.target(), &mut header_map);
-        let mac = header_text(&header_map, headers::MAC);
-        let mut hop_request = Request::new(body);
-        *hop_request.method_mut() = req.parts.method.clone();
-        *hop_request.uri_mut() = Uri::try_from(req.target()).unwrap_or_default();
-        *hop_request.headers_mut() = header_map;
-        if let Some(continue_tx) = continue_tx {
-            expect_continue(&mut hop_request, continue_tx);
-        }
-        (hop_request, mac)
-    }
-}
-
-/// Sends `Expect: 100-continue` (RFC 9110, section 10.1.1) and signals `continue_tx` on the interim
-/// response, so that the body of a refused upload is not consumed and can go to another server.
-fn expect_continue(req: &mut Request<OutgoingBody>, continue_tx: oneshot::Sender<()>) {
-    req.headers_mut().insert(header::EXPECT, HeaderValue::from_static("100-continue"));
-    let continue_tx = Mutex::new(Some(continue_tx));
-    hyper::ext::on_informational(req, move |informational| {
-        if informational.status() != StatusCode::CONTINUE {
-            return;
-        }
-        let mut continue_tx = continue_tx.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(continue_tx) = continue_tx.take() {
-            let _ = continue_tx.send(());
-        }
-    });
 }
 
 /// Describes an attempt to the retry budget, which decides whether another attempt is permitted.
@@ -440,7 +375,7 @@
     ErrorResponse::new(status, verdict, reason)
 }
 
-fn header_text(header_map: &HeaderMap, name: &str) -> String {
+pub(super) fn header_text(header_map: &HeaderMap, name: &str) -> String {
     header_map.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default().to_owned()
 }
 
