Test refusals of uploads and during stops at fescuemuxd

`a_request_that_ran_during_a_stop_is_not_refused` and the uploads of `refusals_without_a_proof_reach_no_caller` cover what `fescuemux-node` has tests for. With the check of `relay_response` taken out the first fails: a 408 reaches the caller while its daemon stops. `signal` moves to the support module of the tests.

--- a/crates/fescuemux-daemon/tests/broken_answers.rs
+++ b/crates/fescuemux-daemon/tests/broken_answers.rs
@@ -8,9 +8,11 @@
     requests, sound_answers, unproved_refusals,
 };
 use fescuemux_standins::store::StandInStore;
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
-use support::process::{Process, start};
+use support::process::{Process, signal, start};
 use support::{TEST_TIMEOUT, intent, post, send_raw};
 use uuid::Uuid;
 
@@ -177,18 +179,66 @@
     let (orders, slots) = (RawFleet::start(), RawFleet::start_with("/slots"));
     let mut failures = Vec::new();
     for answer in unproved_refusals() {
-        for (fleet, target) in [(&orders, "POST /orders"), (&slots, "GET /slots")] {
-            for body_len in [0, 9] {
-                let got = fleet.play_answer(&answer, target, "", body_len);
-                if !is_true_failure(got.as_ref()) || is_refusal(got.as_ref()) {
-                    failures.push(format!("{} to {target}, {body_len}: {got:?}", answer.name));
-                }
+        for (fleet, target, body_len) in [
+            (&orders, "POST /orders", 0),
+            (&orders, "POST /orders", 9),
+            (&orders, "POST /orders", UPLOAD_BYTES),
+            (&slots, "GET /slots", 0),
+            (&slots, "GET /slots", 9),
+        ] {
+            let got = fleet.play_answer(&answer, target, "", body_len);
+            if !is_true_failure(got.as_ref()) || is_refusal(got.as_ref()) {
+                failures.push(format!("{} to {target}, {body_len}: {got:?}", answer.name));
             }
         }
     }
     assert!(failures.is_empty(), "{failures:#?}");
 }
 
+/// A planned stop must not turn a run into a refusal either.
+#[test]
+fn a_request_that_ran_during_a_stop_is_not_refused() {
+    const STREAMED_BYTES: usize = 1 << 20;
+    type Stopping = fn(&RawFleet) -> &Process;
+    let cases: [(&str, Stopping); 2] = [
+        ("the daemon of the caller", |fleet| &fleet.ingress),
+        ("the daemon of the server", |fleet| &fleet.guard),
+    ];
+    for (name, stopping) in cases {
+        for answer in refusals("") {
+            let fleet = RawFleet::start();
+            fleet.server.set_answer(answer.clone());
+            let head = format!(
+                "POST /orders/stop HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\
+                 content-length: {STREAMED_BYTES}\r\n\r\n"
+            );
+            let mut stream = TcpStream::connect(fleet.ingress.callers).expect("a connection");
+            stream.set_read_timeout(Some(TEST_TIMEOUT)).expect("a timeout");
+            stream.write_all(head.as_bytes()).expect("the daemon reads");
+            stream.write_all(&vec![b'u'; STREAMED_BYTES - 1]).expect("the daemon reads");
+            let started = Instant::now();
+            let wait_until = |what: &str, done: &dyn Fn() -> bool| {
+                while !done() {
+                    assert!(started.elapsed() < TEST_TIMEOUT, "{name}: timed out: {what}");
+                    std::thread::sleep(Duration::from_millis(10));
+                }
+            };
+            wait_until("the upload runs", &|| fleet.server.answer_count("/orders/stop") > 0);
+            let stopping = stopping(&fleet);
+            signal(&stopping.child, "-TERM");
+            wait_until("the stop begins", &|| {
+                let request = b"GET /ready HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+                send_raw(stopping.operators, request).status != Some(200)
+            });
+            stream.write_all(b"u").expect("the daemon reads");
+            let mut got = String::new();
+            stream.read_to_string(&mut got).expect("an answer");
+            let is_true = got.starts_with("HTTP/1.1 502 ") && got.contains("verdict: ran\r\n");
+            assert!(is_true, "{} at a stop of {name}: {got}", answer.name);
+        }
+    }
+}
+
 /// A server that says that it has not run a request is believed, and the caller may send it again.
 #[test]
 fn refusals_with_a_proof_are_believed() {
--- a/crates/fescuemux-daemon/tests/processes.rs
+++ b/crates/fescuemux-daemon/tests/processes.rs
@@ -6,7 +6,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::process::{Child, Command};
 use std::time::{Duration, Instant};
-use support::process::{Process, start};
+use support::process::{Process, signal, start};
 use support::{TEST_TIMEOUT, get, intent, post, start_server};
 
 /// Maximum growth of a daemon's peak memory during an upload, in KiB.
@@ -48,11 +48,6 @@
     answer
 }
 
-fn signal(child: &Child, name: &str) {
-    let status = Command::new("kill").arg(name).arg(child.id().to_string()).status().unwrap();
-    assert!(status.success());
-}
-
 #[test]
 fn an_upload_passes_two_hops_in_bounded_memory() {
     let store = fescuemux_standins::store::StandInStore::start("127.0.0.1:0").unwrap();
--- a/crates/fescuemux-daemon/tests/support/process.rs
+++ b/crates/fescuemux-daemon/tests/support/process.rs
@@ -25,6 +25,12 @@
     }
 }
 
+/// Sends a signal to a daemon. `name` is an option of `kill`, such as `-TERM`.
+pub(crate) fn signal(child: &Child, name: &str) {
+    let status = Command::new("kill").arg(name).arg(child.id().to_string()).status().unwrap();
+    assert!(status.success());
+}
+
 /// Reads the log of a daemon until the line with the daemon's addresses, and returns these by name.
 fn read_addresses(child: &mut Child) -> HashMap<String, SocketAddr> {
     let mut log = BufReader::new(child.stderr.take().unwrap());
