--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -5,6 +5,7 @@
 mod early_answer;
 mod fleet;
 mod http;
+mod lost_stream;
 mod pipelines;
 mod slow_reader;
 mod starved;
@@ -25,6 +26,7 @@
     let case: Case = match name.as_str() {
         "early-answer" => early_answer::play,
         "slow-reader" => slow_reader::play,
+        "lost-stream" => lost_stream::play,
         "pipelines" => pipelines::play,
         "starved" => |root, record, trouble| starved::play(root, record, trouble, 1_000),
         _ => {
