--- a/review/standins-3/src/fleet.rs
+++ b/review/standins-3/src/fleet.rs
@@ -101,12 +101,6 @@
         address(&self.ip, 8001)
     }
 
-    pub fn signal(&self, signal: &str) -> Result<(), Failure> {
-        let pid = self.node.as_ref().ok_or("no process")?.id();
-        let status = Command::new("kill").args([signal, &pid.to_string()]).status()?;
-        if status.success() { Ok(()) } else { Err("kill failed".into()) }
-    }
-
     /// Kills the process (SIGKILL).
     pub fn kill(&mut self) -> io::Result<()> {
         self.node.as_mut().map_or(Ok(()), Child::kill)
@@ -128,11 +122,6 @@
     pub fn leave_body(&self) -> String {
         format!("{{\"born\":{}}}", self.born)
     }
-
-    /// Returns whether the process has ended by itself.
-    pub fn has_ended(&mut self) -> bool {
-        self.node.as_mut().is_none_or(|node| !matches!(node.try_wait(), Ok(None)))
-    }
 }
 
 pub struct Fleet {
--- a/review/standins-3/src/forgotten_leave.rs
+++ b/review/standins-3/src/forgotten_leave.rs
@@ -17,9 +17,11 @@
 pub enum Impairment {
     /// All processes are killed right after the ack. The store is sound.
     KillAfterAck,
-    /// It is away for half a second and comes back from a copy.
+    /// The store is away for half a second and comes back from a copy.
     Drill,
-    /// It is silent for 4.5 s.
+    /// The store is silent for 1.5 s after the ack, and all leases expire meanwhile.
+    Lapse,
+    /// The store is silent for 4.5 s around the leave.
     Outage,
 }
 
@@ -61,6 +63,9 @@
         Impairment::Drill => {
             Times { leave: 1_000, kill: 5_000, late_heartbeat: 6_000, in_touch: 9_000, exit: 15_000 }
         }
+        Impairment::Lapse => {
+            Times { leave: 1_000, kill: 5_000, late_heartbeat: 6_000, in_touch: 9_000, exit: 15_000 }
+        }
         Impairment::Outage => {
             Times { leave: 1_000, kill: 2_000, late_heartbeat: 4_000, in_touch: 8_500, exit: 15_000 }
         }
@@ -116,6 +121,15 @@
         fleet.store.come_back(copy);
         record.add("store: back from a copy that is 2.5 s old, with a new Store-Era");
     }
+    if trouble && impairment == Impairment::Lapse {
+        sleep_until(at(1_500));
+        fleet.store.set_silent(true);
+        record.add("store: silent");
+        sleep_until(at(3_000));
+        fleet.store.end_leases();
+        fleet.store.set_silent(false);
+        record.add("store: answers again; all leases have expired");
+    }
     if impairment != Impairment::KillAfterAck {
         sleep_until(at(times.kill));
         for machine in &mut fleet.machines {
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -26,6 +26,9 @@
         "leave-drill" => |root, record, trouble| {
             forgotten_leave::play(root, record, trouble, Impairment::Drill)
         },
+        "leave-lapse" => |root, record, trouble| {
+            forgotten_leave::play(root, record, trouble, Impairment::Lapse)
+        },
         "leave-outage" => |root, record, trouble| {
             forgotten_leave::play(root, record, trouble, Impairment::Outage)
         },
--- a/review/standins-3/src/store.rs
+++ b/review/standins-3/src/store.rs
@@ -87,6 +87,15 @@
         self.shared.1.notify_all();
     }
 
+    /// Ends all leases, as in an outage in which leases expire (`platform_down`, lapse).
+    pub fn end_leases(&self) {
+        let mut state = self.shared.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let ids: Vec<u64> = state.leases.keys().copied().collect();
+        for id in ids {
+            state.end_lease(id);
+        }
+    }
+
     /// Returns a copy of the whole store.
     pub fn copy(&self) -> Copy {
         Copy(self.lock().clone())
