--- a/review/standins-3/src/fleet.rs
+++ b/review/standins-3/src/fleet.rs
@@ -272,7 +272,8 @@
         let leaves = Arc::<AtomicBool>::default();
         let (service, slots) = (options.service, options.slots);
         let (control, stopped, left) = (address(&ip, 8003), self.stopped.clone(), leaves.clone());
-        let machine = Machine { ip: ip.clone(), node: Some(node), leaves, born, slots, service, index };
+        let machine =
+            Machine { ip: ip.clone(), node: Some(node), leaves, born, slots, service, index };
         std::thread::spawn(move || {
             let mut seq = 0;
             while !stopped.load(Ordering::SeqCst) && !left.load(Ordering::SeqCst) {
--- a/review/standins-3/src/forgotten_leave.rs
+++ b/review/standins-3/src/forgotten_leave.rs
@@ -2,8 +2,8 @@
 //! ack, or later, with an impairment of the store before.
 
 use crate::fleet::{
-    Call, Failure, Fleet, Handler, MachineOptions, Record, configuration, read_answer, request_head,
-    rule,
+    Call, Failure, Fleet, Handler, MachineOptions, Record, configuration, read_answer,
+    request_head, rule,
 };
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -57,18 +57,34 @@
 ) -> Result<bool, Failure> {
     let times = match impairment {
         // The kill comes right after the ack.
-        Impairment::KillAfterAck => {
-            Times { leave: 1_000, kill: 2_500, late_heartbeat: 3_000, in_touch: 6_000, exit: 12_000 }
-        }
-        Impairment::Drill => {
-            Times { leave: 1_000, kill: 5_000, late_heartbeat: 6_000, in_touch: 9_000, exit: 15_000 }
-        }
-        Impairment::Lapse => {
-            Times { leave: 1_000, kill: 5_000, late_heartbeat: 6_000, in_touch: 9_000, exit: 15_000 }
-        }
-        Impairment::Outage => {
-            Times { leave: 1_000, kill: 2_000, late_heartbeat: 4_000, in_touch: 8_500, exit: 15_000 }
-        }
+        Impairment::KillAfterAck => Times {
+            leave: 1_000,
+            kill: 2_500,
+            late_heartbeat: 3_000,
+            in_touch: 6_000,
+            exit: 12_000,
+        },
+        Impairment::Drill => Times {
+            leave: 1_000,
+            kill: 5_000,
+            late_heartbeat: 6_000,
+            in_touch: 9_000,
+            exit: 15_000,
+        },
+        Impairment::Lapse => Times {
+            leave: 1_000,
+            kill: 5_000,
+            late_heartbeat: 6_000,
+            in_touch: 9_000,
+            exit: 15_000,
+        },
+        Impairment::Outage => Times {
+            leave: 1_000,
+            kill: 2_000,
+            late_heartbeat: 4_000,
+            in_touch: 8_500,
+            exit: 15_000,
+        },
     };
     let runs = Runs::default();
     let exited = Arc::<AtomicBool>::default();
--- a/review/standins-3/src/http.rs
+++ b/review/standins-3/src/http.rs
@@ -77,11 +77,7 @@
     ///
     /// # Errors
     /// Fails if the connection ends before the body.
-    pub fn read(
-        &mut self,
-        reader: &mut BufReader<TcpStream>,
-        buf: &mut [u8],
-    ) -> io::Result<usize> {
+    pub fn read(&mut self, reader: &mut BufReader<TcpStream>, buf: &mut [u8]) -> io::Result<usize> {
         if self.ended {
             return Ok(0);
         }
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -23,15 +23,15 @@
         "leave-ack" => |root, record, trouble| {
             forgotten_leave::play(root, record, trouble, Impairment::KillAfterAck)
         },
-        "leave-drill" => |root, record, trouble| {
-            forgotten_leave::play(root, record, trouble, Impairment::Drill)
-        },
-        "leave-lapse" => |root, record, trouble| {
-            forgotten_leave::play(root, record, trouble, Impairment::Lapse)
-        },
-        "leave-outage" => |root, record, trouble| {
-            forgotten_leave::play(root, record, trouble, Impairment::Outage)
-        },
+        "leave-drill" => {
+            |root, record, trouble| forgotten_leave::play(root, record, trouble, Impairment::Drill)
+        }
+        "leave-lapse" => {
+            |root, record, trouble| forgotten_leave::play(root, record, trouble, Impairment::Lapse)
+        }
+        "leave-outage" => {
+            |root, record, trouble| forgotten_leave::play(root, record, trouble, Impairment::Outage)
+        }
         _ => {
             eprintln!("no case {name}");
             std::process::exit(2);
--- a/review/standins-3/src/store.rs
+++ b/review/standins-3/src/store.rs
@@ -203,7 +203,8 @@
                 let state = self.lock();
                 let (prefix, after) = (parameter("prefix"), parameter("after"));
                 let items = state.items.iter();
-                let items = items.filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after);
+                let items =
+                    items.filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after);
                 let items: Vec<_> =
                     items.map(|(key, item)| format!("{{{}}}", show(key, item))).collect();
                 let items = items.join(",");
